Workspace of seven crates with the messages and ids that the programs share

The messages come first so that the programs can be written side by side. Weighed: one crate with several binaries (decisions could reach sockets) against a library free of sockets and one crate a program; the second was taken.

--- /dev/null
+++ b/coltsfoothall-intent/src/main.rs
@@ -0,0 +1,2 @@
+//! stub
+fn main() {}
--- /dev/null
+++ b/coltsfoothall-shell/src/lib.rs
@@ -0,0 +1,3 @@
+//! Settings, logs and metrics common to the programs.
+
+pub mod event;
--- /dev/null
+++ b/coltsfoothall-wire/src/client.rs
@@ -0,0 +1,207 @@
+//! An HTTP client around `hyper`, whose errors name the step and the peer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use quick_error::quick_error;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::{http, limit};
+
+/// Time in which a connection has to come up.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Idle connections kept for each peer.
+const IDLE: usize = 32;
+
+quick_error! {
+    /// A call that failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No connection came up, so nothing was sent.
+        Connect(step: String, peer: String, message: String) {
+            display("{step}: cannot connect to {peer}: {message}")
+        }
+        /// The call broke after it may have been sent.
+        Broken(step: String, peer: String, message: String) {
+            display("{step}: {peer} broke off: {message}")
+        }
+        /// No answer came in time.
+        Timeout(step: String, peer: String) {
+            display("{step}: no answer from {peer} in time")
+        }
+        /// The answer has another status than success.
+        Status(step: String, peer: String, status: u16, body: Bytes) {
+            display("{step}: {peer} answered {status}: {}", String::from_utf8_lossy(body))
+        }
+        /// The answer cannot be read.
+        Body(step: String, peer: String, message: String) {
+            display("{step}: cannot read the answer of {peer}: {message}")
+        }
+        /// The call cannot be put together.
+        Call(step: String, peer: String, message: String) {
+            display("{step}: cannot call {peer}: {message}")
+        }
+    }
+}
+
+impl Error {
+    /// Whether the peer cannot have seen the call.
+    #[must_use]
+    pub fn unsent(&self) -> bool {
+        matches!(self, Self::Connect(..) | Self::Call(..))
+    }
+}
+
+/// A client that keeps connections open.
+#[derive(Debug, Clone)]
+pub struct Client {
+    inner: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Client {
+    /// A client with no connection yet.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT));
+        let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(IDLE)
+            // A silent second try would break at-most-once.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { inner }
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// The error says whether the peer can have seen the call.
+    pub async fn send(
+        &self,
+        step: &str,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        let peer = request
+            .uri()
+            .authority()
+            .map(ToString::to_string)
+            .unwrap_or_default();
+        match timeout(within, self.inner.request(request)).await {
+            Err(_elapsed) => Err(Error::Timeout(step.into(), peer)),
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) if error.is_connect() => {
+                Err(Error::Connect(step.into(), peer, chain(&error)))
+            }
+            Ok(Err(error)) => Err(Error::Broken(step.into(), peer, chain(&error))),
+        }
+    }
+
+    /// Calls `http://{peer}{path}` with a body and reads the whole answer.
+    ///
+    /// # Errors
+    /// As [`Client::send`]; any status but success is an error too.
+    pub async fn call(
+        &self,
+        step: &str,
+        method: Method,
+        peer: &str,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+    ) -> Result<Bytes, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{peer}{path}"))
+            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| Error::Call(step.into(), peer.into(), error.to_string()))?;
+        let whole = async {
+            let answer = self.send(step, request, within).await?;
+            let status = answer.status();
+            let body = http::read(answer.into_body(), limit::FRAME)
+                .await
+                .map_err(|error| Error::Body(step.into(), peer.into(), error.to_string()))?;
+            if status.is_success() {
+                Ok(body)
+            } else {
+                Err(Error::Status(
+                    step.into(),
+                    peer.into(),
+                    status.as_u16(),
+                    body,
+                ))
+            }
+        };
+        match timeout(within, whole).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(Error::Timeout(step.into(), peer.into())),
+        }
+    }
+
+    /// `GET` of a JSON value.
+    ///
+    /// # Errors
+    /// As [`Client::call`], or the answer is not the JSON that was asked for.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        step: &str,
+        peer: &str,
+        path: &str,
+        within: Duration,
+    ) -> Result<T, Error> {
+        let body = self
+            .call(step, Method::GET, peer, path, Bytes::new(), within)
+            .await?;
+        read(step, peer, &body)
+    }
+
+    /// A call with a JSON value that is answered with another.
+    ///
+    /// # Errors
+    /// As [`Client::get`].
+    pub async fn exchange<A: Serialize, T: DeserializeOwned>(
+        &self,
+        step: &str,
+        method: Method,
+        peer: &str,
+        path: &str,
+        value: &A,
+        within: Duration,
+    ) -> Result<T, Error> {
+        let body = self
+            .call(step, method, peer, path, http::json(value), within)
+            .await?;
+        read(step, peer, &body)
+    }
+}
+
+fn read<T: DeserializeOwned>(step: &str, peer: &str, body: &[u8]) -> Result<T, Error> {
+    http::parse(body).map_err(|error| Error::Body(step.into(), peer.into(), error.to_string()))
+}
+
+/// The error and what caused it, as one line.
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut next = error.source();
+    while let Some(cause) = next {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        next = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/coltsfoothall-wire/src/http.rs
@@ -0,0 +1,79 @@
+//! Small helpers around HTTP bodies, on both sides.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Body;
+use quick_error::quick_error;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+quick_error! {
+    /// A body that cannot be read.
+    #[derive(Debug)]
+    pub enum Error {
+        /// It is over its limit.
+        Large(limit: usize) {
+            display("body is over {limit} bytes")
+        }
+        /// The connection ended within it.
+        Broken(message: String) {
+            display("body ended early: {message}")
+        }
+        /// It is not the JSON that was asked for.
+        Json(message: String) {
+            display("{message}")
+        }
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+/// The body is over the limit, or the connection ended within it.
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, Error>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Error::Large(limit)),
+        Err(error) => Err(Error::Broken(error.to_string())),
+    }
+}
+
+/// Reads a whole body as JSON.
+///
+/// # Errors
+/// As [`read`], or the body is not the JSON that was asked for.
+pub async fn read_json<T, B>(body: B, limit: usize) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let bytes = read(body, limit).await?;
+    parse(&bytes)
+}
+
+/// Reads a value from JSON.
+///
+/// # Errors
+/// The bytes are not the JSON that was asked for.
+pub fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(bytes).map_err(|error| Error::Json(error.to_string()))
+}
+
+/// A value as JSON bytes.
+#[must_use]
+pub fn json<T: Serialize>(value: &T) -> Bytes {
+    serde_json::to_vec(value)
+        .expect("messages have no map keys that JSON refuses")
+        .into()
+}
+
+/// A value as a JSON body.
+#[must_use]
+pub fn json_body<T: Serialize>(value: &T) -> Full<Bytes> {
+    Full::new(json(value))
+}
--- /dev/null
+++ b/coltsfoothall-wire/src/serve.rs
@@ -0,0 +1,140 @@
+//! An HTTP server loop around `hyper`, for every program that listens.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::fault::{Body as FaultBody, Fault};
+use crate::{http, limit};
+
+/// Body of an answer, whole or streamed.
+pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// An answer under way.
+pub type Answer = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
+/// Most connections open at once; it bounds the memory that idle callers can take.
+pub const CONNECTIONS: usize = 8192;
+
+/// What answers requests.
+pub trait Handler: Send + Sync {
+    /// Answers one request that came from `peer`.
+    fn call(self: Arc<Self>, request: Request<Incoming>, peer: SocketAddr) -> Answer;
+}
+
+/// A whole body.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// An empty answer with a status.
+#[must_use]
+pub fn empty(status: u16) -> Response<Body> {
+    let mut answer = Response::new(full(Bytes::new()));
+    *answer.status_mut() = code(status);
+    answer
+}
+
+/// A value as a JSON answer.
+pub fn json<T: Serialize>(status: u16, value: &T) -> Response<Body> {
+    let mut answer = Response::new(full(http::json(value)));
+    *answer.status_mut() = code(status);
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    answer
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    answer
+}
+
+/// An error as its JSON answer, with `Retry-After` where it says when to come back.
+#[must_use]
+pub fn fault(fault: &Fault) -> Response<Body> {
+    let mut answer = json(
+        fault.code.status(),
+        &FaultBody {
+            error: fault.clone(),
+        },
+    );
+    if let Some(wait) = fault.retry_after_ms {
+        let seconds = wait.0.div_ceil(1000).max(1);
+        answer
+            .headers_mut()
+            .insert(hyper::header::RETRY_AFTER, seconds.into());
+    }
+    answer
+}
+
+fn code(status: u16) -> hyper::StatusCode {
+    hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+/// Accepts connections until `stop`, then lets the open ones finish their requests.
+///
+/// It returns when the last connection has ended.
+pub async fn run(listener: TcpListener, handler: Arc<dyn Handler>, stop: CancellationToken) {
+    let open = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) if open.len() < CONNECTIONS => {
+                let connection = connection(stream, peer, Arc::clone(&handler), stop.clone());
+                open.spawn(connection);
+            }
+            Ok(_over_limit) => {}
+            // Out of descriptors: wait for connections to end instead of spinning.
+            Err(_transient) => tokio::time::sleep(std::time::Duration::from_millis(10)).await,
+        }
+    }
+    drop(listener);
+    open.close();
+    open.wait().await;
+}
+
+async fn connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Arc<dyn Handler>,
+    stop: CancellationToken,
+) {
+    // Parts of an answer are small and must not wait for each other.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request| {
+        let answer = Arc::clone(&handler).call(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limit::HEAD)
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades();
+    let mut connection = std::pin::pin!(connection);
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            // A connection's end, clean or not, concerns that connection alone.
+            _ended = connection.as_mut() => return,
+            () = stop.cancelled(), if !stopping => {
+                stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coltsfoothall/src/prefix.rs
@@ -0,0 +1,39 @@
+//! Prompt prefixes as chains of hashed blocks, the unit of prefix caches.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::size::Tokens;
+
+/// Bytes of prompt in one block.
+pub const BLOCK_LEN: usize = 1024;
+/// Bytes that count as one token of a prompt, before an engine says better.
+pub const TOKEN_LEN: usize = 4;
+/// Tokens in one block.
+pub const BLOCK_TOKENS: Tokens = Tokens((BLOCK_LEN / TOKEN_LEN) as u64);
+
+/// Hash of a block and of all blocks before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Block(pub u64);
+
+/// Hashes the whole blocks of a prompt; a rest shorter than a block is left out.
+///
+/// `seed` keeps prompts of different models apart.
+#[must_use]
+pub fn blocks(seed: u64, prompt: &str) -> Vec<Block> {
+    let mut hash = seed;
+    let whole = prompt.as_bytes().chunks_exact(BLOCK_LEN);
+    whole
+        .map(|block| {
+            hash = xxh3_64_with_seed(block, hash);
+            Block(hash)
+        })
+        .collect()
+}
+
+/// Tokens that a prompt counts as, at least one.
+#[must_use]
+pub fn tokens(prompt: &str) -> Tokens {
+    Tokens(prompt.len().div_ceil(TOKEN_LEN).max(1) as u64)
+}
