--- a/coltsfoothall-wire/src/caller.rs
+++ b/coltsfoothall-wire/src/caller.rs
@@ -15,6 +15,8 @@
 use coltsfoothall::key::Key;
 use coltsfoothall::size::{Millis, Tokens};
 
+pub use coltsfoothall::record::{Class, Finish};
+
 /// Text of the event that ends a stream.
 pub const DONE: &str = "[DONE]";
 
@@ -45,17 +47,6 @@
     pub key: Key,
 }
 
-/// How urgent a request is.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Class {
-    /// Somebody waits for the first token.
-    #[default]
-    Interactive,
-    /// Only the whole answer matters.
-    Batch,
-}
-
 /// A request for a completion, in the shape that existing clients speak.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prompt {
@@ -75,16 +66,6 @@
     256
 }
 
-/// Why an answer ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Finish {
-    /// The model ended it.
-    Stop,
-    /// `max_tokens` was reached.
-    Length,
-}
-
 /// A piece of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Choice {
--- a/coltsfoothall-wire/src/engine.rs
+++ b/coltsfoothall-wire/src/engine.rs
@@ -17,7 +17,7 @@
 use coltsfoothall::prefix::Block;
 use coltsfoothall::size::Tokens;
 
-pub use crate::caller::Finish;
+pub use coltsfoothall::record::Finish;
 
 /// Number of an attempt: the request's slot epoch and counter, unique in the fleet.
 pub type Attempt = u64;
--- a/coltsfoothall/src/lib.rs
+++ b/coltsfoothall/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod id;
 pub mod key;
 pub mod prefix;
+pub mod record;
 pub mod size;
