--- a/coltsfoothall-wire/src/lib.rs
+++ b/coltsfoothall-wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http;
 pub mod limit;
 pub mod operator;
+pub mod peer;
 pub mod serve;
 pub mod sse;
 pub mod store;
--- a/coltsfoothall-wire/src/limit.rs
+++ b/coltsfoothall-wire/src/limit.rs
@@ -10,6 +10,8 @@
 pub const VALUE: usize = 1 << 20;
 /// Largest operators' document.
 pub const INTENT: usize = 1 << 20;
+/// Largest plan: an intent, its steps, and the whole configuration after it.
+pub const PLAN: usize = 4 << 20;
 /// Largest frame between peers: one request's copy and its envelope.
 pub const FRAME: usize = 16 << 20;
 /// Largest single event of an engine's stream.
--- a/coltsfoothall-wire/src/operator.rs
+++ b/coltsfoothall-wire/src/operator.rs
@@ -11,67 +11,22 @@
 
 use serde::{Deserialize, Serialize};
 
-use coltsfoothall::catalog::{Catalog, Revision};
+use coltsfoothall::catalog::Revision;
 use coltsfoothall::id;
 use coltsfoothall::size::Millis;
 
-/// What a plan does to one object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Verb {
-    /// It is made.
-    Create,
-    /// It is changed.
-    Change,
-    /// It is removed.
-    Remove,
-}
-
-/// One step of a plan.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Step {
-    /// What is done.
-    pub verb: Verb,
-    /// Kind of the object: `service`, `workspace`, `model`, `adapter` or `placement`.
-    pub kind: String,
-    /// Its name.
-    pub name: String,
-    /// Effects, one a line, for people.
-    pub effects: Vec<String>,
-}
-
-/// A plan, made on a revision.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Plan {
-    /// Names the plan; minted when it is made.
-    pub id: id::Plan,
-    /// The revision it was made on.
-    pub base: Revision,
-    /// What it does.
-    pub steps: Vec<Step>,
-    /// The configuration after it.
-    pub after: Catalog,
-}
+pub use coltsfoothall::catalog::Catalog;
+pub use coltsfoothall::confirm::Verdict;
+pub use coltsfoothall::plan::{Plan, Step, Verb};
 
-/// What became of a confirmation.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Verdict {
-    /// The plan is the configuration since this revision.
-    Accepted(Revision),
-    /// Another plan was accepted on the same base; a new plan for the same intent follows.
-    Stale {
-        /// The revision that is in force.
-        current: Revision,
-        /// What the others changed since the plan's base.
-        changed: Vec<Step>,
-    },
-    /// The key-value service did not answer; confirm again to settle it.
-    Unsettled {
-        /// Why, for people.
-        message: String,
-    },
-}
+/// Path of the call for the [`Catalog`].
+pub const CATALOG: &str = "/v1/operator/catalog";
+/// Path of the call for a [`Plan`].
+pub const PLAN: &str = "/v1/operator/plan";
+/// Path of the call for a [`Verdict`]; every verdict is answered with 200.
+pub const CONFIRM: &str = "/v1/operator/confirm";
+/// Path of the call for a [`Status`].
+pub const STATUS: &str = "/v1/operator/status";
 
 /// An entry instance as others know it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -112,6 +67,9 @@
     pub instance: id::Instance,
     /// Revision in force here.
     pub revision: Revision,
+    /// Time since that revision was known to be current; none if it never was.
+    #[serde(default)]
+    pub age_ms: Option<Millis>,
     /// Entry instances on which that revision is in force.
     pub in_force: u32,
     /// Entry instances, sorted by name.
