--- a/coltsfoothall/src/catalog.rs
+++ b/coltsfoothall/src/catalog.rs
@@ -18,6 +18,19 @@
     }
 }
 
+/// Accepted plans that a catalog remembers; it bounds what history adds to the stored value.
+pub const HISTORY: usize = 64;
+
+/// An accepted plan.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Past {
+    /// The plan.
+    pub plan: id::Plan,
+    /// The revision that it made.
+    pub revision: Revision,
+}
+
 /// Everything that operators have set. Each list is sorted by name.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -26,6 +39,8 @@
     pub revision: Revision,
     /// The plan that wrote it; a lost answer is settled by reading this.
     pub plan: Option<id::Plan>,
+    /// Plans accepted last, oldest first, at most [`HISTORY`].
+    pub history: Vec<Past>,
     /// Services.
     pub services: Vec<Service>,
     /// Workspaces.
@@ -38,6 +53,36 @@
     pub placements: Vec<Placement>,
 }
 
+impl Catalog {
+    /// The revision that a plan made, if it was accepted and is still remembered.
+    #[must_use]
+    pub fn accepted(&self, plan: &id::Plan) -> Option<Revision> {
+        if self.plan.as_ref() == Some(plan) {
+            return Some(self.revision);
+        }
+        let past = self.history.iter().find(|past| past.plan == *plan);
+        past.map(|past| past.revision)
+    }
+
+    /// Whether the plan that made this revision is still remembered.
+    #[must_use]
+    pub fn remembers(&self, revision: Revision) -> bool {
+        self.revision == revision || self.history.iter().any(|past| past.revision == revision)
+    }
+
+    /// Makes this the next revision, written by `plan`.
+    pub fn advance(&mut self, plan: id::Plan) {
+        self.revision = Revision(self.revision.0 + 1);
+        self.history.push(Past {
+            plan: plan.clone(),
+            revision: self.revision,
+        });
+        let old = self.history.len().saturating_sub(HISTORY);
+        self.history.drain(..old);
+        self.plan = Some(plan);
+    }
+}
+
 /// What kind of endpoints a service has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
--- /dev/null
+++ b/coltsfoothall/src/choice.rs
@@ -0,0 +1,458 @@
+//! The choice of an endpoint for a request, by expected cost.
+//!
+//! Few candidates are weighed: those whose cache is believed to hold most of
+//! the prompt, those that the first unknown block of the prompt hashes to (so
+//! that all entry instances bring a new prefix to the same cache), and some at
+//! random. A failing endpoint is avoided while another can serve; a leaving one
+//! is never chosen.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+use crate::id;
+use crate::index::{self, Event, Held, Holder, Index, Match};
+use crate::load::{self, Report, Work};
+use crate::pool::{Node, Table};
+use crate::prefix::{BLOCK_TOKENS, Block};
+use crate::record::Class;
+use crate::size::{Millis, Price, Tokens};
+use crate::weight::{Risk, Weights};
+
+/// How choices are made.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The weights of the cost.
+    pub weights: Weights,
+    /// How load reports are read.
+    pub load: load::Settings,
+    /// Bounds of the cache index.
+    pub index: index::Settings,
+    /// Most candidates that are taken for what they have cached.
+    pub holders: usize,
+    /// Candidates that the prompt hashes to.
+    pub homes: usize,
+    /// Part of the endpoints where batch has its homes, apart from interactive.
+    pub batch_part: f64,
+    /// Candidates taken at random.
+    pub sample: usize,
+    /// Services with at most so many endpoints have all of them weighed.
+    pub all: usize,
+    /// Entry instances that send to the same endpoints, this one included.
+    pub entries: u32,
+    /// Microseconds in which an endpoint reads one prompt token.
+    pub read: f64,
+    /// Time between tokens, for how long an answer is expected to take.
+    pub step: Millis,
+    /// Open requests that one endpoint takes before the target is missed.
+    pub slots: u32,
+    /// Work that one open request counts as beside its uncached prompt.
+    pub slot: Tokens,
+    /// Uncached prompt that one endpoint takes at once.
+    pub depth: Tokens,
+    /// Seed of the random candidates; entry instances should differ.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            weights: Weights::default(),
+            load: load::Settings::default(),
+            index: index::Settings::default(),
+            holders: 8,
+            homes: 1,
+            batch_part: 0.0,
+            sample: 6,
+            all: 32,
+            entries: 8,
+            read: 100.0,
+            step: Millis(25),
+            slots: 32,
+            slot: Tokens(128),
+            depth: Tokens(4_096),
+            seed: 1,
+        }
+    }
+}
+
+/// An endpoint that requests can go to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Its name.
+    pub id: id::Endpoint,
+    /// The service that it belongs to.
+    pub service: id::Service,
+    /// Models that it has loaded, sorted; empty means any.
+    pub models: Vec<id::Model>,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Price of its instance.
+    pub price: Price,
+    /// How likely its instance is to be reclaimed.
+    pub risk: Risk,
+}
+
+/// What a request asks of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a id::Service,
+    /// The model, for engines.
+    pub model: Option<&'a id::Model>,
+    /// Blocks of the prompt.
+    pub blocks: &'a [Block],
+    /// Length of the prompt.
+    pub prompt: Tokens,
+    /// Most tokens still to be generated.
+    pub max_tokens: Tokens,
+    /// How urgent it is.
+    pub class: Class,
+    /// Failure domain of this entry instance.
+    pub domain: &'a id::Domain,
+    /// Endpoints that failed it before.
+    pub exclude: &'a [id::Endpoint],
+    /// Whether nothing else may run beside it.
+    pub alone: bool,
+}
+
+/// A chosen endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pick {
+    /// Its name.
+    pub endpoint: id::Endpoint,
+    /// Tokens of the prompt that its cache is believed to hold.
+    pub cached: Tokens,
+    /// Expected wait for the first token.
+    pub wait: Duration,
+}
+
+/// A request that was sent to an endpoint and has not ended there.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "an open request counts as load until `Router::ended` takes it back"]
+pub struct Run {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// What was believed cached of the prompt.
+    held: Held,
+    /// Prompt tokens not yet known to be read.
+    prefill: Tokens,
+    alone: bool,
+}
+
+/// Chooses endpoints; owned by the control thread.
+#[derive(Debug)]
+pub struct Router {
+    settings: Settings,
+    table: Table,
+    index: Index,
+    random: Pcg64Mcg,
+    found: Vec<Match>,
+    candidates: Vec<Candidate>,
+}
+
+/// A node that is weighed, and the blocks that it is believed to hold.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    node: usize,
+    blocks: usize,
+    /// Whether the prompt hashes to it.
+    home: bool,
+}
+
+impl Router {
+    /// A router without endpoints.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            table: Table::default(),
+            index: Index::new(settings.index.clone()),
+            random: Pcg64Mcg::seed_from_u64(settings.seed),
+            found: Vec::new(),
+            candidates: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Replaces the list of endpoints; what is known of those that stay is kept.
+    pub fn set_endpoints(&mut self, endpoints: Vec<Endpoint>) {
+        self.table.replace(endpoints, &mut self.index);
+    }
+
+    /// Tells how many entry instances send to the same endpoints.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.settings.entries = entries.max(1);
+    }
+
+    /// An endpoint leaves: it is not chosen again until it left the list.
+    pub fn leaving(&mut self, id: &id::Endpoint) {
+        if let Some(node) = self.table.get_mut(id) {
+            node.leaving = true;
+        }
+    }
+
+    /// An endpoint is gone.
+    pub fn remove(&mut self, id: &id::Endpoint) {
+        self.table.remove(id, &mut self.index);
+    }
+
+    /// An endpoint failed: it is chosen before `until` only if no other serves.
+    pub fn suspect(&mut self, id: &id::Endpoint, until: Time) {
+        if let Some(node) = self.table.get_mut(id) {
+            node.suspect = until;
+        }
+    }
+
+    /// Chooses an endpoint, or none if no endpoint may take the request.
+    pub fn choose(&mut self, now: Time, ask: &Ask<'_>) -> Option<Pick> {
+        self.gather(now, ask);
+        let mut best: Option<(f64, Candidate)> = None;
+        for candidate in &self.candidates {
+            let cost = self.cost(now, ask, *candidate);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, *candidate));
+            }
+        }
+        let (_, candidate) = best?;
+        Some(self.pick(now, ask, candidate))
+    }
+
+    /// A request goes to an endpoint.
+    pub fn began(&mut self, now: Time, endpoint: &id::Endpoint, ask: &Ask<'_>) -> Run {
+        let mut run = Run {
+            endpoint: endpoint.clone(),
+            held: Held::default(),
+            prefill: Tokens(0),
+            alone: ask.alone,
+        };
+        if let Some(node) = self.table.get_mut(endpoint) {
+            run.held = self.index.held(node.holder, ask.blocks);
+            run.prefill = ask.prompt.minus(tokens(run.held.blocks));
+            node.load.began(now, run.prefill, &self.settings.load);
+            node.alone += u32::from(ask.alone);
+            self.index.touch(node.holder, ask.blocks);
+        }
+        run
+    }
+
+    /// The first token arrived; `cached` is what the endpoint says that it
+    /// read from its cache, which corrects what was believed.
+    pub fn first(&mut self, now: Time, run: &mut Run, cached: Option<Tokens>) {
+        let prefill = std::mem::take(&mut run.prefill);
+        let Some(node) = self.table.get_mut(&run.endpoint) else {
+            return;
+        };
+        node.load.read(now, prefill, &self.settings.load);
+        if cached.is_some_and(|cached| cached < tokens(run.held.blocks)) {
+            self.index.missed(node.holder, run.held);
+        }
+    }
+
+    /// A request ended at its endpoint, in whatever way.
+    pub fn ended(&mut self, now: Time, run: Run) {
+        if let Some(node) = self.table.get_mut(&run.endpoint) {
+            node.load.read(now, run.prefill, &self.settings.load);
+            node.load.ended(now, &self.settings.load);
+            node.alone = node.alone.saturating_sub(u32::from(run.alone));
+        }
+    }
+
+    /// An endpoint reported its load.
+    pub fn report(&mut self, now: Time, endpoint: &id::Endpoint, report: &Report) {
+        let Some(node) = self.table.get_mut(endpoint) else {
+            return;
+        };
+        self.index.resize(node.holder, report.capacity);
+        let others = node.load.report(now, report, &self.settings.load);
+        let pool = node.pool;
+        self.table.note_others(pool, others);
+    }
+
+    /// An endpoint's cache events arrived. Returns how many were lost.
+    pub fn cache_events(&mut self, endpoint: &id::Endpoint, events: &[Event]) -> u64 {
+        let Some(node) = self.table.get_mut(endpoint) else {
+            return 0;
+        };
+        let (holder, lost) = self.index.events(node.holder, events);
+        if holder != node.holder {
+            node.holder = holder;
+            self.table.seat();
+        }
+        lost
+    }
+
+    /// Work that this instance may have open at a service: what is left by
+    /// others, and never less than an equal share.
+    #[must_use]
+    pub fn room(&self, now: Time, service: &id::Service) -> Tokens {
+        let settings = &self.settings;
+        let each = settings.depth.0 + u64::from(settings.slots) * settings.slot.0;
+        let mut total = 0.0;
+        let mut others = 0.0;
+        let mean = self.table.mean(service);
+        for node in self.table.members(service) {
+            if !node.leaving && node.suspect <= now {
+                let work = node.load.others(now, mean, &settings.load);
+                total += each as f64;
+                others += work.prefill + work.open * settings.slot.0 as f64;
+            }
+        }
+        let equal = total / f64::from(settings.entries.max(1));
+        Tokens((total - others).max(equal) as u64)
+    }
+
+    /// Endpoints of a service that may be chosen.
+    #[must_use]
+    pub fn available(&self, service: &id::Service) -> usize {
+        let members = self.table.members(service);
+        members.filter(|node| !node.leaving).count()
+    }
+
+    /// The settings in force.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Beliefs that the cache index holds.
+    #[must_use]
+    pub fn beliefs(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Fills the list of candidates.
+    fn gather(&mut self, now: Time, ask: &Ask<'_>) {
+        self.candidates.clear();
+        self.add_candidates(now, ask, false);
+        if self.candidates.is_empty() {
+            self.add_candidates(now, ask, true);
+        }
+    }
+
+    fn add_candidates(&mut self, now: Time, ask: &Ask<'_>, suspects: bool) {
+        let fits = |node: &Node| node.serves(ask) && (suspects || node.suspect <= now);
+        let members = self.table.range(ask.service);
+        self.found.clear();
+        let usable = |holder: Holder| {
+            let node = self.table.holder(holder);
+            node.is_some_and(|node| members.contains(&node) && fits(self.table.at(node)))
+        };
+        let limit = self.settings.holders;
+        self.index.best(ask.blocks, limit, &usable, &mut self.found);
+        for found in &self.found {
+            if let Some(node) = self.table.holder(found.holder) {
+                let blocks = found.blocks;
+                self.candidates.push(Candidate {
+                    node,
+                    blocks,
+                    home: false,
+                });
+            }
+        }
+        let known = self.found.first().map_or(0, |found| found.blocks);
+        let anchor = ask.blocks.get(known).or(ask.blocks.last());
+        if let Some(anchor) = anchor {
+            for node in self.table.homes(ask.service, self.ranks(ask.class), *anchor, self.settings.homes) {
+                add(&mut self.candidates, node, fits(self.table.at(node)));
+                let home = self.candidates.iter_mut().find(|have| have.node == node);
+                if let Some(home) = home {
+                    home.home = true;
+                }
+            }
+        }
+        if members.len() <= self.settings.all {
+            for node in members {
+                add(&mut self.candidates, node, fits(self.table.at(node)));
+            }
+            return;
+        }
+        let enough = self.candidates.len() + self.settings.sample;
+        for _ in 0..self.settings.sample * 2 {
+            let node = self.random.random_range(members.clone());
+            add(&mut self.candidates, node, fits(self.table.at(node)));
+            if self.candidates.len() >= enough {
+                return;
+            }
+        }
+        if self.candidates.is_empty() {
+            for node in members {
+                add(&mut self.candidates, node, fits(self.table.at(node)));
+            }
+        }
+    }
+
+    /// Ranks of the endpoints where a class's new prefixes have their homes.
+    fn ranks(&self, class: Class) -> std::ops::Range<f64> {
+        let part = self.settings.batch_part;
+        match class {
+            Class::Interactive => part..2.0,
+            Class::Batch if part > 0.0 => 0.0..part,
+            Class::Batch => 0.0..2.0,
+        }
+    }
+
+    /// Expected cost of a candidate in microseconds.
+    fn cost(&self, now: Time, ask: &Ask<'_>, candidate: Candidate) -> f64 {
+        let weights = &self.settings.weights;
+        let node = self.table.at(candidate.node);
+        let work = self.work(now, node);
+        let uncached = ask.prompt.minus(tokens(candidate.blocks));
+        let hop = f64::from(u8::from(node.endpoint.domain != *ask.domain));
+        let home = f64::from(u8::from(candidate.home));
+        let apart = match ask.class {
+            Class::Interactive => 1.0 - node.rank,
+            Class::Batch => node.rank,
+        };
+        let dearer = node.endpoint.price.minus(self.table.cheapest(ask.service));
+        weights.queued * work.prefill
+            + weights.open * work.open
+            + weights.uncached * uncached.0 as f64
+            + weights.hop * hop
+            + weights.apart * apart
+            - weights.home * home * uncached.0 as f64
+            + weights.price * dearer.0 as f64
+            + weights.reclaim * self.loss(ask, node, uncached)
+    }
+
+    /// Tokens that are expected to be read again because of a reclaim.
+    fn loss(&self, ask: &Ask<'_>, node: &Node, uncached: Tokens) -> f64 {
+        let reading = Duration::from_secs_f64(uncached.0 as f64 * self.settings.read / 1e6);
+        let writing = self.settings.step.duration() * ask.max_tokens.0.min(1 << 20) as u32;
+        let lost = ask.prompt.0 as f64 + ask.max_tokens.0 as f64 / 2.0;
+        node.endpoint.risk.within(reading + writing) * lost
+    }
+
+    fn work(&self, now: Time, node: &Node) -> Work {
+        let mean = self.table.pool_mean(node.pool);
+        node.load.estimate(now, mean, &self.settings.load)
+    }
+
+    fn pick(&self, now: Time, ask: &Ask<'_>, candidate: Candidate) -> Pick {
+        let node = self.table.at(candidate.node);
+        let cached = tokens(candidate.blocks).min(ask.prompt);
+        let unread = self.work(now, node).prefill + ask.prompt.minus(cached).0 as f64;
+        Pick {
+            endpoint: node.endpoint.id.clone(),
+            cached,
+            wait: Duration::from_secs_f64(unread * self.settings.read / 1e6),
+        }
+    }
+}
+
+fn add(candidates: &mut Vec<Candidate>, node: usize, fits: bool) {
+    if fits && !candidates.iter().any(|have| have.node == node) {
+        candidates.push(Candidate {
+            node,
+            blocks: 0,
+            home: false,
+        });
+    }
+}
+
+fn tokens(blocks: usize) -> Tokens {
+    Tokens(blocks as u64 * BLOCK_TOKENS.0)
+}
--- /dev/null
+++ b/coltsfoothall/src/copy.rs
@@ -0,0 +1,154 @@
+//! Messages between the copies of a slot.
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+use crate::key::{Epoch, Slot};
+use crate::record::{self, Change, Name, Record};
+use crate::size::Millis;
+
+/// Number of a change within a slot.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Seq(pub u64);
+
+impl Seq {
+    /// The number after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// A change on its way from the owner to another copy.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// The slot.
+    pub slot: Slot,
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// The change's number.
+    pub seq: Seq,
+    /// The request.
+    pub name: Name,
+    /// The change.
+    pub change: Change,
+}
+
+/// A change that was made here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// The slot.
+    pub slot: Slot,
+    /// The change's number.
+    pub seq: Seq,
+    /// Whether its effect may leave now; else ask `may_leave` after an
+    /// acknowledgement.
+    pub released: bool,
+    /// What to send.
+    pub update: Update,
+    /// Whom to send it to.
+    pub to: Vec<id::Instance>,
+}
+
+/// What a copy says to an update.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ack {
+    /// All changes up to this number are held.
+    Ok(Seq),
+    /// The sender is no longer the owner; the copy is at this epoch.
+    Sealed(Epoch),
+    /// Changes are missing; go on from this number.
+    Gap(Seq),
+    /// There is no copy; send a whole one.
+    Missing,
+}
+
+/// What stays of a non-idempotent request after its record is dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stub {
+    /// Hash of its name.
+    pub hash: u64,
+    /// Time since it was dropped.
+    pub age: Millis,
+}
+
+/// A record in a whole copy.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The record.
+    pub record: Record,
+    /// Time since it ended.
+    pub age: Option<Millis>,
+    /// Whether an attempt may have begun that the record does not know.
+    pub unsure: bool,
+}
+
+/// A piece of a whole copy of a slot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// The slot.
+    pub slot: Slot,
+    /// The sender, which owns the slot.
+    pub from: id::Instance,
+    /// The sender's epoch.
+    pub epoch: Epoch,
+    /// Number of this copy, rising at its sender.
+    pub copy: u64,
+    /// Place of the piece in the copy.
+    pub index: u32,
+    /// Whether it is the last piece.
+    pub last: bool,
+    /// Number of the last change that the copy holds.
+    pub seq: Seq,
+    /// The slot's cold epoch.
+    pub cold: Epoch,
+    /// Time since the slot went cold.
+    pub cold_age: Option<Millis>,
+    /// Records, sorted by name.
+    pub rows: Vec<Row>,
+    /// Stubs, sorted by hash.
+    pub stubs: Vec<Stub>,
+}
+
+/// What a copy says to a piece of a whole copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Taken {
+    /// Send this piece next.
+    More(u32),
+    /// The copy of this number is whole up to this change.
+    Whole(u64, Seq),
+    /// The sender is no longer the owner; the copy is at this epoch.
+    Sealed(Epoch),
+}
+
+quick_error! {
+    /// A rule of the ledger that is broken; the program counts it, logs it and
+    /// ends itself under test.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Broken {
+        /// A record cannot take the change.
+        Record(err: record::Broken) {
+            from()
+            source(err)
+            display("{err}")
+        }
+        /// The request is not in the slot.
+        Absent(name: Name) {
+            display("request {name} was changed but is not in the ledger")
+        }
+        /// A peer acknowledged what it was never sent.
+        Ahead(slot: Slot, peer: id::Instance, acked: Seq) {
+            display("{peer} acknowledged change {} of slot {slot}, which was not made", acked.0)
+        }
+        /// The table names this instance owner without a claim or a copy.
+        Unclaimed(slot: Slot, epoch: Epoch) {
+            display("slot {slot} at epoch {epoch} was given to this instance without a copy")
+        }
+        /// The owner replaced a backup before its copy held what had left.
+        Behind(slot: Slot, peer: id::Instance) {
+            display("{peer} was named for slot {slot} before it held what had left")
+        }
+    }
+}
--- /dev/null
+++ b/coltsfoothall/src/duty.rs
@@ -0,0 +1,186 @@
+//! What an instance has to do for the slots, given the table that it knows, its
+//! ledger, and who is alive.
+//!
+//! The function is pure and is asked again and again; each duty is a small step
+//! whose outcome the next round sees.
+
+use crate::id;
+use crate::key::Slot;
+use crate::ledger::Ledger;
+use crate::slot::{Candidate, Entry, FIRST, Table};
+
+/// Most copies started in one round; it keeps a change of members from
+/// crowding out requests.
+pub const COPIES: usize = 32;
+
+/// A step for one slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Duty {
+    /// Claim it in the table with no records: those who kept it are lost.
+    Claim(Slot),
+    /// Seal the copy here and take the slot over in the table.
+    TakeOver(Slot),
+    /// Send a whole copy.
+    Copy {
+        /// The slot.
+        slot: Slot,
+        /// Where to.
+        to: id::Instance,
+    },
+    /// Name the holder of a whole copy as backup in the table.
+    Name {
+        /// The slot.
+        slot: Slot,
+        /// The backup.
+        backup: id::Instance,
+    },
+    /// Stop changes so that the copies catch up.
+    Drain(Slot),
+    /// Name another primary in the table; the slot is drained.
+    HandOver {
+        /// The slot.
+        slot: Slot,
+        /// The new primary.
+        to: id::Instance,
+    },
+    /// Let the backup act as owner without the service; the slot is drained.
+    Yield(Slot),
+    /// Take changes again.
+    Resume(Slot),
+    /// Let idempotent requests go on without a backup.
+    Alone(Slot),
+}
+
+/// What duties follow from.
+#[derive(Debug, Clone, Copy)]
+pub struct Sight<'a> {
+    /// This instance.
+    pub me: &'a id::Instance,
+    /// The newest table known.
+    pub table: &'a Table,
+    /// The records kept here.
+    pub ledger: &'a Ledger,
+    /// Instances that are alive, this one included, sorted by name.
+    pub live: &'a [Candidate],
+    /// Whether this instance is leaving.
+    pub leaving: bool,
+    /// Whether the key-value service answered lately.
+    pub service: bool,
+    /// Whether this instance has been up and undisturbed for long enough to
+    /// tell who is dead.
+    pub settled: bool,
+}
+
+/// The duties of this instance, in the order in which they should be done.
+#[must_use]
+pub fn duties(sight: &Sight<'_>) -> Vec<Duty> {
+    let mut moves = sight.table.moves(sight.me, sight.live);
+    if !sight.service || !sight.settled {
+        moves.clear();
+    }
+    let mut duties = Vec::new();
+    for (slot, entry) in sight.table.iter() {
+        let next = if entry.primary == *sight.me {
+            let to = moves.iter().find(|m| m.slot == slot).map(|m| &m.to);
+            sight.lead(slot, entry, to)
+        } else if entry.backup.as_ref() == Some(sight.me) {
+            sight.back(slot, entry)
+        } else {
+            sight.watch(slot, entry)
+        };
+        duties.extend(next);
+    }
+    bound_copies(duties)
+}
+
+fn bound_copies(duties: Vec<Duty>) -> Vec<Duty> {
+    let mut copies = 0;
+    let mut keep = |duty: &Duty| {
+        copies += usize::from(matches!(duty, Duty::Copy { .. }));
+        copies <= COPIES || !matches!(duty, Duty::Copy { .. })
+    };
+    duties.into_iter().filter(|duty| keep(duty)).collect()
+}
+
+impl Sight<'_> {
+    fn alive(&self, instance: &id::Instance) -> bool {
+        let found = self.live.binary_search_by(|c| c.instance.cmp(instance));
+        found.is_ok()
+    }
+
+    fn staying(&self, instance: &id::Instance) -> bool {
+        let found = self.live.binary_search_by(|c| c.instance.cmp(instance));
+        found.is_ok_and(|at| !self.live[at].leaving)
+    }
+
+    /// Duties of a slot's primary.
+    fn lead(&self, slot: Slot, entry: &Entry, to: Option<&id::Instance>) -> Option<Duty> {
+        if !self.ledger.keeps(slot, entry.epoch) {
+            // Nobody has kept it yet, or a restart under the same name lost the records.
+            let lost = self.settled || entry.epoch == FIRST;
+            let claim = lost && self.service && !self.leaving;
+            return claim.then_some(Duty::Claim(slot));
+        }
+        let backup = entry.backup.as_ref().filter(|backup| self.alive(backup));
+        match backup {
+            None => self.find_backup(slot, entry),
+            Some(backup) if self.leaving => self.hand_over(slot, backup),
+            Some(backup) => match to {
+                Some(to) if to == backup => self.hand_over(slot, to),
+                Some(to) if self.ledger.ready(slot, to) => self.hand_over(slot, to),
+                Some(to) => Some(Duty::Copy { slot, to: to.clone() }),
+                None if !self.staying(backup) => self.find_backup(slot, entry),
+                None if self.ledger.drained(slot) => Some(Duty::Resume(slot)),
+                None => None,
+            },
+        }
+    }
+
+    fn find_backup(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
+        let known = entry.backup.as_ref();
+        if !self.service {
+            return known.filter(|backup| !self.alive(backup)).map(|_| Duty::Alone(slot));
+        }
+        let backup = self.table.backup_for(slot, self.live)?;
+        if self.ledger.ready(slot, &backup) {
+            return Some(Duty::Name { slot, backup });
+        }
+        Some(Duty::Copy { slot, to: backup })
+    }
+
+    /// A slot is handed over once nothing in it could end as unknown by that.
+    fn hand_over(&self, slot: Slot, to: &id::Instance) -> Option<Duty> {
+        let begun = |r: &crate::record::Record| !r.intake.idempotent && r.begun();
+        if self.ledger.open(slot).any(begun) {
+            return None;
+        }
+        if !self.ledger.drained(slot) {
+            return Some(Duty::Drain(slot));
+        }
+        if self.service {
+            return Some(Duty::HandOver { slot, to: to.clone() });
+        }
+        Some(Duty::Yield(slot))
+    }
+
+    /// Duties of a slot's backup.
+    fn back(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
+        if !self.ledger.keeps(slot, entry.epoch) {
+            return None;
+        }
+        let acts = self.ledger.released(slot).is_some();
+        let lost = self.settled && !self.alive(&entry.primary);
+        (acts || lost).then_some(Duty::TakeOver(slot))
+    }
+
+    /// Duties of the others: a slot that nobody keeps any more goes to one of them.
+    fn watch(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
+        let backup = entry.backup.as_ref().is_some_and(|backup| self.alive(backup));
+        if !self.settled || !self.service || backup || self.alive(&entry.primary) {
+            return None;
+        }
+        let staying: Vec<_> = self.live.iter().filter(|c| !c.leaving).collect();
+        let heir = staying.get(usize::from(slot.0) % staying.len().max(1))?;
+        (heir.instance == *self.me).then_some(Duty::Claim(slot))
+    }
+}
--- /dev/null
+++ b/coltsfoothall/src/lane.rs
@@ -0,0 +1,381 @@
+//! Requests that wait for room at one service, and the work that is open there.
+//!
+//! Start-time fair queueing: each workspace has a tag that rises with the work
+//! it was given, divided by its share; the lowest tag goes next.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::id;
+use crate::limit::{Number, Settings};
+use crate::record::Class;
+use crate::size::Tokens;
+
+/// Shortest time between two looks for waiting requests that cannot make it;
+/// it bounds what a long queue costs a poll.
+const REVIEW: Duration = Duration::from_millis(20);
+/// Time in which a lane is taken to serve its room before that was measured.
+const FIRST_GUESS: Duration = Duration::from_secs(2);
+/// Scale of the tags, so that shares divide without loss.
+const TAG: u64 = 1 << 16;
+
+/// A request that waits.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Waiting {
+    pub(crate) number: Number,
+    /// Latest time at which it helps to begin.
+    pub(crate) deadline: Time,
+    pub(crate) cost: Tokens,
+}
+
+/// What one workspace has at a service.
+#[derive(Debug)]
+struct Flow {
+    workspace: id::Workspace,
+    share: u64,
+    /// Work open now.
+    used: u64,
+    /// Tags of the classes.
+    tags: [u64; 2],
+    waiting: [VecDeque<Waiting>; 2],
+    /// Work that waits.
+    behind: [u64; 2],
+}
+
+/// One service's waiting and open work.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    pub(crate) service: id::Service,
+    pub(crate) room: u64,
+    flows: Vec<Flow>,
+    used: u64,
+    batch_used: u64,
+    /// Tags of the requests that went last.
+    clock: [u64; 2],
+    /// Work owed to batch.
+    credit: u64,
+    waits: usize,
+    rate: Meter,
+    reviewed: Time,
+}
+
+/// Work served a second, measured while requests wait.
+#[derive(Debug)]
+struct Meter {
+    rate: f64,
+    since: Time,
+    work: u64,
+    busy: bool,
+}
+
+/// A request that goes on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Start {
+    pub(crate) number: Number,
+    pub(crate) cost: Tokens,
+}
+
+impl Lane {
+    pub(crate) fn new(service: id::Service) -> Self {
+        Self {
+            service,
+            room: 0,
+            flows: Vec::new(),
+            used: 0,
+            batch_used: 0,
+            clock: [0; 2],
+            credit: 0,
+            waits: 0,
+            rate: Meter {
+                rate: 0.0,
+                since: Time::START,
+                work: 0,
+                busy: false,
+            },
+            reviewed: Time::START,
+        }
+    }
+
+    /// Requests that wait.
+    pub(crate) fn waits(&self) -> usize {
+        self.waits
+    }
+
+    /// Requests of a workspace that wait.
+    pub(crate) fn waits_of(&self, workspace: &id::Workspace) -> usize {
+        self.flow(workspace)
+            .map_or(0, |flow| flow.waiting.iter().map(VecDeque::len).sum())
+    }
+
+    /// Sets the shares; a workspace that is gone keeps what it has open.
+    pub(crate) fn set_share(&mut self, workspace: &id::Workspace, share: u32) {
+        self.flow_mut(workspace).share = u64::from(share.max(1));
+    }
+
+    /// Time that a request of this workspace and class would wait now.
+    pub(crate) fn wait(&self, workspace: &id::Workspace, class: Class) -> Duration {
+        let behind = self
+            .flow(workspace)
+            .map_or(0, |flow| flow.behind[lane(class)]);
+        self.span(workspace, class, behind)
+    }
+
+    pub(crate) fn push(&mut self, workspace: &id::Workspace, class: Class, waiting: Waiting) {
+        let flow = self.flow_mut(workspace);
+        flow.behind[lane(class)] += waiting.cost.0;
+        flow.waiting[lane(class)].push_back(waiting);
+        self.waits += 1;
+    }
+
+    /// Takes a waiting request out; none if it does not wait.
+    pub(crate) fn withdraw(
+        &mut self,
+        workspace: &id::Workspace,
+        class: Class,
+        number: Number,
+    ) -> Option<Waiting> {
+        let flow = self.flow_mut(workspace);
+        let queue = &mut flow.waiting[lane(class)];
+        let place = queue.iter().position(|have| have.number == number)?;
+        let waiting = queue.remove(place)?;
+        flow.behind[lane(class)] -= waiting.cost.0;
+        self.waits -= 1;
+        Some(waiting)
+    }
+
+    /// Takes back work that was open.
+    pub(crate) fn release(
+        &mut self,
+        now: Time,
+        workspace: &id::Workspace,
+        class: Class,
+        work: Tokens,
+    ) {
+        let flow = self.flow_mut(workspace);
+        flow.used = flow.used.saturating_sub(work.0);
+        self.used = self.used.saturating_sub(work.0);
+        if class == Class::Batch {
+            self.batch_used = self.batch_used.saturating_sub(work.0);
+        }
+        self.rate.work += work.0;
+        let _ = now;
+    }
+
+    /// Lets the next requests go on, as many as there is room for.
+    pub(crate) fn pump(&mut self, now: Time, settings: &Settings, ready: &mut Vec<Start>) {
+        while let Some(start) = self.next(settings) {
+            ready.push(start);
+        }
+        self.rate.follow(now, self.waits > 0, settings);
+    }
+
+    /// Takes out the waiting requests that cannot begin within their deadline.
+    pub(crate) fn review(&mut self, now: Time, late: &mut Vec<Number>) {
+        if now.since(self.reviewed) < REVIEW || self.waits == 0 {
+            return;
+        }
+        self.reviewed = now;
+        for class in [Class::Interactive, Class::Batch] {
+            for at in 0..self.flows.len() {
+                self.review_flow(now, at, class, late);
+            }
+        }
+    }
+
+    fn review_flow(&mut self, now: Time, at: usize, class: Class, late: &mut Vec<Number>) {
+        if self.flows[at].waiting[lane(class)].is_empty() {
+            return;
+        }
+        let workspace = self.flows[at].workspace.clone();
+        let token = self.span(&workspace, class, 1_000).as_secs_f64() / 1_000.0;
+        let flow = &mut self.flows[at];
+        let before = late.len();
+        let mut ahead = 0;
+        flow.waiting[lane(class)].retain(|waiting| {
+            let begin = now + Duration::from_secs_f64(ahead as f64 * token);
+            let fits = begin <= waiting.deadline;
+            if fits {
+                ahead += waiting.cost.0;
+            } else {
+                late.push(waiting.number);
+            }
+            fits
+        });
+        flow.behind[lane(class)] = ahead;
+        self.waits -= late.len() - before;
+    }
+
+    /// Time in which `work` of a workspace is served, when all who wait share.
+    fn span(&self, workspace: &id::Workspace, class: Class, work: u64) -> Duration {
+        let mut all = 0;
+        let mut own = 1;
+        for flow in &self.flows {
+            let same = flow.workspace == *workspace;
+            if same || !flow.waiting[lane(class)].is_empty() {
+                all += flow.share;
+            }
+            if same {
+                own = flow.share;
+            }
+        }
+        let part = own as f64 / all.max(own) as f64;
+        let seconds = work as f64 / (self.speed() * part);
+        Duration::from_secs_f64(seconds.min(86_400.0))
+    }
+
+    /// Work served a second, as measured or guessed from the room.
+    fn speed(&self) -> f64 {
+        let guess = self.room as f64 / FIRST_GUESS.as_secs_f64();
+        let speed = if self.rate.rate > 0.0 {
+            self.rate.rate
+        } else {
+            guess
+        };
+        speed.max(1.0)
+    }
+
+    /// The next request, if there is room for one.
+    fn next(&mut self, settings: &Settings) -> Option<Start> {
+        let batch_first = self.credit > 0;
+        let order = if batch_first {
+            [Class::Batch, Class::Interactive]
+        } else {
+            [Class::Interactive, Class::Batch]
+        };
+        let (class, at) = order
+            .into_iter()
+            .find_map(|class| Some((class, self.lowest(class, settings)?)))?;
+        Some(self.start(class, at, settings))
+    }
+
+    /// The workspace with the lowest tag among those that may go on.
+    fn lowest(&self, class: Class, settings: &Settings) -> Option<usize> {
+        let shares: u64 = self.flows.iter().map(|flow| flow.share).sum();
+        let mut best: Option<(u64, usize)> = None;
+        for (at, flow) in self.flows.iter().enumerate() {
+            let Some(first) = flow.waiting[lane(class)].front() else {
+                continue;
+            };
+            let tag = flow.tags[lane(class)].max(self.clock[lane(class)]);
+            let lower = best.is_none_or(|(least, _)| tag < least);
+            if lower && self.fits(flow, shares, class, first.cost.0, settings) {
+                best = Some((tag, at));
+            }
+        }
+        best.map(|(_, at)| at)
+    }
+
+    fn fits(&self, flow: &Flow, shares: u64, class: Class, cost: u64, settings: &Settings) -> bool {
+        if self.room == 0 {
+            return false;
+        }
+        let free = self.room.saturating_sub(self.used);
+        let whole = cost <= free || self.used == 0;
+        let own = self.room * flow.share / shares.max(1);
+        let spare = free.saturating_mul(u64::from(settings.greed)) / 100;
+        let fair = flow.used == 0 || flow.used + cost <= own.max(spare);
+        let most = self.room * u64::from(settings.batch_room) / 100;
+        let class_fits =
+            class == Class::Interactive || self.batch_used == 0 || self.batch_used + cost <= most;
+        whole && fair && class_fits
+    }
+
+    fn start(&mut self, class: Class, at: usize, settings: &Settings) -> Start {
+        let clock = &mut self.clock[lane(class)];
+        let flow = &mut self.flows[at];
+        let waiting = flow.waiting[lane(class)]
+            .pop_front()
+            .expect("`lowest` only returns workspaces with a waiting request");
+        let cost = waiting.cost.0;
+        let tag = flow.tags[lane(class)].max(*clock);
+        *clock = tag;
+        flow.tags[lane(class)] = tag + cost * TAG / flow.share;
+        flow.behind[lane(class)] -= cost;
+        flow.used += cost;
+        self.used += cost;
+        self.waits -= 1;
+        self.settle(class, cost, settings);
+        Start {
+            number: waiting.number,
+            cost: waiting.cost,
+        }
+    }
+
+    /// Keeps account of the part of the work that is owed to batch.
+    fn settle(&mut self, class: Class, cost: u64, settings: &Settings) {
+        let batch_waits = self.flows.iter().any(|flow| !flow.waiting[1].is_empty());
+        match class {
+            Class::Batch => {
+                self.batch_used += cost;
+                self.credit = self.credit.saturating_sub(cost);
+            }
+            Class::Interactive if batch_waits => {
+                self.credit += cost * u64::from(settings.batch) / 100;
+            }
+            Class::Interactive => self.credit = 0,
+        }
+    }
+
+    fn flow(&self, workspace: &id::Workspace) -> Option<&Flow> {
+        let place = self.place(workspace).ok()?;
+        Some(&self.flows[place])
+    }
+
+    fn flow_mut(&mut self, workspace: &id::Workspace) -> &mut Flow {
+        let place = self.place(workspace).unwrap_or_else(|place| {
+            self.flows.insert(place, Flow::new(workspace.clone()));
+            place
+        });
+        &mut self.flows[place]
+    }
+
+    fn place(&self, workspace: &id::Workspace) -> Result<usize, usize> {
+        self.flows
+            .binary_search_by(|flow| flow.workspace.cmp(workspace))
+    }
+}
+
+impl Flow {
+    fn new(workspace: id::Workspace) -> Self {
+        Self {
+            workspace,
+            share: 1,
+            used: 0,
+            tags: [0; 2],
+            waiting: [VecDeque::new(), VecDeque::new()],
+            behind: [0; 2],
+        }
+    }
+}
+
+impl Meter {
+    /// Closes a stretch in which requests waited all the time.
+    fn follow(&mut self, now: Time, waits: bool, settings: &Settings) {
+        let span = now.since(self.since).as_secs_f64();
+        let window = settings.window.duration().as_secs_f64().max(1e-3);
+        if !waits || !self.busy {
+            self.busy = waits;
+            self.since = now;
+            self.work = 0;
+        } else if span >= window / 8.0 {
+            let measured = self.work as f64 / span;
+            let share = 1.0 - (-span / window).exp();
+            self.rate = if self.rate > 0.0 {
+                self.rate + (measured - self.rate) * share
+            } else {
+                measured
+            };
+            self.since = now;
+            self.work = 0;
+        }
+    }
+}
+
+/// Place of a class in a lane's pairs.
+fn lane(class: Class) -> usize {
+    match class {
+        Class::Interactive => 0,
+        Class::Batch => 1,
+    }
+}
--- /dev/null
+++ b/coltsfoothall/src/ledger.rs
@@ -0,0 +1,380 @@
+//! The records that this instance keeps, as owner and as backup.
+//!
+//! The ledger decides what may be accepted, sent and answered. Its rules:
+//!
+//! - A change's effect leaves once every copy that may take the slot over holds
+//!   the change ([`Ledger::released`]).
+//! - A backup seals its copy before it asks for the slot; a sealed copy
+//!   acknowledges nothing, so a paused owner that wakes sends nothing.
+//! - A copy that the table is to name holds what has left before the table is
+//!   written, and from then on holds what leaves.
+//! - The role that the table gives counts only with a copy of the same epoch;
+//!   an instance that restarted under its old name has none.
+//!
+//! Times at which a caller's key can run twice are in docs/PROOFS.md.
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+
+use crate::clock::Time;
+use crate::id;
+use crate::key::{Epoch, Slot};
+use crate::record::{Change, Intake, Name};
+use crate::replica::{Replica, Role};
+use crate::size::Bytes;
+use crate::takeover::Proposal;
+use crate::transfer::Arrival;
+
+pub use crate::replica::{Ack, Broken, Seq, Step, Update};
+pub use crate::takeover::{Event, Handoff};
+
+/// Limits of the ledger.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// How long an ended request is kept. Deadlines have to be under half of
+    /// it, so that no key outlives what is known about it.
+    pub retention: Duration,
+    /// How long the name of an ended non-idempotent request is kept.
+    pub names: Duration,
+    /// Bytes of all records; it stops slow callers from filling the memory.
+    pub bytes: Bytes,
+    /// Changes of a slot that wait for a copy; it stops a dead backup from
+    /// filling the memory.
+    pub unacked: usize,
+    /// Names of ended requests in a slot, 16 bytes each; it stops a flood of
+    /// short requests from filling the memory. The oldest go first.
+    pub stubs: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_secs(600),
+            names: Duration::from_secs(86_400),
+            bytes: Bytes(24 << 20),
+            unacked: 4096,
+            stubs: 16_384,
+        }
+    }
+}
+
+/// What becomes of a request that a caller sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begin {
+    /// It is new and now recorded.
+    New(Step),
+    /// The same request is known; answer from its record once `seq` is released.
+    Join(Seq),
+    /// The key names another request.
+    Reused,
+    /// It ended so long ago that its answer is no longer kept.
+    Retired,
+    /// It may have run at an owner whose records are lost: unknown.
+    Lost,
+    /// This instance does not own the slot.
+    NotOwner,
+    /// At most once could not be kept up now: not run.
+    NotSafe,
+    /// The ledger is full: not run.
+    Full,
+}
+
+quick_error! {
+    /// Why a change was not made.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Error {
+        /// This instance may not change the slot.
+        NotOwner(slot: Slot) {
+            display("slot {slot} is not owned here")
+        }
+        /// At most once could not be kept up now.
+        NotSafe(name: Name) {
+            display("request {name} cannot be sent safely now")
+        }
+        /// Too many changes wait for a copy.
+        Full(slot: Slot) {
+            display("too many changes of slot {slot} wait for its backup")
+        }
+        /// A rule is broken.
+        Broken(err: Broken) {
+            from()
+            source(err)
+            display("{err}")
+        }
+    }
+}
+
+/// What an owner does after an acknowledgement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing more.
+    Nothing,
+    /// Send the changes of [`Ledger::resend`], at most once a tick: each would
+    /// bring a gap of its own otherwise, and those more of them.
+    Resend,
+    /// Make a whole copy there, or elsewhere.
+    Copy,
+    /// Read the slot table: the slot may have another owner.
+    Table,
+}
+
+/// What this instance keeps.
+#[derive(Debug)]
+pub struct Ledger {
+    pub(crate) me: id::Instance,
+    pub(crate) settings: Settings,
+    /// Sorted by slot.
+    pub(crate) replicas: Vec<Replica>,
+    pub(crate) proposals: Vec<Proposal>,
+    pub(crate) version: u64,
+    pub(crate) confirmed: Time,
+    pub(crate) copies: u64,
+    pub(crate) arrivals: Vec<Arrival>,
+    /// Changes that took effect without a second copy.
+    pub(crate) alone: u64,
+}
+
+impl Ledger {
+    /// An empty ledger.
+    #[must_use]
+    pub fn new(me: id::Instance, settings: Settings) -> Self {
+        Self {
+            me,
+            settings,
+            replicas: Vec::new(),
+            proposals: Vec::new(),
+            version: 0,
+            confirmed: Time::START,
+            copies: 0,
+            arrivals: Vec::new(),
+            alone: 0,
+        }
+    }
+
+    /// Takes in a request from a caller. `slot` is its key's slot.
+    ///
+    /// # Errors
+    /// A rule is broken.
+    pub fn begin(&mut self, now: Time, intake: Intake, slot: Slot) -> Result<Begin, Error> {
+        let Some(replica) = self.replica(slot).filter(|replica| serves(replica)) else {
+            return Ok(Begin::NotOwner);
+        };
+        if let Ok(at) = replica.find(&intake.name) {
+            let item = &replica.items[at];
+            let same = item.record.intake.digest() == intake.digest();
+            return Ok(if same {
+                Begin::Join(item.seq)
+            } else {
+                Begin::Reused
+            });
+        }
+        if !intake.idempotent
+            && let Some(refused) = self.refusal(now, &intake, replica)
+        {
+            return Ok(refused);
+        }
+        if self.full(replica) {
+            return Ok(Begin::Full);
+        }
+        let name = intake.name.clone();
+        let unsure = self.lost(now, &intake, replica);
+        let step = self.step(now, slot, name.clone(), Change::Accept(Box::new(intake)))?;
+        if let Some(replica) = self.replica_mut(slot)
+            && let Ok(at) = replica.find(&name)
+        {
+            replica.items[at].unsure = unsure;
+        }
+        Ok(Begin::New(step))
+    }
+
+    /// Changes a request. A `Sent` of a non-idempotent request must be released
+    /// before the first byte leaves; so must any part, answer or end.
+    ///
+    /// # Errors
+    /// The slot is not owned here, the change is not safe, or it breaks a rule.
+    pub fn change(
+        &mut self,
+        now: Time,
+        slot: Slot,
+        name: Name,
+        change: Change,
+    ) -> Result<Step, Error> {
+        let replica = self.replica(slot).filter(|replica| serves(replica));
+        let replica = replica.ok_or(Error::NotOwner(slot))?;
+        let at = replica.find(&name);
+        let at = at.map_err(|_place| Broken::Absent(name.clone()))?;
+        if !self.safe(now, &replica.items[at], replica, &change) {
+            return Err(Error::NotSafe(name));
+        }
+        if backlog(replica) >= self.settings.unacked {
+            return Err(Error::Full(slot));
+        }
+        self.step(now, slot, name, change)
+    }
+
+    /// Applies an owner's change to the copy here.
+    ///
+    /// # Errors
+    /// The change breaks a rule.
+    pub fn receive(&mut self, now: Time, update: Update) -> Result<Ack, Broken> {
+        let Some(replica) = self.replica_mut(update.slot) else {
+            return Ok(Ack::Missing);
+        };
+        if let Some(refused) = replica.admit(&update) {
+            return Ok(refused);
+        }
+        if update.seq <= replica.seq {
+            return Ok(Ack::Ok(replica.seq));
+        }
+        if update.seq > replica.seq.next() {
+            return Ok(Ack::Gap(replica.seq.next()));
+        }
+        let seq = replica.apply(now, &update.name, update.change)?;
+        Ok(Ack::Ok(seq))
+    }
+
+    /// Notes what a copy said to an update of `epoch`. `released` tells what may leave then.
+    ///
+    /// # Errors
+    /// The peer acknowledged what was never sent.
+    pub fn acked(
+        &mut self,
+        slot: Slot,
+        epoch: Epoch,
+        from: &id::Instance,
+        ack: Ack,
+    ) -> Result<Next, Broken> {
+        let Some(replica) = self.replica_mut(slot).filter(|r| r.epoch == epoch) else {
+            return Ok(Next::Nothing);
+        };
+        let seq = replica.seq;
+        let Role::Owner(owner) = &mut replica.role else {
+            return Ok(Next::Nothing);
+        };
+        match ack {
+            Ack::Ok(acked) if acked > seq => Err(Broken::Ahead(slot, from.clone(), acked)),
+            Ack::Ok(acked) => {
+                let links = owner.backup.iter_mut().chain(&mut owner.learner);
+                links
+                    .filter(|link| link.peer == *from)
+                    .for_each(|link| link.acked = link.acked.max(acked));
+                owner.release(seq);
+                Ok(Next::Nothing)
+            }
+            Ack::Sealed(_) => {
+                let backup = owner.backup.as_ref().is_some_and(|link| link.peer == *from);
+                replica.told |= backup;
+                Ok(Next::Table)
+            }
+            Ack::Gap(from) if owner.unacked.first().is_some_and(|u| u.seq <= from) => {
+                Ok(Next::Resend)
+            }
+            Ack::Gap(_) | Ack::Missing => Ok(Next::Copy),
+        }
+    }
+
+    /// All changes of the slot up to this one may have their effect. None
+    /// while the slot is not owned here or sealed: nothing may leave.
+    #[must_use]
+    pub fn released(&self, slot: Slot) -> Option<Seq> {
+        let replica = self.replica(slot).filter(|replica| replica.leads())?;
+        match &replica.role {
+            Role::Owner(owner) => Some(owner.released),
+            Role::Backup { .. } | Role::Learner { .. } => None,
+        }
+    }
+
+    /// Whether the effect of a request's change may leave; this holds the
+    /// exception for idempotent requests that go on alone.
+    #[must_use]
+    pub fn may_leave(&self, slot: Slot, name: &Name, seq: Seq) -> bool {
+        let replica = self.replica(slot);
+        replica.is_some_and(|replica| replica.may_leave(name, seq))
+    }
+
+    /// Changes that a copy has not acknowledged, to be sent to it again.
+    #[must_use]
+    pub fn resend(&self, slot: Slot, to: &id::Instance) -> Vec<Update> {
+        let Some(replica) = self.replica(slot).filter(|replica| !replica.sealed) else {
+            return Vec::new();
+        };
+        let Role::Owner(owner) = &replica.role else {
+            return Vec::new();
+        };
+        let mut links = owner.backup.iter().chain(&owner.learner);
+        let Some(link) = links.find(|link| link.peer == *to) else {
+            return Vec::new();
+        };
+        owner.since(link.acked).cloned().collect()
+    }
+
+    /// Lets idempotent requests go on while the backup is out of reach and the
+    /// service is down. Non-idempotent ones wait. It ends once the backup holds
+    /// all changes.
+    pub fn go_alone(&mut self, slot: Slot) {
+        if let Some(replica) = self.replica_mut(slot)
+            && let Role::Owner(owner) = &mut replica.role
+        {
+            owner.alone = true;
+        }
+    }
+
+    /// Drops requests that ended long ago; names of non-idempotent ones stay.
+    pub fn retire(&mut self, now: Time) {
+        let settings = self.settings.clone();
+        for replica in &mut self.replicas {
+            replica.retire(now, settings.retention, settings.names, settings.stubs);
+        }
+    }
+
+    /// Notes that the service answered with the table that this ledger knows to
+    /// a read sent at `now`: until then nobody else had claimed a slot.
+    pub fn confirm(&mut self, now: Time, version: u64) {
+        if version == self.version {
+            self.confirmed = now;
+        }
+    }
+
+    pub(crate) fn replica(&self, slot: Slot) -> Option<&Replica> {
+        let at = self.replicas.binary_search_by_key(&slot, |r| r.slot).ok()?;
+        Some(&self.replicas[at])
+    }
+
+    pub(crate) fn replica_mut(&mut self, slot: Slot) -> Option<&mut Replica> {
+        let at = self.replicas.binary_search_by_key(&slot, |r| r.slot).ok()?;
+        Some(&mut self.replicas[at])
+    }
+
+    pub(crate) fn step(
+        &mut self,
+        now: Time,
+        slot: Slot,
+        name: Name,
+        change: Change,
+    ) -> Result<Step, Error> {
+        let replica = self.replica_mut(slot).ok_or(Error::NotOwner(slot))?;
+        let seq = replica.apply(now, &name, change.clone())?;
+        let step = replica.publish(seq, name, change);
+        self.alone += u64::from(step.released);
+        Ok(step)
+    }
+}
+
+/// Whether requests may be taken and changed: by its owner, or by a backup that
+/// has sealed it and carries idempotent work on.
+pub(crate) fn serves(replica: &Replica) -> bool {
+    match replica.role {
+        Role::Owner(_) => replica.leads() && !replica.draining,
+        Role::Backup { .. } => replica.sealed,
+        Role::Learner { .. } => false,
+    }
+}
+
+/// Changes of a slot that wait for a copy.
+pub(crate) fn backlog(replica: &Replica) -> usize {
+    match &replica.role {
+        Role::Owner(owner) => owner.unacked.len(),
+        Role::Backup { .. } | Role::Learner { .. } => 0,
+    }
+}
--- /dev/null
+++ b/coltsfoothall/src/pool.rs
@@ -0,0 +1,272 @@
+//! The endpoints of all services, with what is known of each.
+//!
+//! Nodes are sorted by service and name, so a service's nodes stand together.
+
+use std::ops::Range;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::choice::{Ask, Endpoint};
+use crate::clock::Time;
+use crate::id;
+use crate::index::{Holder, Index};
+use crate::load::{self, Work};
+use crate::prefix::Block;
+use crate::size::Price;
+
+/// Share of a report in the running mean of a service.
+const MEAN_SHARE: f64 = 0.05;
+
+/// An endpoint and its state.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) endpoint: Endpoint,
+    pub(crate) holder: Holder,
+    pub(crate) load: load::State,
+    pub(crate) leaving: bool,
+    /// Avoided before this time.
+    pub(crate) suspect: Time,
+    /// Open requests that nothing may run beside.
+    pub(crate) alone: u32,
+    /// Place of its service in the table.
+    pub(crate) pool: usize,
+    hash: u64,
+    /// Place among the service's nodes by hash, between 0 and 1.
+    pub(crate) rank: f64,
+}
+
+impl Node {
+    /// Whether the endpoint may take the request.
+    pub(crate) fn serves(&self, ask: &Ask<'_>) -> bool {
+        let models = &self.endpoint.models;
+        let model = match ask.model {
+            Some(model) => models.is_empty() || models.binary_search(model).is_ok(),
+            None => true,
+        };
+        let empty = !ask.alone || self.load.own().open < 0.5;
+        model && empty && self.alone == 0 && !self.leaving && !self.excluded(ask)
+    }
+
+    fn excluded(&self, ask: &Ask<'_>) -> bool {
+        ask.exclude.contains(&self.endpoint.id)
+    }
+}
+
+/// The nodes of one service.
+#[derive(Debug)]
+struct Pool {
+    service: id::Service,
+    nodes: Range<usize>,
+    /// Running mean of others' work at one endpoint.
+    mean: Work,
+    cheapest: Price,
+}
+
+/// Which node a holder is.
+#[derive(Debug, Clone, Copy)]
+struct Seat {
+    holder: Holder,
+    node: usize,
+}
+
+/// All nodes.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    nodes: Vec<Node>,
+    /// Nodes by name.
+    names: Vec<usize>,
+    /// Nodes by holder.
+    seats: Vec<Seat>,
+    /// Services, sorted.
+    pools: Vec<Pool>,
+}
+
+impl Table {
+    /// Takes a new list; nodes whose endpoint stays keep their state.
+    pub(crate) fn replace(&mut self, endpoints: Vec<Endpoint>, index: &mut Index) {
+        let mut old = std::mem::take(&mut self.nodes);
+        old.sort_by(|a, b| a.endpoint.id.cmp(&b.endpoint.id));
+        for endpoint in endpoints {
+            let place = old.binary_search_by(|node| node.endpoint.id.cmp(&endpoint.id));
+            let node = match place {
+                Ok(place) => Node {
+                    endpoint,
+                    ..old.remove(place)
+                },
+                Err(_) => fresh(endpoint, index),
+            };
+            self.nodes.push(node);
+        }
+        for node in &old {
+            index.leave(node.holder);
+        }
+        self.arrange();
+    }
+
+    pub(crate) fn remove(&mut self, id: &id::Endpoint, index: &mut Index) {
+        if let Some(place) = self.place(id) {
+            let node = self.nodes.remove(place);
+            index.leave(node.holder);
+            self.arrange();
+        }
+    }
+
+    pub(crate) fn get_mut(&mut self, id: &id::Endpoint) -> Option<&mut Node> {
+        let place = self.place(id)?;
+        Some(&mut self.nodes[place])
+    }
+
+    pub(crate) fn at(&self, node: usize) -> &Node {
+        &self.nodes[node]
+    }
+
+    /// Nodes of a service.
+    pub(crate) fn range(&self, service: &id::Service) -> Range<usize> {
+        self.pool(service).map_or(0..0, |pool| pool.nodes.clone())
+    }
+
+    pub(crate) fn members(&self, service: &id::Service) -> impl Iterator<Item = &Node> {
+        self.nodes[self.range(service)].iter()
+    }
+
+    /// The node that a holder is.
+    pub(crate) fn holder(&self, holder: Holder) -> Option<usize> {
+        let place = self.seats.binary_search_by_key(&holder, |seat| seat.holder);
+        place.ok().map(|place| self.seats[place].node)
+    }
+
+    /// The nodes of a service that a block hashes to, by rendezvous hashing
+    /// among those whose rank is within `ranks`.
+    pub(crate) fn homes(
+        &self,
+        service: &id::Service,
+        ranks: Range<f64>,
+        block: Block,
+        count: usize,
+    ) -> Vec<usize> {
+        let mut homes: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
+        for node in self.range(service) {
+            if self.nodes[node].leaving || !ranks.contains(&self.nodes[node].rank) {
+                continue;
+            }
+            let rank = mix(self.nodes[node].hash, block);
+            let place = homes.partition_point(|(have, _)| *have > rank);
+            if place < count {
+                homes.insert(place, (rank, node));
+                homes.truncate(count);
+            }
+        }
+        homes.into_iter().map(|(_, node)| node).collect()
+    }
+
+    /// Others' work at an average endpoint of a service.
+    pub(crate) fn mean(&self, service: &id::Service) -> Work {
+        self.pool(service).map_or(Work::default(), |pool| pool.mean)
+    }
+
+    pub(crate) fn pool_mean(&self, pool: usize) -> Work {
+        self.pools[pool].mean
+    }
+
+    /// Takes a report's view of others' work into the mean of its service.
+    pub(crate) fn note_others(&mut self, pool: usize, work: Work) {
+        let mean = &mut self.pools[pool].mean;
+        *mean = mean.towards(work, MEAN_SHARE);
+    }
+
+    /// Lowest price of an endpoint of a service.
+    pub(crate) fn cheapest(&self, service: &id::Service) -> Price {
+        self.pool(service)
+            .map_or(Price::default(), |pool| pool.cheapest)
+    }
+
+    /// Sorts the holders anew.
+    pub(crate) fn seat(&mut self) {
+        self.seats.clear();
+        for (node, state) in self.nodes.iter().enumerate() {
+            let holder = state.holder;
+            self.seats.push(Seat { holder, node });
+        }
+        self.seats.sort_unstable_by_key(|seat| seat.holder);
+    }
+
+    fn place(&self, id: &id::Endpoint) -> Option<usize> {
+        let by_name = |node: &usize| self.nodes[*node].endpoint.id.cmp(id);
+        let place = self.names.binary_search_by(by_name).ok()?;
+        Some(self.names[place])
+    }
+
+    fn pool(&self, service: &id::Service) -> Option<&Pool> {
+        let place = self
+            .pools
+            .binary_search_by(|pool| pool.service.cmp(service));
+        place.ok().map(|place| &self.pools[place])
+    }
+
+    /// Sorts the nodes and builds what finds them.
+    fn arrange(&mut self) {
+        self.nodes.sort_by(|a, b| {
+            let service = a.endpoint.service.cmp(&b.endpoint.service);
+            service.then_with(|| a.endpoint.id.cmp(&b.endpoint.id))
+        });
+        let mut names: Vec<usize> = (0..self.nodes.len()).collect();
+        names.sort_by(|a, b| self.nodes[*a].endpoint.id.cmp(&self.nodes[*b].endpoint.id));
+        self.names = names;
+        self.group();
+        self.rank();
+        self.seat();
+    }
+
+    /// Ranks each service's nodes by hash.
+    fn rank(&mut self) {
+        for pool in &self.pools {
+            let mut order: Vec<usize> = pool.nodes.clone().collect();
+            order.sort_by_key(|node| self.nodes[*node].hash);
+            let len = order.len() as f64;
+            for (place, node) in order.into_iter().enumerate() {
+                self.nodes[node].rank = place as f64 / len;
+            }
+        }
+    }
+
+    /// Finds the services' ranges, keeping their means.
+    fn group(&mut self) {
+        let old = std::mem::take(&mut self.pools);
+        for at in 0..self.nodes.len() {
+            let endpoint = &self.nodes[at].endpoint;
+            let same = |pool: &&mut Pool| pool.service == endpoint.service;
+            if let Some(pool) = self.pools.last_mut().filter(same) {
+                pool.nodes.end = at + 1;
+                pool.cheapest = pool.cheapest.min(endpoint.price);
+            } else {
+                let mean = old.iter().find(|pool| pool.service == endpoint.service);
+                self.pools.push(Pool {
+                    service: endpoint.service.clone(),
+                    nodes: at..at + 1,
+                    mean: mean.map_or(Work::default(), |pool| pool.mean),
+                    cheapest: endpoint.price,
+                });
+            }
+            self.nodes[at].pool = self.pools.len() - 1;
+        }
+    }
+}
+
+fn fresh(endpoint: Endpoint, index: &mut Index) -> Node {
+    Node {
+        holder: index.join(),
+        load: load::State::default(),
+        leaving: false,
+        suspect: Time::START,
+        alone: 0,
+        pool: 0,
+        rank: 0.0,
+        hash: xxh3_64(endpoint.id.as_str().as_bytes()),
+        endpoint,
+    }
+}
+
+/// Rank of an endpoint for a block.
+fn mix(hash: u64, block: Block) -> u64 {
+    xxh3_64_with_seed(&block.0.to_le_bytes(), hash)
+}
--- a/coltsfoothall/src/prefix.rs
+++ b/coltsfoothall/src/prefix.rs
@@ -1,8 +1,9 @@
 //! Prompt prefixes as chains of hashed blocks, the unit of prefix caches.
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::id;
 use crate::size::Tokens;
 
 /// Bytes of prompt in one block.
@@ -17,6 +18,15 @@
 #[serde(transparent)]
 pub struct Block(pub u64);
 
+/// Seed of a model's blocks, which keeps models and adapters apart.
+#[must_use]
+pub fn seed(model: &id::Model, adapter: Option<&id::Adapter>) -> u64 {
+    match adapter {
+        None => xxh3_64(model.as_str().as_bytes()),
+        Some(adapter) => xxh3_64(format!("{model}/{adapter}").as_bytes()),
+    }
+}
+
 /// Hashes the whole blocks of a prompt; a rest shorter than a block is left out.
 ///
 /// `seed` keeps prompts of different models apart.
--- /dev/null
+++ b/coltsfoothall/src/replica.rs
@@ -0,0 +1,312 @@
+//! One copy of one slot's records, as its owner or its backup keeps it.
+//!
+//! The owner numbers its changes; the backup applies them in that order. An
+//! effect may leave the owner only once the change behind it is released,
+//! that is, held by each copy that may take the slot over.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::clock::Time;
+use crate::id;
+use crate::key::{Epoch, Slot};
+use crate::record::{Cause, Change, End, Name, Record};
+
+pub use crate::copy::{Ack, Broken, Chunk, Row, Seq, Step, Stub, Taken, Update};
+
+/// Another copy, as the owner sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Link {
+    pub(crate) peer: id::Instance,
+    pub(crate) acked: Seq,
+}
+
+/// A copy that is being made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Copying {
+    pub(crate) peer: id::Instance,
+    pub(crate) copy: u64,
+    pub(crate) seq: Seq,
+}
+
+/// What an owner keeps beyond the records.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Owner {
+    /// The copy that may take over.
+    pub(crate) backup: Option<Link>,
+    /// A copy being made: where, its number and its last change.
+    pub(crate) copying: Option<Copying>,
+    /// A whole copy that the table does not name yet; it must hold what leaves.
+    pub(crate) learner: Option<Link>,
+    /// Changes that some copy has not acknowledged.
+    pub(crate) unacked: Vec<Update>,
+    /// All changes up to here may have their effect.
+    pub(crate) released: Seq,
+    /// Idempotent work goes on without the backup.
+    pub(crate) alone: bool,
+}
+
+/// What an instance is to a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Role {
+    /// The owner.
+    Owner(Owner),
+    /// The second copy that may take over from `primary`.
+    Backup { primary: id::Instance },
+    /// A copy of `primary`'s that the table does not name yet.
+    Learner { primary: id::Instance },
+}
+
+/// A record with what its holder notes about it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Item {
+    pub(crate) record: Box<Record>,
+    pub(crate) seq: Seq,
+    pub(crate) ended: Option<Time>,
+    /// An attempt may have begun that the record does not know: its owner was
+    /// lost, and idempotent attempts need no second copy.
+    pub(crate) unsure: bool,
+}
+
+/// A stub by its holder's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Mark {
+    pub(crate) hash: u64,
+    pub(crate) since: Time,
+}
+
+/// One copy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Replica {
+    pub(crate) slot: Slot,
+    pub(crate) epoch: Epoch,
+    pub(crate) role: Role,
+    /// An owner that is sealed lets nothing leave; a backup that is sealed
+    /// acknowledges nothing.
+    pub(crate) sealed: bool,
+    /// An owner whose backup has sealed its copy; only the table can settle who
+    /// goes on.
+    pub(crate) told: bool,
+    /// An owner that makes no more changes, to hand over.
+    pub(crate) draining: bool,
+    /// A sealed backup that made changes of its own.
+    pub(crate) parted: bool,
+    pub(crate) seq: Seq,
+    pub(crate) items: Vec<Item>,
+    pub(crate) stubs: Vec<Mark>,
+    pub(crate) cold: Epoch,
+    pub(crate) cold_since: Option<Time>,
+    pub(crate) bytes: usize,
+}
+
+impl Owner {
+    /// Moves `released` up to what all copies hold; it never falls.
+    pub(crate) fn release(&mut self, seq: Seq) {
+        let links = self.backup.iter().chain(&self.learner);
+        let held = links.map(|link| link.acked).min().unwrap_or(seq);
+        self.released = self.released.max(held);
+        self.alone &= held < seq;
+        let cut = self.copying.as_ref().map_or(held, |copying| copying.seq);
+        self.unacked.retain(|update| update.seq > held.min(cut));
+    }
+
+    /// Changes after `seq`.
+    pub(crate) fn since(&self, seq: Seq) -> impl Iterator<Item = &Update> {
+        self.unacked.iter().filter(move |update| update.seq > seq)
+    }
+}
+
+impl Replica {
+    /// An empty copy.
+    pub(crate) fn new(slot: Slot, epoch: Epoch, role: Role) -> Self {
+        Self {
+            slot,
+            epoch,
+            role,
+            sealed: false,
+            told: false,
+            draining: false,
+            parted: false,
+            seq: Seq(0),
+            items: Vec::new(),
+            stubs: Vec::new(),
+            cold: epoch,
+            cold_since: None,
+            bytes: 0,
+        }
+    }
+
+    /// The place of a request's record.
+    pub(crate) fn find(&self, name: &Name) -> Result<usize, usize> {
+        self.items
+            .binary_search_by(|item| item.record.intake.name.cmp(name))
+    }
+
+    /// Applies a change and numbers it.
+    pub(crate) fn apply(&mut self, now: Time, name: &Name, change: Change) -> Result<Seq, Broken> {
+        let seq = self.seq.next();
+        match (self.find(name), change) {
+            (Err(at), Change::Accept(intake)) => {
+                let record = Box::new(Record::new(*intake));
+                self.bytes += record.size();
+                let item = Item {
+                    record,
+                    seq,
+                    ended: None,
+                    unsure: false,
+                };
+                self.items.insert(at, item);
+            }
+            (Err(_), _) => return Err(Broken::Absent(name.clone())),
+            (Ok(at), change) => {
+                let item = &mut self.items[at];
+                let before = item.record.size();
+                item.record.apply(change)?;
+                item.seq = seq;
+                item.ended = item.record.end.map(|_| now);
+                self.bytes = self.bytes - before + item.record.size();
+            }
+        }
+        self.seq = seq;
+        Ok(seq)
+    }
+
+    /// Non-idempotent requests that may have begun at a lost owner, and how
+    /// they end now.
+    pub(crate) fn orphans(&self) -> Vec<(Name, End)> {
+        let open = self.items.iter().map(|item| &item.record);
+        let begun = open.filter(|r| r.end.is_none() && !r.intake.idempotent && r.begun());
+        begun
+            .map(|record| {
+                let unknown = End::Unknown(Cause::OwnerLost);
+                let end = if record.whole() { End::Done } else { unknown };
+                (record.intake.name.clone(), end)
+            })
+            .collect()
+    }
+
+    /// What an update is told if it does not come from this copy's owner.
+    pub(crate) fn admit(&mut self, update: &Update) -> Option<Ack> {
+        if update.epoch < self.epoch {
+            return Some(Ack::Sealed(self.epoch));
+        }
+        let later = update.epoch > self.epoch;
+        match &self.role {
+            // The owner has written the table, which has not come here yet.
+            Role::Learner { primary } if update.epoch == self.epoch.next() => {
+                let primary = primary.clone();
+                self.epoch = update.epoch;
+                self.role = Role::Backup { primary };
+                None
+            }
+            Role::Owner(_) | Role::Backup { .. } if later => Some(Ack::Gap(self.seq.next())),
+            Role::Learner { .. } if later => Some(Ack::Missing),
+            Role::Owner(_) => Some(Ack::Sealed(self.epoch)),
+            Role::Backup { .. } | Role::Learner { .. } => {
+                self.sealed.then_some(Ack::Sealed(self.epoch))
+            }
+        }
+    }
+
+    /// Makes a change known to the other copies.
+    pub(crate) fn publish(&mut self, seq: Seq, name: Name, change: Change) -> Step {
+        let (slot, epoch) = (self.slot, self.epoch);
+        let update = Update {
+            slot,
+            epoch,
+            seq,
+            name,
+            change,
+        };
+        let mut to = Vec::new();
+        match &mut self.role {
+            Role::Owner(owner) => {
+                let links = owner.backup.iter().chain(&owner.learner);
+                to.extend(links.map(|link| link.peer.clone()));
+                to.dedup();
+                if !to.is_empty() || owner.copying.is_some() {
+                    owner.unacked.push(update.clone());
+                }
+                owner.release(seq);
+            }
+            Role::Backup { .. } | Role::Learner { .. } => self.parted = true,
+        }
+        let released = self.may_leave(&update.name, seq);
+        Step {
+            slot,
+            seq,
+            released,
+            update,
+            to,
+        }
+    }
+
+    /// Whether the effect of a request's change may leave.
+    pub(crate) fn may_leave(&self, name: &Name, seq: Seq) -> bool {
+        let at = self.find(name);
+        let idempotent = at.is_ok_and(|at| self.items[at].record.intake.idempotent);
+        match &self.role {
+            Role::Owner(owner) => {
+                self.leads() && (seq <= owner.released || owner.alone && idempotent)
+            }
+            Role::Backup { .. } => self.sealed && idempotent,
+            Role::Learner { .. } => false,
+        }
+    }
+
+    /// Whether this copy is its owner's and nothing speaks against it.
+    pub(crate) fn leads(&self) -> bool {
+        matches!(self.role, Role::Owner(_)) && !self.sealed && !self.told
+    }
+
+    /// Whether every change is held by every other copy, and no more are made.
+    pub(crate) fn drained(&self) -> bool {
+        let Role::Owner(owner) = &self.role else {
+            return false;
+        };
+        let mut links = owner.backup.iter().chain(&owner.learner);
+        self.draining && !owner.alone && links.all(|link| link.acked == self.seq)
+    }
+
+    /// Whether a request of this name ended and was dropped.
+    pub(crate) fn stub(&self, hash: u64) -> bool {
+        self.stubs
+            .binary_search_by_key(&hash, |stub| stub.hash)
+            .is_ok()
+    }
+
+    /// Drops records that ended before `keep`, and stubs since before `names`.
+    pub(crate) fn retire(&mut self, now: Time, keep: Duration, names: Duration, most: usize) {
+        let old = |item: &Item| item.ended.is_some_and(|ended| now.since(ended) >= keep);
+        let dropped: Vec<_> = self.items.extract_if(.., |item| old(item)).collect();
+        for item in dropped {
+            self.bytes = self.bytes.saturating_sub(item.record.size());
+            if !item.record.intake.idempotent {
+                self.remember(name_hash(&item.record.intake.name), now);
+            }
+        }
+        self.stubs.retain(|stub| now.since(stub.since) < names);
+        if self.stubs.len() > most {
+            let mut since: Vec<_> = self.stubs.iter().map(|stub| stub.since).collect();
+            since.sort_unstable();
+            let limit = since[since.len() - most];
+            self.stubs.retain(|stub| stub.since >= limit);
+        }
+    }
+
+    fn remember(&mut self, hash: u64, since: Time) {
+        if let Err(at) = self.stubs.binary_search_by_key(&hash, |stub| stub.hash) {
+            self.stubs.insert(at, Mark { hash, since });
+        }
+    }
+}
+
+/// Hash of a request's name for its stub.
+pub(crate) fn name_hash(name: &Name) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(name.workspace.as_str().as_bytes());
+    hash.update(b"/");
+    hash.update(name.key.as_str().as_bytes());
+    hash.digest()
+}
--- /dev/null
+++ b/coltsfoothall/src/safety.rs
@@ -0,0 +1,62 @@
+//! What an owner may take in and do without risking a promise.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::ledger::{Begin, Ledger, backlog};
+use crate::record::{Change, End, Intake};
+use crate::replica::{Item, Replica, Role, name_hash};
+
+impl Ledger {
+    /// Why a new non-idempotent request is not taken in, if it is not.
+    pub(crate) fn refusal(&self, now: Time, intake: &Intake, replica: &Replica) -> Option<Begin> {
+        if replica.stub(name_hash(&intake.name)) {
+            return Some(Begin::Retired);
+        }
+        if self.lost(now, intake, replica) {
+            return Some(Begin::Lost);
+        }
+        let backed = matches!(&replica.role, Role::Owner(o) if o.backup.is_some() && !o.alone);
+        let known = self.known(now, intake, self.settings.retention / 2);
+        (!backed || !known).then_some(Begin::NotSafe)
+    }
+
+    /// Whether the key may have been used at an owner whose records are lost.
+    pub(crate) fn lost(&self, now: Time, intake: &Intake, replica: &Replica) -> bool {
+        match intake.name.key.minted() {
+            Some(mint) => mint.epoch < replica.cold,
+            None => replica
+                .cold_since
+                .is_some_and(|since| now.since(since) < self.settings.retention),
+        }
+    }
+
+    /// Whether nobody else can take the key for new: minted keys tell their
+    /// epoch, others rely on a table that is not too old.
+    fn known(&self, now: Time, intake: &Intake, age: Duration) -> bool {
+        intake.name.key.minted().is_some() || now.since(self.confirmed) < age
+    }
+
+    /// Whether a request may take the change now. "Not run" needs an owner that
+    /// knows all attempts. A sealed copy may not touch non-idempotent requests.
+    /// What an owner without backup has accepted, it may send: whoever claims
+    /// its slot answers "unknown" for the key.
+    pub(crate) fn safe(&self, now: Time, item: &Item, replica: &Replica, change: &Change) -> bool {
+        let intake = &item.record.intake;
+        let owner = match &replica.role {
+            Role::Owner(owner) => Some(owner).filter(|owner| !owner.alone),
+            Role::Backup { .. } | Role::Learner { .. } => None,
+        };
+        match change {
+            Change::End(End::NotRun(_)) => owner.is_some() && !item.unsure,
+            Change::Sent { .. } if !intake.idempotent => {
+                owner.is_some() && self.known(now, intake, self.settings.retention)
+            }
+            _ => intake.idempotent || matches!(replica.role, Role::Owner(_)),
+        }
+    }
+
+    pub(crate) fn full(&self, replica: &Replica) -> bool {
+        self.bytes() >= self.settings.bytes || backlog(replica) >= self.settings.unacked
+    }
+}
--- /dev/null
+++ b/coltsfoothall/src/start.rs
@@ -0,0 +1,363 @@
+//! Starts and stops that bring the instances held to the set wanted.
+//!
+//! An instance with notice no longer counts, so its replacement starts while
+//! it still serves. A refused start backs its kind off and the load goes to
+//! the next cheapest kind elsewhere; once the cheaper kind can be had again,
+//! the costlier substitute is given back after its successor serves.
+//!
+//! Three things keep starts from multiplying. Each start has a token of
+//! service, fencing number and wish number, so asking again after a lost
+//! answer starts nothing more. A new steward starts nothing until the lagging
+//! list must show what its predecessor started. An instance that the list no
+//! longer shows counts as held until it has been absent for long, longer
+//! still when many go at once.
+
+use std::time::Duration;
+
+use crate::backoff;
+use crate::clock::Time;
+use crate::fleet::{Cell, Hold, Offer, Speed};
+use crate::held::{self, Known, Tally};
+use crate::id;
+use crate::size::Price;
+use crate::steward::Fence;
+use crate::wish;
+
+pub use crate::held::{Machine, Phase};
+pub use crate::wish::Token;
+
+/// Span of [`Settings::per_minute`], and time from one telling to stop to the next.
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Limits of starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// Most starts without an answer; it stops a storm on the cloud's API.
+    pub at_once: usize,
+    /// Most starts in a minute; it stops a wrong list from buying a second fleet.
+    pub per_minute: usize,
+    /// Longest lag of the instance list, the flight of a start included.
+    pub lag: Duration,
+    /// Time that an instance must be absent from the list to be believed gone.
+    pub absent: Duration,
+    /// The same where more than a quarter is absent at once.
+    pub outage: Duration,
+    /// First backoff of a kind after a refusal.
+    pub backoff: Duration,
+    /// Time from one asking to the next while an answer is lost.
+    pub repeat: Duration,
+    /// Time that a start may take; a later one is stopped and replaced.
+    pub slow: Duration,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            at_once: 32,
+            per_minute: 240,
+            lag: Duration::from_secs(15),
+            absent: Duration::from_secs(30),
+            outage: Duration::from_secs(300),
+            backoff: Duration::from_secs(10),
+            repeat: Duration::from_secs(5),
+            slow: Duration::from_secs(600),
+            seed: 0,
+        }
+    }
+}
+
+/// What is to be held.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Wanted {
+    /// The plan's instances.
+    pub holds: Vec<Hold>,
+    /// All that can be had, for substitutes.
+    pub offers: Vec<Offer>,
+    /// What the classes carry, sorted by class.
+    pub speeds: Vec<Speed>,
+}
+
+/// What the queue hears.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// What is to be held.
+    Wanted(Wanted),
+    /// The instance list was read.
+    Listed(Vec<Machine>),
+    /// An instance was given notice, or is known to be dead.
+    Notice(id::Instance),
+    /// A start was answered.
+    Started {
+        /// The wish.
+        token: Token,
+        /// The instance.
+        id: id::Instance,
+    },
+    /// A start was refused.
+    Refused(Token),
+    /// A start's answer was lost, or the cloud's API is down.
+    Unknown(Token),
+}
+
+/// What the queue wants from the cloud's API.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Start an instance.
+    Start {
+        /// Names the wish.
+        token: Token,
+        /// The kind.
+        cell: Cell,
+    },
+    /// Stop an instance: drain it, then give it back.
+    Stop(id::Instance),
+}
+
+/// Counts since the queue began, and how far it is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Wishes made.
+    pub wishes: u64,
+    /// Starts refused.
+    pub refused: u64,
+    /// Starts asked again after a lost answer.
+    pub repeats: u64,
+    /// Load held, instances on the way included.
+    pub held: u64,
+    /// Load wanted.
+    pub wanted: u64,
+}
+
+/// Starts and stops of one service under one steward's fencing number.
+#[derive(Debug)]
+pub struct Queue {
+    settings: Settings,
+    first_start_at: Time,
+    /// Whether a list was read that shows all that a predecessor started.
+    listed: bool,
+    wanted: Wanted,
+    set: held::Set,
+    wishes: wish::List,
+    backoffs: backoff::Table,
+    started: Vec<Time>,
+    progress: Progress,
+}
+
+impl Queue {
+    /// The queue of a steward whose first order may be sent at `now`.
+    #[must_use]
+    pub fn new(now: Time, settings: Settings, service: id::Service, fence: Fence) -> Self {
+        Self {
+            settings,
+            first_start_at: now + settings.lag,
+            listed: false,
+            wanted: Wanted::default(),
+            set: held::Set::default(),
+            wishes: wish::List::new(service, fence),
+            backoffs: backoff::Table::new(settings.backoff, settings.seed ^ fence),
+            started: Vec::new(),
+            progress: Progress::default(),
+        }
+    }
+
+    /// Counts since the queue began, and how far it is.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        self.progress
+    }
+
+    /// Kinds that can't be had for now, for an operator to see.
+    pub fn refused(&self, now: Time) -> impl Iterator<Item = &Cell> {
+        self.backoffs.waiting(now)
+    }
+
+    /// Takes one input.
+    pub fn handle(&mut self, now: Time, input: Input) -> Vec<Action> {
+        match input {
+            Input::Tick => return self.tick(now),
+            Input::Wanted(wanted) => self.wanted = wanted,
+            Input::Listed(machines) => {
+                self.listed |= self.first_start_at <= now;
+                self.set.listed(now, machines);
+            }
+            Input::Notice(id) => self.set.notice(now, id),
+            Input::Started { token, id } => self.started(now, &token, id),
+            Input::Refused(token) => self.refuse(now, &token),
+            Input::Unknown(_token) => {}
+        }
+        Vec::new()
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Action> {
+        self.set
+            .forget(now, self.settings.absent, self.settings.outage);
+        let mut actions = self.repeat(now);
+        let mut tally = self.set.tally(self.wishes.cells());
+        if self.listed {
+            self.start(now, &mut tally, &mut actions);
+            self.stop_slow(now);
+            self.stop_surplus(now, &mut tally);
+        }
+        self.stops(now, &mut actions);
+        self.progress.wanted = self.wanted_load();
+        self.progress.held = self.load_of(&tally, |row| row.held);
+        actions
+    }
+
+    fn started(&mut self, now: Time, token: &Token, id: id::Instance) {
+        let Some(cell) = self.wishes.take(token) else {
+            return;
+        };
+        self.backoffs.clear(&cell);
+        let phase = Phase::Starting;
+        self.set.started(now, Machine { id, cell, phase });
+    }
+
+    fn refuse(&mut self, now: Time, token: &Token) {
+        if let Some(cell) = self.wishes.take(token) {
+            self.progress.refused += 1;
+            self.backoffs.refuse(now, cell);
+        }
+    }
+
+    fn repeat(&mut self, now: Time) -> Vec<Action> {
+        let late = self.wishes.late(now, self.settings.repeat);
+        self.progress.repeats += late.len() as u64;
+        let again = |(token, cell)| Action::Start { token, cell };
+        late.into_iter().map(again).collect()
+    }
+
+    fn start(&mut self, now: Time, tally: &mut Tally, actions: &mut Vec<Action>) {
+        self.started.retain(|at| now < *at + MINUTE);
+        let rest = self.settings.per_minute.saturating_sub(self.started.len());
+        let idle = self.settings.at_once.saturating_sub(self.wishes.len());
+        for _start in 0..rest.min(idle) {
+            let Some(cell) = self.next_cell(now, tally) else {
+                return;
+            };
+            tally.add(&cell, false);
+            let token = self.wishes.add(now, cell.clone());
+            self.progress.wishes += 1;
+            self.started.push(now);
+            actions.push(Action::Start { token, cell });
+        }
+    }
+
+    /// The kind to start next: one that the plan lacks, else a substitute for refused load.
+    fn next_cell(&self, now: Time, tally: &Tally) -> Option<Cell> {
+        let lacks = |hold: &&Hold| tally.held(&hold.offer.cell) < hold.count;
+        let mut lacking = self.wanted.holds.iter().filter(lacks).peekable();
+        lacking.peek()?;
+        let free = lacking.find(|hold| self.is_free(now, &hold.offer.cell));
+        let held = self.load_of(tally, |row| row.held);
+        match free {
+            Some(hold) => Some(hold.offer.cell.clone()),
+            None if held < self.wanted_load() => self.substitute(now, tally),
+            None => None,
+        }
+    }
+
+    /// The cheapest kind for its load that isn't backed off; the least held among equals.
+    fn substitute(&self, now: Time, tally: &Tally) -> Option<Cell> {
+        let free = |offer: &&Offer| self.is_free(now, &offer.cell);
+        let cost = |offer: &Offer| {
+            let load = self.load(&offer.cell);
+            let price = u128::from(offer.price.0) * 1_000_000;
+            (load > 0).then(|| (price / u128::from(load), tally.held(&offer.cell)))
+        };
+        let offers = self.wanted.offers.iter().filter(free);
+        let costs = offers.filter_map(|offer| Some((cost(offer)?, &offer.cell)));
+        costs.min().map(|(_cost, cell)| cell.clone())
+    }
+
+    /// Whether a kind may be asked for; one that was refused is probed by one start at a time.
+    fn is_free(&self, now: Time, cell: &Cell) -> bool {
+        let probed = || self.wishes.cells().any(|wished| wished == cell);
+        let probing = self.backoffs.is_suspect(cell) && probed();
+        !probing && !self.backoffs.waits(now, cell)
+    }
+
+    fn load(&self, cell: &Cell) -> u64 {
+        let speed = self
+            .wanted
+            .speeds
+            .iter()
+            .find(|speed| speed.class == cell.class);
+        speed.map_or(0, |speed| speed.load)
+    }
+
+    fn wanted_load(&self) -> u64 {
+        self.wanted
+            .holds
+            .iter()
+            .map(|hold| hold.load * u64::from(hold.count))
+            .sum()
+    }
+
+    fn load_of(&self, tally: &Tally, count: impl Fn(&held::Row) -> u32) -> u64 {
+        let load = |row: &held::Row| self.load(&row.cell) * u64::from(count(row));
+        tally.rows.iter().map(load).sum()
+    }
+
+    /// Gives up on starts that take too long.
+    fn stop_slow(&mut self, now: Time) {
+        let slow = self.settings.slow;
+        let starting = |known: &&mut Known| known.machine.phase == Phase::Starting;
+        for known in self.set.known.iter_mut().filter(starting) {
+            if known.since + slow <= now {
+                known.stop(now);
+            }
+        }
+    }
+
+    /// Stops what is held beyond the plan once the rest carries the plan's load.
+    fn stop_surplus(&mut self, now: Time, tally: &mut Tally) {
+        for _stop in 0..self.settings.at_once {
+            let live = self.load_of(tally, |row| row.live);
+            let spare = live.saturating_sub(self.wanted_load());
+            let Some(at) = self.surplus(tally, spare) else {
+                return;
+            };
+            self.set.known[at].stop(now);
+            *tally = self.set.tally(self.wishes.cells());
+        }
+    }
+
+    /// The costliest live instance beyond the plan whose load can be spared.
+    fn surplus(&self, tally: &Tally, spare: u64) -> Option<usize> {
+        let fits = |row: &&held::Row| self.is_surplus(row, spare);
+        let rows = tally.rows.iter().filter(fits);
+        let row = rows.max_by_key(|row| (self.price(&row.cell), &row.cell))?;
+        let live = |k: &Known| k.machine.phase == Phase::Live && k.machine.cell == row.cell;
+        self.set.known.iter().rposition(live)
+    }
+
+    fn is_surplus(&self, row: &held::Row, spare: u64) -> bool {
+        let hold = self
+            .wanted
+            .holds
+            .iter()
+            .find(|hold| hold.offer.cell == row.cell);
+        let count = hold.map_or(0, |hold| hold.count);
+        row.live > 0 && row.held > count && self.load(&row.cell) <= spare
+    }
+
+    fn price(&self, cell: &Cell) -> Price {
+        let offer = self.wanted.offers.iter().find(|offer| offer.cell == *cell);
+        offer.map_or(Price(0), |offer| offer.price)
+    }
+
+    /// Stops that are new, or not yet seen done.
+    fn stops(&mut self, now: Time, actions: &mut Vec<Action>) {
+        for known in &mut self.set.known {
+            if known.stop_at.is_some_and(|at| at <= now) {
+                known.stop_at = Some(now + MINUTE);
+                actions.push(Action::Stop(known.machine.id.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coltsfoothall/src/takeover.rs
@@ -0,0 +1,352 @@
+//! How slots change hands: proposals for the table, and what a table means for
+//! the copies here.
+//!
+//! A proposal is noted before it is written. If the write's answer is lost it
+//! stays noted until a table of a later version settles it, and meanwhile
+//! both its outcomes are safe.
+
+use crate::clock::Time;
+use crate::id;
+use crate::key::{Epoch, Slot};
+use crate::ledger::{Error, Ledger};
+use crate::record::{Change, End, Name};
+use crate::replica::{Broken, Link, Owner, Replica, Role, Seq};
+use crate::slot::{Entry, FIRST, Table};
+
+use serde::{Deserialize, Serialize};
+
+/// What a new table meant for this instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// It owns the slot now. Open requests are to be carried on.
+    Owns(Slot),
+    /// It backs the slot up now.
+    Backs(Slot),
+    /// It kept the slot and no longer does; attempts and answers are to stop.
+    Dropped(Slot),
+    /// A request that a lost owner had sent ended here.
+    Ended(Name, End),
+    /// A rule is broken.
+    Broken(Broken),
+}
+
+/// An owner's word that it is sealed and the backup may act as owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handoff {
+    /// The slot.
+    pub slot: Slot,
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// Number of its last change.
+    pub seq: Seq,
+}
+
+/// A write of the slot table that may take effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Proposal {
+    pub(crate) slot: Slot,
+    /// Version of the table that it changes.
+    base: u64,
+    entry: Entry,
+}
+
+impl Ledger {
+    /// Seals the copy here: its owner gets no more acknowledgements. Returns
+    /// the epoch to name in the takeover, or none if there is no copy that
+    /// may take over.
+    pub fn seal(&mut self, slot: Slot) -> Option<Epoch> {
+        let replica = self.replica_mut(slot)?;
+        match replica.role {
+            Role::Backup { .. } => {
+                replica.sealed = true;
+                Some(replica.epoch)
+            }
+            Role::Owner(_) | Role::Learner { .. } => None,
+        }
+    }
+
+    /// Stops changes of an owned slot, so that the other copies catch up.
+    pub fn drain(&mut self, slot: Slot) {
+        if let Some(replica) = self.replica_mut(slot)
+            && matches!(replica.role, Role::Owner(_))
+        {
+            replica.draining = true;
+        }
+    }
+
+    /// Takes a drained slot up again, unless it is handed over already.
+    pub fn resume(&mut self, slot: Slot) {
+        if let Some(replica) = self.replica_mut(slot) {
+            replica.draining &= replica.sealed;
+        }
+    }
+
+    /// Whether the other copies of a drained slot hold all changes.
+    #[must_use]
+    pub fn drained(&self, slot: Slot) -> bool {
+        self.replica(slot).is_some_and(Replica::drained)
+    }
+
+    /// Seals a drained slot for good and lets its backup act as owner, without
+    /// a write of the table. None while the backup lacks a change, or there is
+    /// none, or a write of the entry is under way.
+    pub fn hand_over(&mut self, slot: Slot) -> Option<(id::Instance, Handoff)> {
+        if self.proposals.iter().any(|proposal| proposal.slot == slot) {
+            return None;
+        }
+        let replica = self.replica_mut(slot).filter(|replica| replica.drained())?;
+        let Role::Owner(owner) = &replica.role else {
+            return None;
+        };
+        let backup = owner.backup.as_ref()?.peer.clone();
+        replica.sealed = true;
+        let handoff = Handoff {
+            slot,
+            epoch: replica.epoch,
+            seq: replica.seq,
+        };
+        Some((backup, handoff))
+    }
+
+    /// Acts as owner after the owner's word; false if the copy here lacks a
+    /// change. The takeover should be written to the table soon.
+    pub fn accept(&mut self, handoff: Handoff) -> bool {
+        let Some(replica) = self.replica_mut(handoff.slot) else {
+            return false;
+        };
+        let same = replica.epoch == handoff.epoch;
+        match replica.role {
+            Role::Backup { .. } if same && replica.seq >= handoff.seq => {
+                replica.own(None);
+                true
+            }
+            Role::Owner(_) => same,
+            Role::Backup { .. } | Role::Learner { .. } => false,
+        }
+    }
+
+    /// Notes a change of the table before it is written over version `base`.
+    /// The same change may be noted and written again.
+    ///
+    /// # Errors
+    /// The change is not safe now.
+    pub fn propose(&mut self, slot: Slot, base: u64, entry: Entry) -> Result<(), Error> {
+        let others = self.proposals.iter().filter(|p| p.slot == slot);
+        if others.clone().any(|p| p.base != base || p.entry != entry) {
+            return Err(Error::NotOwner(slot));
+        }
+        let known = others.count() > 0;
+        let me = self.me.clone();
+        if !known && !self.allows(slot, &entry) {
+            return Err(Error::NotOwner(slot));
+        }
+        if entry.primary != me
+            && let Some(replica) = self.replica_mut(slot)
+        {
+            replica.sealed = true;
+        }
+        if !known {
+            self.proposals.push(Proposal { slot, base, entry });
+        }
+        Ok(())
+    }
+
+    /// Takes in a table that was read or written. Older ones are passed over.
+    pub fn observe(&mut self, now: Time, table: &Table) -> Vec<Event> {
+        if table.version < self.version {
+            return Vec::new();
+        }
+        self.version = table.version;
+        let mut events = Vec::new();
+        for (slot, entry) in table.iter() {
+            self.adopt(now, slot, entry, &mut events);
+        }
+        self.proposals
+            .retain(|proposal| proposal.base >= table.version);
+        events
+    }
+
+    /// Whether the copy here allows the entry to be written.
+    fn allows(&self, slot: Slot, entry: &Entry) -> bool {
+        let Some(replica) = self.replica(slot) else {
+            return entry.primary == self.me && entry.cold == entry.epoch && entry.epoch > FIRST;
+        };
+        if entry.epoch != replica.epoch.next() {
+            return false;
+        }
+        let mine = entry.primary == self.me;
+        match &replica.role {
+            Role::Owner(_) | Role::Backup { .. } if entry.cold != replica.cold => false,
+            Role::Owner(_) if mine => match &entry.backup {
+                Some(backup) => self.ready(slot, backup),
+                None => !replica.sealed,
+            },
+            Role::Owner(_) => {
+                replica.drained() && !replica.sealed && self.holds(slot, &entry.primary)
+            }
+            Role::Backup { .. } => mine && replica.sealed && entry.backup.is_none(),
+            Role::Learner { .. } => mine && entry.cold == entry.epoch,
+        }
+    }
+
+    /// Whether `peer` has a whole copy of a drained slot.
+    fn holds(&self, slot: Slot, peer: &id::Instance) -> bool {
+        let Some(Role::Owner(owner)) = self.replica(slot).map(|r| &r.role) else {
+            return false;
+        };
+        let mut links = owner.backup.iter().chain(&owner.learner);
+        links.any(|link| link.peer == *peer)
+    }
+
+    fn adopt(&mut self, now: Time, slot: Slot, entry: &Entry, events: &mut Vec<Event>) {
+        let proposed = self
+            .proposals
+            .iter()
+            .any(|p| p.slot == slot && p.entry == *entry);
+        let Ok(at) = self.replicas.binary_search_by_key(&slot, |r| r.slot) else {
+            if proposed {
+                self.found(now, slot, entry, events);
+            }
+            return;
+        };
+        let me = self.me.clone();
+        let replica = &mut self.replicas[at];
+        if entry.epoch <= replica.epoch {
+            return;
+        }
+        let fresh = entry.cold == entry.epoch;
+        match replica.follow(entry, &me, proposed) {
+            Follow::Kept => {}
+            Follow::Owns => events.push(Event::Owns(slot)),
+            Follow::Backs => events.push(Event::Backs(slot)),
+            Follow::TookOver => {
+                events.push(Event::Owns(slot));
+                self.end_orphans(now, slot, events);
+            }
+            Follow::Dropped => {
+                self.replicas.remove(at);
+                events.push(Event::Dropped(slot));
+                if proposed && fresh && entry.primary == me {
+                    self.found(now, slot, entry, events);
+                }
+            }
+        }
+    }
+
+    /// An empty copy for a slot that was claimed.
+    fn found(&mut self, now: Time, slot: Slot, entry: &Entry, events: &mut Vec<Event>) {
+        if entry.primary != self.me || entry.cold != entry.epoch {
+            return;
+        }
+        let mut replica = Replica::new(slot, entry.epoch, Role::Owner(Owner::default()));
+        // Nobody keeps a slot at the first table's epoch, so nothing was lost.
+        replica.cold_since = (entry.epoch > FIRST.next()).then_some(now);
+        if let Err(at) = self.replicas.binary_search_by_key(&slot, |r| r.slot) {
+            self.replicas.insert(at, replica);
+            events.push(Event::Owns(slot));
+        }
+    }
+
+    fn end_orphans(&mut self, now: Time, slot: Slot, events: &mut Vec<Event>) {
+        let orphans = self.replica(slot).map(Replica::orphans).unwrap_or_default();
+        for (name, end) in orphans {
+            match self.step(now, slot, name.clone(), Change::End(end)) {
+                Ok(_step) => events.push(Event::Ended(name, end)),
+                Err(Error::Broken(err)) => events.push(Event::Broken(err)),
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+/// What became of a copy under a newer entry.
+enum Follow {
+    Kept,
+    Owns,
+    TookOver,
+    Backs,
+    Dropped,
+}
+
+impl Replica {
+    /// Becomes the owner with the given backup, which holds the same.
+    fn own(&mut self, backup: Option<id::Instance>) {
+        let acked = if self.parted { Seq(0) } else { self.seq };
+        let backup = backup.map(|peer| Link { peer, acked });
+        self.role = Role::Owner(Owner {
+            backup,
+            released: self.seq,
+            ..Owner::default()
+        });
+        self.sealed = false;
+        self.told = false;
+        self.draining = false;
+        self.parted = false;
+    }
+
+    /// Follows a newer entry of the table.
+    fn follow(&mut self, entry: &Entry, me: &id::Instance, proposed: bool) -> Follow {
+        if entry.epoch != self.epoch.next() || entry.cold == entry.epoch {
+            // Claimed cold, or moved on by more than a step without this copy.
+            return Follow::Dropped;
+        }
+        let mine = entry.primary == *me;
+        let backing = entry.backup.as_ref() == Some(me);
+        match &mut self.role {
+            Role::Owner(owner) if mine && proposed => {
+                let learner = owner.learner.take();
+                owner.backup = learner.filter(|link| Some(&link.peer) == entry.backup.as_ref());
+                for update in &mut owner.unacked {
+                    update.epoch = entry.epoch;
+                }
+                self.epoch = entry.epoch;
+                owner.release(self.seq);
+                self.told = false;
+                Follow::Kept
+            }
+            Role::Owner(_) if backing && proposed => {
+                self.back(entry);
+                Follow::Backs
+            }
+            Role::Backup { .. } if mine && proposed => {
+                self.epoch = entry.epoch;
+                self.own(None);
+                self.doubt();
+                Follow::TookOver
+            }
+            Role::Backup { primary } | Role::Learner { primary }
+                if mine && entry.backup.as_ref() == Some(primary) =>
+            {
+                self.epoch = entry.epoch;
+                self.own(entry.backup.clone());
+                Follow::Owns
+            }
+            Role::Backup { primary } | Role::Learner { primary }
+                if backing && entry.primary == *primary && !self.parted =>
+            {
+                self.back(entry);
+                Follow::Backs
+            }
+            Role::Owner(_) | Role::Backup { .. } | Role::Learner { .. } => Follow::Dropped,
+        }
+    }
+
+    fn back(&mut self, entry: &Entry) {
+        self.epoch = entry.epoch;
+        self.role = Role::Backup {
+            primary: entry.primary.clone(),
+        };
+        self.sealed = false;
+        self.told = false;
+        self.draining = false;
+    }
+
+    /// Open idempotent requests may have been sent by the lost owner alone.
+    fn doubt(&mut self) {
+        let open = self
+            .items
+            .iter_mut()
+            .filter(|item| item.record.end.is_none());
+        open.for_each(|item| item.unsure |= item.record.intake.idempotent);
+    }
+}
--- /dev/null
+++ b/coltsfoothall/src/transfer.rs
@@ -0,0 +1,283 @@
+//! Whole copies of slots, for new backups and new owners.
+//!
+//! The owner cuts the slot as it is into pieces and sends the changes after
+//! them as updates. The copy counts once it is whole; the table may name it
+//! only then.
+
+use crate::clock::Time;
+use crate::id;
+use crate::key::Slot;
+use crate::ledger::Ledger;
+use crate::replica::{
+    Broken, Chunk, Copying, Item, Link, Mark, Replica, Role, Row, Seq, Stub, Taken, Update,
+};
+use crate::size::Millis;
+
+/// Bytes of records in a piece, beyond the first record; it keeps a copy from
+/// blocking the connection for requests.
+pub const CHUNK: usize = 64 << 10;
+
+/// Stubs in a piece, for the same reason.
+pub const STUBS: usize = 4096;
+
+/// A copy that is on its way here.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    copy: u64,
+    next: u32,
+    replica: Replica,
+}
+
+impl Ledger {
+    /// Cuts a slot into pieces for a copy at `to`. An earlier copy that the
+    /// table does not name yet is given up. None unless the slot is owned here
+    /// and no write of its entry is under way.
+    pub fn export(&mut self, now: Time, slot: Slot, to: &id::Instance) -> Option<Vec<Chunk>> {
+        if self.proposals.iter().any(|proposal| proposal.slot == slot) {
+            return None;
+        }
+        self.copies += 1;
+        let (me, copy) = (self.me.clone(), self.copies);
+        let replica = self.replica_mut(slot).filter(|replica| !replica.sealed)?;
+        let Role::Owner(owner) = &mut replica.role else {
+            return None;
+        };
+        owner.learner = None;
+        owner.copying = Some(Copying {
+            peer: to.clone(),
+            copy,
+            seq: replica.seq,
+        });
+        owner.release(replica.seq);
+        Some(cut(now, replica, &me, copy))
+    }
+
+    /// Gives up a copy that the table does not name, unless a write that names
+    /// it is under way; false then.
+    pub fn give_up(&mut self, slot: Slot) -> bool {
+        if self.proposals.iter().any(|proposal| proposal.slot == slot) {
+            return false;
+        }
+        if let Some(replica) = self.replica_mut(slot)
+            && let Role::Owner(owner) = &mut replica.role
+        {
+            owner.copying = None;
+            owner.learner = None;
+            owner.release(replica.seq);
+        }
+        true
+    }
+
+    /// Notes that the copy at `to` is whole up to `seq`. From now on it has to
+    /// hold what leaves. The updates are those that it still lacks; none means
+    /// that the copy was given up or has fallen too far behind.
+    ///
+    /// # Errors
+    /// The peer holds what was never sent.
+    pub fn copied(
+        &mut self,
+        slot: Slot,
+        to: &id::Instance,
+        copy: u64,
+        seq: Seq,
+    ) -> Result<Option<Vec<Update>>, Broken> {
+        let Some(replica) = self.replica_mut(slot).filter(|replica| !replica.sealed) else {
+            return Ok(None);
+        };
+        let Role::Owner(owner) = &mut replica.role else {
+            return Ok(None);
+        };
+        let Some(copying) = owner
+            .copying
+            .take_if(|copying| copying.peer == *to && copying.copy == copy)
+        else {
+            return Ok(None);
+        };
+        if seq > replica.seq {
+            return Err(Broken::Ahead(slot, to.clone(), seq));
+        }
+        let link = Link {
+            peer: to.clone(),
+            acked: copying.seq.min(seq),
+        };
+        let missing: Vec<_> = owner.since(link.acked).cloned().collect();
+        if missing.len() as u64 != replica.seq.0 - link.acked.0 {
+            return Ok(None);
+        }
+        owner.learner = Some(link);
+        owner.release(replica.seq);
+        Ok(Some(missing))
+    }
+
+    /// Whether the copy at `to` may be named in the table.
+    #[must_use]
+    pub fn ready(&self, slot: Slot, to: &id::Instance) -> bool {
+        let Some(replica) = self.replica(slot).filter(|replica| !replica.sealed) else {
+            return false;
+        };
+        let Role::Owner(owner) = &replica.role else {
+            return false;
+        };
+        let mut links = owner.learner.iter().filter(|link| link.peer == *to);
+        links.any(|link| link.acked >= owner.released)
+    }
+
+    /// Takes in a piece of a copy.
+    pub fn import(&mut self, now: Time, chunk: Chunk) -> Taken {
+        let slot = chunk.slot;
+        if let Some(refused) = self.replica(slot).and_then(|replica| replica.bars(&chunk)) {
+            return refused;
+        }
+        let at = self
+            .arrivals
+            .binary_search_by_key(&slot, |arrival| arrival.replica.slot);
+        let at = match at {
+            Ok(at) if self.arrivals[at].serves(&chunk) => at,
+            Ok(at) if chunk.index == 0 && self.arrivals[at].older(&chunk) => {
+                self.arrivals[at] = Arrival::new(now, &chunk);
+                at
+            }
+            Ok(_) => return Taken::More(0),
+            Err(at) if chunk.index == 0 => {
+                self.arrivals.insert(at, Arrival::new(now, &chunk));
+                at
+            }
+            Err(_) => return Taken::More(0),
+        };
+        let arrival = &mut self.arrivals[at];
+        let (last, copy) = (chunk.last, chunk.copy);
+        if chunk.index == arrival.next {
+            arrival.take(now, chunk);
+        }
+        if !last || arrival.next == 0 {
+            return Taken::More(arrival.next);
+        }
+        let replica = self.arrivals.remove(at).replica;
+        Taken::Whole(copy, self.settle(replica))
+    }
+
+    /// Puts a whole copy in its place. A backup stays one: the new copy holds
+    /// at least what the old one held.
+    fn settle(&mut self, mut replica: Replica) -> Seq {
+        let seq = replica.seq;
+        match self
+            .replicas
+            .binary_search_by_key(&replica.slot, |r| r.slot)
+        {
+            Ok(at) => {
+                let have = &self.replicas[at];
+                if have.epoch == replica.epoch {
+                    if have.seq > seq {
+                        return have.seq;
+                    }
+                    replica.role = have.role.clone();
+                }
+                self.replicas[at] = replica;
+            }
+            Err(at) => self.replicas.insert(at, replica),
+        }
+        seq
+    }
+}
+
+impl Replica {
+    /// What a piece is told if it must not replace this copy. An owner of an
+    /// older epoch waits for the table first, so that it stops its work.
+    fn bars(&self, chunk: &Chunk) -> Option<Taken> {
+        let sealed = Some(Taken::Sealed(self.epoch));
+        match self.role {
+            _ if self.epoch > chunk.epoch => sealed,
+            Role::Owner(_) if self.epoch == chunk.epoch => sealed,
+            Role::Owner(_) => Some(Taken::More(0)),
+            Role::Backup { .. } if self.epoch == chunk.epoch && self.sealed => sealed,
+            Role::Backup { .. } | Role::Learner { .. } => None,
+        }
+    }
+}
+
+impl Arrival {
+    fn new(now: Time, chunk: &Chunk) -> Self {
+        let primary = chunk.from.clone();
+        let mut replica = Replica::new(chunk.slot, chunk.epoch, Role::Learner { primary });
+        replica.seq = chunk.seq;
+        replica.cold = chunk.cold;
+        replica.cold_since = chunk.cold_age.map(|age| now - age.duration());
+        Self {
+            copy: chunk.copy,
+            next: 0,
+            replica,
+        }
+    }
+
+    fn serves(&self, chunk: &Chunk) -> bool {
+        (self.replica.epoch, self.copy) == (chunk.epoch, chunk.copy)
+    }
+
+    fn older(&self, chunk: &Chunk) -> bool {
+        (self.replica.epoch, self.copy) < (chunk.epoch, chunk.copy)
+    }
+
+    fn take(&mut self, now: Time, chunk: Chunk) {
+        let replica = &mut self.replica;
+        let rows = chunk.rows.into_iter().map(|row| Item {
+            record: Box::new(row.record),
+            seq: chunk.seq,
+            ended: row.age.map(|age| now - age.duration()),
+            unsure: row.unsure,
+        });
+        let first = replica.items.len();
+        replica.items.extend(rows);
+        let added = replica.items[first..].iter().map(|item| item.record.size());
+        replica.bytes += added.sum::<usize>();
+        replica.stubs.extend(chunk.stubs.iter().map(|stub| Mark {
+            hash: stub.hash,
+            since: now - stub.age.duration(),
+        }));
+        self.next += 1;
+    }
+}
+
+fn cut(now: Time, replica: &Replica, me: &id::Instance, copy: u64) -> Vec<Chunk> {
+    let age = |since: Time| Millis::from(now.since(since));
+    let empty = |index: usize| Chunk {
+        slot: replica.slot,
+        from: me.clone(),
+        epoch: replica.epoch,
+        copy,
+        index: u32::try_from(index).unwrap_or(u32::MAX),
+        last: false,
+        seq: replica.seq,
+        cold: replica.cold,
+        cold_age: replica.cold_since.map(age),
+        rows: Vec::new(),
+        stubs: Vec::new(),
+    };
+    let mut chunks = vec![empty(0)];
+    let mut bytes = 0;
+    for item in &replica.items {
+        if bytes > 0 && bytes + item.record.size() > CHUNK {
+            chunks.push(empty(chunks.len()));
+            bytes = 0;
+        }
+        bytes += item.record.size();
+        let row = Row {
+            record: (*item.record).clone(),
+            age: item.ended.map(age),
+            unsure: item.unsure,
+        };
+        let last = chunks.len() - 1;
+        chunks[last].rows.push(row);
+    }
+    for stubs in replica.stubs.chunks(STUBS) {
+        let mut chunk = empty(chunks.len());
+        let stubs = stubs.iter().map(|mark| Stub {
+            hash: mark.hash,
+            age: age(mark.since),
+        });
+        chunk.stubs.extend(stubs);
+        chunks.push(chunk);
+    }
+    let last = chunks.len() - 1;
+    chunks[last].last = true;
+    chunks
+}
--- /dev/null
+++ b/coltsfoothall/tests/suspicion.rs
@@ -0,0 +1,196 @@
+//! Requests that crash endpoints.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use coltsfoothall::clock::Time;
+use coltsfoothall::id::Endpoint;
+use coltsfoothall::record::{Class, Intake, Name, Work};
+use coltsfoothall::size::Millis;
+use coltsfoothall::suspicion::{Docket, Evidence, Print, Settings, Verdict};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+fn print(prompt: &str) -> Print {
+    Print::new(&Intake {
+        name: Name {
+            workspace: "w".parse().unwrap(),
+            key: "k".parse().unwrap(),
+        },
+        service: "s".parse().unwrap(),
+        work: Work::Completion {
+            model: "m".parse().unwrap(),
+            adapter: None,
+            prompt: prompt.into(),
+            max_tokens: 8,
+        },
+        idempotent: true,
+        class: Class::Interactive,
+        deadline: Millis(1000),
+    })
+}
+
+fn at(millis: u64) -> Time {
+    Time::START + Duration::from_millis(millis)
+}
+
+fn endpoint(number: u64) -> Endpoint {
+    format!("e{number}").parse().unwrap()
+}
+
+fn die(docket: &mut Docket, millis: u64, attempt: u64, print: Print, alone: bool) {
+    docket.started(at(millis), attempt, endpoint(attempt), print, alone);
+    docket.died(at(millis + 10), &endpoint(attempt), false);
+}
+
+#[test]
+fn neighbour_cleared() {
+    let mut docket = Docket::new(Settings::default());
+    let (bad, good) = (print("bad"), print("good"));
+    docket.started(at(0), 1, endpoint(1), bad, false);
+    docket.started(at(0), 2, endpoint(1), good, false);
+    assert_eq!(docket.died(at(5), &endpoint(1), false).len(), 4);
+    assert_eq!(docket.verdict(at(6), good), Verdict::Alone);
+    docket.started(at(7), 3, endpoint(2), good, true);
+    assert_eq!(docket.verdict(at(8), good), Verdict::Later);
+    docket.ended(at(9), 3, true);
+    assert_eq!(docket.verdict(at(10), good), Verdict::Free);
+    die(&mut docket, 11, 4, bad, true);
+    assert_eq!(docket.verdict(at(30), bad), Verdict::Poisonous);
+}
+
+#[test]
+fn notice_excused() {
+    let mut docket = Docket::new(Settings::default());
+    docket.started(at(0), 1, endpoint(1), print("x"), false);
+    assert_eq!(docket.died(at(5), &endpoint(1), true), []);
+    assert_eq!(docket.verdict(at(6), print("x")), Verdict::Free);
+}
+
+#[test]
+fn together_counts_once() {
+    let mut docket = Docket::new(Settings::default());
+    let common = print("ping");
+    for attempt in 1..=3 {
+        docket.started(at(0), attempt, endpoint(attempt), common, false);
+    }
+    for attempt in 1..=3 {
+        docket.died(at(5 + attempt), &endpoint(attempt), false);
+    }
+    assert_eq!(docket.verdict(at(20), common), Verdict::Alone);
+    die(&mut docket, 21, 9, common, false);
+    assert_eq!(docket.verdict(at(40), common), Verdict::Poisonous);
+}
+
+#[test]
+fn variations_condemned() {
+    let mut docket = Docket::new(Settings::default());
+    let mut lost = 0;
+    for variation in 0..50 {
+        let print = print(&format!("{} {variation}", "crash ".repeat(300)));
+        for _ in 0..4 {
+            let verdict = docket.verdict(at(lost * 100), print);
+            if verdict == Verdict::Poisonous {
+                break;
+            }
+            lost += 1;
+            let alone = verdict == Verdict::Alone;
+            die(&mut docket, lost * 100, lost, print, alone);
+        }
+    }
+    assert!(lost <= 6, "{lost} endpoints lost");
+}
+
+#[test]
+fn evidence_expires() {
+    let settings = Settings {
+        entries: 8,
+        ..Settings::default()
+    };
+    let mut docket = Docket::new(settings);
+    for number in 0..40 {
+        die(
+            &mut docket,
+            number * 100,
+            number,
+            print(&format!("{number}")),
+            true,
+        );
+    }
+    assert!(docket.len() <= 8);
+    docket.expire(at(4_000) + settings.keep);
+    assert!(docket.is_empty());
+}
+
+#[test]
+fn merge_converges() {
+    for seed in 0..200 {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let mut from = Docket::new(Settings::default());
+        for attempt in 0..6 {
+            let print = print(&format!("{}", rng.random_range(0..3)));
+            die(
+                &mut from,
+                attempt * 20,
+                attempt,
+                print,
+                rng.random_bool(0.2),
+            );
+        }
+        let told = from.evidence(at(500));
+        let mut twice = Docket::new(Settings::default());
+        for evidence in told.iter().rev().chain(&told) {
+            twice.merge(at(500), std::slice::from_ref(evidence));
+        }
+        assert_eq!(twice.evidence(at(500)), told, "seed {seed}");
+    }
+}
+
+/// One caller sends a crashing request again and again through any instance.
+fn lost_endpoints(seed: u64) -> (u64, u64) {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let instances = rng.random_range(1..12_usize);
+    let gossip = rng.random_range(1..400);
+    let run = rng.random_range(20..200);
+    let settings = Settings::default;
+    let mut dockets: Vec<Docket> = (0..instances).map(|_| Docket::new(settings())).collect();
+    let mut mail: Vec<(u64, usize, Vec<Evidence>)> = Vec::new();
+    let (mut now, mut lost) = (0, 0);
+    let bad = print("crash");
+    for _ in 0..100 {
+        let by = rng.random_range(0..instances);
+        loop {
+            for (due, to, evidence) in &mail {
+                if *due <= now {
+                    let docket: &mut Docket = &mut dockets[*to];
+                    docket.merge(at(now), evidence);
+                }
+            }
+            mail.retain(|(due, ..)| *due > now);
+            let verdict = dockets[by].verdict(at(now), bad);
+            if verdict == Verdict::Poisonous {
+                break;
+            }
+            lost += 1;
+            let alone = verdict == Verdict::Alone;
+            dockets[by].started(at(now), lost, endpoint(lost), bad, alone);
+            now += run;
+            dockets[by].died(at(now), &endpoint(lost), false);
+            for to in (0..instances).filter(|to| *to != by) {
+                mail.push((now + gossip, to, dockets[by].evidence(at(now))));
+            }
+        }
+        now += 1;
+    }
+    let blind = (2 * (instances as u64 - 1)).min(gossip.div_ceil(run));
+    (lost, 2 + blind)
+}
+
+#[test]
+fn losses_bounded() {
+    for seed in 0..5_000 {
+        let (lost, bound) = lost_endpoints(seed);
+        assert!(lost <= bound, "seed {seed}: {lost} lost, bound {bound}");
+    }
+}
