--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -18,10 +18,26 @@
 impl Event {
     /// Logs one event with its `key=value` fields.
     pub fn emit(self, fields: fmt::Arguments<'_>) {
-        log::log!(self.level, "E{:03} {} {fields}", self.code, self.name);
+        if log::log_enabled!(self.level) {
+            let fields = line(&fields.to_string());
+            log::log!(self.level, "E{:03} {} {fields}", self.code, self.name);
+        }
     }
 }
 
+/// The text on one line, so that no value can pass for an event of its own.
+fn line(text: &str) -> String {
+    let mut line = String::with_capacity(text.len());
+    for c in text.chars() {
+        if c.is_control() {
+            line.extend(c.escape_default());
+        } else {
+            line.push(c);
+        }
+    }
+    line
+}
+
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $code:literal $level:ident $text:literal;)*) => {
         $($(#[$doc])* pub const $name: Event =
@@ -40,6 +56,38 @@
     STOPPING = 102 Info "stopping";
     /// A planned stop ended with nothing cut off.
     STOPPED = 103 Info "stopped";
+    /// A planned stop reached its limit before all answers had ended.
+    CUT_OFF = 104 Warn "stop_cut_off";
     /// A rule of the system was found broken; always a bug.
     BROKEN = 190 Error "invariant_broken";
+    /// Notice was heard that an instance will be taken back.
+    NOTICE = 301 Warn "reclaim_notice";
+    /// An entry instance joined, is leaving, died or was doubted.
+    MEMBER = 401 Info "member";
+    /// A connection to another entry instance failed.
+    LINK_FAILED = 402 Warn "link_failed";
+    /// The control thread stood still for a while.
+    STALLED = 403 Warn "own_stall";
+    /// The slot table was written, or could not be.
+    SLOTS = 411 Info "slots";
+    /// A copy of a slot could not be made.
+    COPY_FAILED = 412 Warn "copy_failed";
+    /// A slot was handed over without the key-value service.
+    YIELDED = 413 Info "slot_yielded";
+    /// A request that a lost owner had sent ended as unknown.
+    ORPHAN = 414 Warn "orphan_ended";
+    /// A configuration is in force.
+    ADOPTED = 501 Info "config_adopted";
+    /// An older configuration was refused.
+    OLDER = 502 Warn "config_older_refused";
+    /// A configuration breaks a rule and was refused.
+    BAD_CATALOG = 503 Error "config_bad";
+    /// A call of the key-value service failed.
+    STORE_FAILED = 601 Warn "store_failed";
+    /// The instance list or the notices could not be read.
+    LIST_FAILED = 602 Warn "instance_list_failed";
+    /// A plan was made.
+    PLANNED = 701 Info "plan_made";
+    /// A plan's confirmation was settled, or could not be.
+    CONFIRMED = 702 Info "plan_confirmed";
 }
--- /dev/null
+++ b/coltsfoothall-shell/src/journal.rs
@@ -0,0 +1,129 @@
+//! The log: one line an event, with time, level, number and `key=value` fields.
+
+use std::path::PathBuf;
+
+use log::LevelFilter;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Logger, Root};
+use log4rs::encode::pattern::PatternEncoder;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{Check, Fault};
+
+/// A line: time in UTC, level, message. [`crate::event::Event::emit`] sets the message.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
+
+/// Crates whose lines are logged at the level of the settings.
+const OWN: [&str; 2] = ["coltsfoothall_entry", "coltsfoothall_shell"];
+
+/// Name of the one appender.
+const APPENDER: &str = "journal";
+
+/// Least level that is logged.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Nothing.
+    Off,
+    /// Broken rules and lost work.
+    Error,
+    /// What an operator should look at.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Decisions, one by one.
+    Debug,
+    /// Everything, libraries included.
+    Trace,
+}
+
+impl From<Level> for LevelFilter {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Off => Self::Off,
+            Level::Error => Self::Error,
+            Level::Warn => Self::Warn,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+            Level::Trace => Self::Trace,
+        }
+    }
+}
+
+/// Settings of the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Least level that is logged.
+    pub level: Level,
+    /// File to append to; the standard error stream if there is none.
+    pub file: Option<PathBuf>,
+}
+
+impl Check for Log {
+    fn check(&self) -> Result<(), Fault> {
+        match &self.file {
+            Some(file) if file.as_os_str().is_empty() => Err(Fault::new(
+                "file",
+                "path is empty; leave it out for standard error",
+            )),
+            _ => Ok(()),
+        }
+    }
+}
+
+quick_error! {
+    /// A log that cannot be started.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The file cannot be opened.
+        File(file: PathBuf, message: String) {
+            display("log: cannot open {}: {message}", file.display())
+        }
+        /// The logger refuses, or one runs already in this process.
+        Start(message: String) {
+            display("log: cannot start: {message}")
+        }
+    }
+}
+
+/// Starts the log of this process.
+///
+/// # Errors
+/// The file cannot be opened, or a log runs already.
+pub fn start(log: &Log) -> Result<(), Error> {
+    let appender = Appender::builder().build(APPENDER, appender(log)?);
+    let level = LevelFilter::from(log.level);
+    // Libraries may log each call; of them only warnings count.
+    let root = Root::builder()
+        .appender(APPENDER)
+        .build(level.min(LevelFilter::Warn));
+    let own = OWN.iter().map(|name| Logger::builder().build(*name, level));
+    let config = Config::builder()
+        .appender(appender)
+        .loggers(own)
+        .build(root)
+        .map_err(|error| Error::Start(error.to_string()))?;
+    match log4rs::init_config(config) {
+        Ok(_handle) => Ok(()),
+        Err(error) => Err(Error::Start(error.to_string())),
+    }
+}
+
+fn appender(log: &Log) -> Result<Box<dyn Append>, Error> {
+    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    let Some(file) = &log.file else {
+        let console = ConsoleAppender::builder()
+            .target(Target::Stderr)
+            .encoder(encoder);
+        return Ok(Box::new(console.build()));
+    };
+    match FileAppender::builder().encoder(encoder).build(file) {
+        Ok(appender) => Ok(Box::new(appender)),
+        Err(error) => Err(Error::File(file.clone(), error.to_string())),
+    }
+}
--- a/coltsfoothall-shell/src/lib.rs
+++ b/coltsfoothall-shell/src/lib.rs
@@ -1,3 +1,18 @@
-//! Settings, logs and metrics common to the programs.
+//! Settings, logs, metrics and planned stops, common to the programs.
+//!
+//! ```
+//! use std::path::Path;
+//!
+//! use coltsfoothall_shell::journal::{Level, Log};
+//! use coltsfoothall_shell::settings;
+//!
+//! let log: Log = settings::parse(Path::new("entry.yaml"), "level: warn")?;
+//! assert_eq!(log.level, Level::Warn);
+//! # Ok::<(), settings::Error>(())
+//! ```
 
 pub mod event;
+pub mod journal;
+pub mod metric;
+pub mod settings;
+pub mod stop;
