--- /dev/null
+++ b/coltsfoothall-entry/src/desk.rs
@@ -0,0 +1,453 @@
+//! Requests that are owned here: the ledger, and a relay for each open one.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::mpsc::UnboundedSender;
+
+use coltsfoothall::id;
+use coltsfoothall::key::{Epoch, Key, Slot};
+use coltsfoothall::ledger::{self, Begin, Ledger, Next};
+use coltsfoothall::limit::{Number, Refusal};
+use coltsfoothall::record::{Cause, Change, Intake, Name, Record};
+use coltsfoothall::replica::{Ack, Seq, Step, Update};
+use coltsfoothall::size::Millis;
+use coltsfoothall::step::Input;
+use coltsfoothall::takeover::Event;
+use coltsfoothall_shell::event;
+use coltsfoothall_wire::fault::{Code, Fault, Outcome};
+use coltsfoothall_wire::peer::Follow;
+
+use crate::control::Message;
+use crate::dispatch;
+use crate::feed::{Feed, Follower};
+use crate::node::Node;
+use crate::relay::{self, Begun};
+
+/// When to come back while a slot changes its owner.
+const COME_BACK: Millis = Millis(200);
+/// When to come back while the ledger is full.
+const FULL: Millis = Millis(1000);
+
+/// A relay's change that waits for its copies.
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    /// Its number in the request's life.
+    request: u64,
+    /// Its number in the slot.
+    seq: Seq,
+}
+
+/// An open request.
+#[derive(Debug)]
+struct Live {
+    name: Name,
+    slot: Slot,
+    digest: u64,
+    feed: Arc<Feed>,
+    signals: UnboundedSender<Input>,
+    pending: Vec<Pending>,
+}
+
+#[derive(Debug)]
+struct State {
+    ledger: Ledger,
+    /// Sorted by name.
+    live: Vec<Live>,
+}
+
+/// Requests that are owned here.
+#[derive(Debug)]
+pub struct Desk {
+    state: Mutex<State>,
+}
+
+impl Desk {
+    /// A desk without requests.
+    #[must_use]
+    pub fn new(me: id::Instance, settings: ledger::Settings) -> Self {
+        let state = State { ledger: Ledger::new(me, settings), live: Vec::new() };
+        Self { state: Mutex::new(state) }
+    }
+
+    /// Mints a key in a slot that is owned here.
+    ///
+    /// # Errors
+    /// No slot is owned here now.
+    pub fn mint(&self) -> Result<Key, Fault> {
+        let state = self.state();
+        let count = state.ledger.owned().count();
+        let none = || come_back(Code::Unavailable, "this entry instance owns no slot yet");
+        let at = rand::random_range(0..count.max(1));
+        let (slot, epoch) = state.ledger.owned().nth(at).ok_or_else(none)?;
+        Ok(Key::mint(slot, epoch, rand::random()))
+    }
+
+    /// Runs `f` on the ledger.
+    pub fn with_ledger<T>(&self, f: impl FnOnce(&mut Ledger) -> T) -> T {
+        f(&mut self.state().ledger)
+    }
+
+    /// Tells relays of a slot what may leave now.
+    pub fn flush(&self, slot: Slot) {
+        self.state().flush(slot);
+    }
+
+    /// Applies changes that an owner sent for the copies here.
+    #[must_use]
+    pub fn receive(&self, node: &Node, updates: Vec<Update>) -> Vec<Ack> {
+        let now = node.now();
+        let mut state = self.state();
+        let mut acks = Vec::with_capacity(updates.len());
+        for update in updates {
+            let epoch = update.epoch;
+            match state.ledger.receive(now, update) {
+                Ok(ack) => acks.push(ack),
+                Err(broken) => {
+                    node.broken("ledger_receive", &broken);
+                    acks.push(Ack::Sealed(epoch));
+                }
+            }
+        }
+        acks
+    }
+
+    /// What one copy lacks of all slots. `clear` empties the queue of changes
+    /// to it, under the lock, so that none is sent twice or out of order.
+    #[must_use]
+    pub fn missing(&self, to: &id::Instance, clear: impl FnOnce()) -> Vec<Update> {
+        let state = self.state();
+        clear();
+        let slots: Vec<Slot> = state.ledger.owned().map(|(slot, _)| slot).collect();
+        slots.iter().flat_map(|slot| state.ledger.resend(*slot, to)).collect()
+    }
+
+    /// Cancels an open request that is owned here.
+    #[must_use]
+    pub fn cancel(&self, name: &Name) -> bool {
+        let state = self.state();
+        match state.find(name) {
+            Ok(at) => state.live[at].signals.send(Input::Cancel).is_ok(),
+            Err(_absent) => false,
+        }
+    }
+
+    /// Tells all relays.
+    pub fn tell_all(&self, input: &Input) {
+        for live in &self.state().live {
+            // A relay that has just ended needs no news.
+            let _ended = live.signals.send(input.clone());
+        }
+    }
+
+    /// Tells the relays of one slot.
+    pub fn tell_slot(&self, slot: Slot, input: &Input) {
+        for live in self.state().live.iter().filter(|live| live.slot == slot) {
+            let _ended = live.signals.send(input.clone());
+        }
+    }
+
+    /// Open requests.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.state().live.len()
+    }
+
+    /// Notes what a copy said.
+    pub fn acked(&self, node: &Node, from: &id::Instance, slot: Slot, epoch: Epoch, ack: Ack) {
+        let mut state = self.state();
+        let next = state.ledger.acked(slot, epoch, from, ack);
+        state.flush(slot);
+        drop(state);
+        match next {
+            Ok(Next::Nothing | Next::Resend) => {}
+            Ok(Next::Copy) => {
+                node.control.send(Message::CopyLost { slot, at: from.clone() });
+            }
+            Ok(Next::Table) => node.control.send(Message::ReadTable),
+            Err(broken) => node.broken("ledger_ack", &broken),
+        }
+    }
+
+    /// Records a relay's change. An input for the relay comes back if it is settled at once.
+    pub fn record(
+        &self,
+        node: &Node,
+        name: &Name,
+        request: u64,
+        change: Change,
+    ) -> Option<Input> {
+        let now = node.now();
+        let mut state = self.state();
+        let at = state.find(name).ok()?;
+        let slot = state.live[at].slot;
+        match state.ledger.change(now, slot, name.clone(), change) {
+            Ok(step) => {
+                let released = step.released;
+                state.live[at].pending.push(Pending { request, seq: step.seq });
+                // Sent under the lock, so that each copy gets the slot's changes in order.
+                node.links.send(&step);
+                drop(state);
+                released.then_some(Input::Acked { seq: request })
+            }
+            Err(ledger::Error::NotOwner(_)) => Some(Input::Sealed),
+            Err(ledger::Error::NotSafe(_)) => Some(Input::Alone),
+            Err(ledger::Error::Full(_)) => Some(Input::Cancel),
+            Err(ledger::Error::Broken(broken)) => {
+                drop(state);
+                node.broken("ledger_change", &broken);
+                Some(Input::Sealed)
+            }
+        }
+    }
+
+    /// Forgets a relay that has ended.
+    pub fn end(&self, name: &Name) {
+        let mut state = self.state();
+        if let Ok(at) = state.find(name) {
+            state.live.remove(at);
+        }
+    }
+
+    /// Gives the answer of a request that is owned here, run now if it is new.
+    ///
+    /// # Errors
+    /// It is owned elsewhere, unknown, or refused.
+    pub async fn follow(&self, node: &Arc<Node>, follow: &Follow) -> Result<Follower, Fault> {
+        let slot = node.view().slot(&follow.name.key);
+        let number = match &follow.intake {
+            Some(intake) if self.takes(node, slot, intake)? => Some(admit(node, intake).await?),
+            _ => None,
+        };
+        let result = self.open(node, slot, follow, number);
+        if let (Some(number), true) = (number, result.is_err()) {
+            node.control.send(Message::Over(number));
+        }
+        result
+    }
+
+    /// Whether the request would be new here.
+    fn takes(&self, node: &Node, slot: Slot, intake: &Intake) -> Result<bool, Fault> {
+        let state = self.state();
+        if state.find(&intake.name).is_ok() || state.ledger.record(slot, &intake.name).is_some() {
+            return Ok(false);
+        }
+        if !state.ledger.owned().any(|(owned, _)| owned == slot) {
+            return Err(come_back(Code::Unavailable, "the request is owned elsewhere"));
+        }
+        // What cannot be handed over while it runs must not begin at one that leaves.
+        if node.view().leaving && !intake.idempotent {
+            return Err(come_back(Code::Unavailable, "the request's owner is leaving"));
+        }
+        Ok(true)
+    }
+
+    fn open(
+        &self,
+        node: &Arc<Node>,
+        slot: Slot,
+        follow: &Follow,
+        number: Option<Number>,
+    ) -> Result<Follower, Fault> {
+        let mut state = self.state();
+        let feed = match (state.find(&follow.name), &follow.intake) {
+            (Ok(at), intake) => {
+                let live = &state.live[at];
+                if intake.as_ref().is_some_and(|intake| intake.digest() != live.digest) {
+                    return Err(reused(&follow.name));
+                }
+                Arc::clone(&live.feed)
+            }
+            (Err(_), Some(intake)) => state.begin(node, slot, intake, number)?,
+            (Err(_), None) => state.known(slot, &follow.name)?,
+        };
+        drop(state);
+        if !feed.resumable(follow.offset) {
+            let message = "must be the id of an event of this answer";
+            return Err(Fault::field(coltsfoothall_wire::header::LAST_EVENT, message));
+        }
+        Ok(Follower::new(feed, follow.offset))
+    }
+
+    /// Carries out what a new slot table meant for the ledger.
+    pub fn adopt(&self, node: &Arc<Node>, events: Vec<Event>) {
+        for event in events {
+            match event {
+                Event::Owns(slot) => self.carry_on(node, slot),
+                Event::Backs(slot) | Event::Dropped(slot) => {
+                    self.tell_slot(slot, &Input::Sealed);
+                }
+                Event::Ended(name, end) => {
+                    event::ORPHAN.emit(format_args!("request={name} end={end:?}"));
+                }
+                Event::Broken(broken) => node.broken("ledger_observe", &broken),
+            }
+        }
+    }
+
+    /// Starts a relay for each open request of a slot that may go on here now.
+    pub fn carry_on(&self, node: &Arc<Node>, slot: Slot) {
+        let mut state = self.state();
+        let owner = state.ledger.released(slot).is_some();
+        let open: Vec<Record> = state.ledger.open(slot).cloned().collect();
+        for record in open.into_iter().filter(|record| owner || record.intake.idempotent) {
+            if state.find(&record.intake.name).is_err() {
+                state.spawn(node, slot, Begun::Resumed(Box::new(record)));
+            }
+        }
+        state.flush(slot);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        // No holder of the lock panics half way through a change.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn find(&self, name: &Name) -> Result<usize, usize> {
+        self.live.binary_search_by(|live| live.name.cmp(name))
+    }
+
+    fn begin(
+        &mut self,
+        node: &Arc<Node>,
+        slot: Slot,
+        intake: &Intake,
+        number: Option<Number>,
+    ) -> Result<Arc<Feed>, Fault> {
+        let name = &intake.name;
+        match self.ledger.begin(node.now(), intake.clone(), slot) {
+            Ok(Begin::New(step)) => {
+                let begun = Begun::New { intake: Box::new(intake.clone()), number };
+                Ok(self.accept(node, slot, begun, &step))
+            }
+            Ok(Begin::Join(_)) => self.known(slot, name),
+            Ok(refused) => Err(refusal(&refused, name)),
+            Err(ledger::Error::Broken(broken)) => {
+                node.broken("ledger_begin", &broken);
+                Err(Fault::new(Code::Internal, broken))
+            }
+            Err(error) => Err(come_back(Code::Unavailable, &error.to_string())),
+        }
+    }
+
+    fn accept(
+        &mut self,
+        node: &Arc<Node>,
+        slot: Slot,
+        begun: Begun,
+        step: &Step,
+    ) -> Arc<Feed> {
+        node.links.send(step);
+        let feed = self.spawn(node, slot, begun);
+        if let Ok(at) = self.find(&step.update.name) {
+            self.live[at].pending.push(Pending { request: 1, seq: step.seq });
+        }
+        if step.released {
+            self.flush(slot);
+        }
+        feed
+    }
+
+    fn spawn(&mut self, node: &Arc<Node>, slot: Slot, begun: Begun) -> Arc<Feed> {
+        let feed = Arc::new(Feed::default());
+        let intake = begun.intake();
+        let (name, digest) = (intake.name.clone(), intake.digest());
+        let signals = relay::spawn(Arc::clone(node), slot, begun, Arc::clone(&feed));
+        let live = Live {
+            name,
+            slot,
+            digest,
+            feed: Arc::clone(&feed),
+            signals,
+            pending: Vec::new(),
+        };
+        match self.find(&live.name) {
+            Ok(at) => self.live[at] = live,
+            Err(at) => self.live.insert(at, live),
+        }
+        feed
+    }
+
+    /// The answer of a request that is known and has no relay.
+    fn known(&self, slot: Slot, name: &Name) -> Result<Arc<Feed>, Fault> {
+        if !self.ledger.owned().any(|(owned, _)| owned == slot) {
+            return Err(come_back(Code::Unavailable, "the request is owned elsewhere"));
+        }
+        let record = self.ledger.record(slot, name);
+        let unknown = || Fault::new(Code::NotFound, format!("no request {} is known", name.key));
+        let record = record.ok_or_else(unknown)?;
+        let seq = self.ledger.seq(slot, name);
+        match record.end {
+            Some(end) if seq.is_some_and(|seq| self.ledger.may_leave(slot, name, seq)) => {
+                Ok(Feed::ended(record, end))
+            }
+            _ => Err(come_back(Code::Unavailable, "the request is changing its owner")),
+        }
+    }
+
+    /// Tells relays of a slot what may leave.
+    fn flush(&mut self, slot: Slot) {
+        let ledger = &self.ledger;
+        for live in self.live.iter_mut().filter(|live| live.slot == slot) {
+            let name = &live.name;
+            let leaves = |pending: &Pending| ledger.may_leave(slot, name, pending.seq);
+            let held = live.pending.partition_point(leaves);
+            if let Some(last) = live.pending.drain(..held).next_back() {
+                let _ended = live.signals.send(Input::Acked { seq: last.request });
+            }
+        }
+    }
+}
+
+/// Asks the gate for a place.
+async fn admit(node: &Node, intake: &Intake) -> Result<Number, Fault> {
+    let ticket = dispatch::ticket(intake, node.now() + intake.deadline.duration());
+    let ask = |reply| Message::Admit { ticket, reply };
+    let stopping = || come_back(Code::Unavailable, "this entry instance is stopping");
+    let admitted = node.control.ask(ask).await.ok_or_else(stopping)?;
+    admitted.map_err(|refusal| gate(refusal, &intake.name))
+}
+
+/// A request that is given up on before it was taken in.
+fn gate(refusal: Refusal, name: &Name) -> Fault {
+    let (code, message) = match refusal.cause {
+        Cause::NoEndpoint => (Code::NoEndpoint, "no endpoint can take the request now"),
+        Cause::Deadline => (Code::Deadline, "the deadline cannot be kept"),
+        _ => (Code::Overloaded, "there is no capacity for the request within its deadline"),
+    };
+    Fault {
+        outcome: Outcome::NotRun,
+        retry_after_ms: Some(refusal.retry_after.into()),
+        request: Some(name.key.clone()),
+        ..Fault::new(code, message)
+    }
+}
+
+fn reused(name: &Name) -> Fault {
+    Fault::new(Code::KeyReused, format!("the key {} names another request", name.key))
+}
+
+fn refusal(refused: &Begin, name: &Name) -> Fault {
+    match refused {
+        Begin::Reused => reused(name),
+        Begin::Retired => Fault {
+            outcome: Outcome::Unknown,
+            ..Fault::new(Code::LedgerLost, "the request ended; its answer is no longer kept")
+        },
+        Begin::Lost => {
+            Fault::new(Code::LedgerLost, "the key may have been used at an owner that was lost")
+        }
+        Begin::NotOwner => come_back(Code::Unavailable, "the request is owned elsewhere"),
+        Begin::NotSafe => come_back(Code::NotSafe, "at most once cannot be promised now"),
+        Begin::Full => Fault {
+            retry_after_ms: Some(FULL),
+            ..Fault::new(Code::Overloaded, "too many requests are open here")
+        },
+        Begin::New(_) | Begin::Join(_) => Fault::new(Code::Internal, "the request was taken"),
+    }
+}
+
+fn come_back(code: Code, message: &str) -> Fault {
+    Fault { retry_after_ms: Some(COME_BACK), ..Fault::new(code, message) }
+}
--- /dev/null
+++ b/coltsfoothall-entry/src/front.rs
@@ -0,0 +1,220 @@
+//! The callers' interface: paths, checks, answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::body::{Body as _, Incoming};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response};
+
+use coltsfoothall::key::Key;
+use coltsfoothall::record::{Intake, Name};
+use coltsfoothall::size::Millis;
+use coltsfoothall_wire::caller::Minted;
+use coltsfoothall_wire::fault::{Code, Fault};
+use coltsfoothall_wire::peer::Follow;
+use coltsfoothall_wire::serve::{self, Answer, Body, Handler};
+use coltsfoothall_wire::{http, limit};
+
+use crate::node::Node;
+use crate::source::Source;
+use crate::{answer, intake, operator};
+
+/// When to come back to another address while this instance is leaving.
+const ELSEWHERE: Millis = Millis(100);
+
+/// Answers callers and operators.
+#[derive(Debug)]
+pub struct Front {
+    node: Arc<Node>,
+}
+
+impl Front {
+    /// The callers' side of an entry instance.
+    #[must_use]
+    pub fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+}
+
+impl Handler for Front {
+    fn call(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> Answer {
+        let node = Arc::clone(&self.node);
+        Box::pin(async move {
+            match route(&node, request).await {
+                Ok(answer) => answer,
+                Err(fault) => serve::fault(&fault),
+            }
+        })
+    }
+}
+
+/// A path of the interface.
+#[derive(Debug, PartialEq, Eq)]
+enum Path<'a> {
+    Addresses,
+    Keys,
+    Completions,
+    Request(&'a str),
+    Service { name: &'a str, rest: &'a str },
+    Operator(&'a str),
+    Health,
+}
+
+/// Reads a path, the query included.
+fn scan_path(path: &str) -> Option<Path<'_>> {
+    let plain = path.split('?').next().unwrap_or(path);
+    match plain {
+        "/v1/addresses" => return Some(Path::Addresses),
+        "/v1/keys" => return Some(Path::Keys),
+        "/v1/completions" => return Some(Path::Completions),
+        "/health" => return Some(Path::Health),
+        _ => {}
+    }
+    if let Some(key) = plain.strip_prefix("/v1/requests/") {
+        return Some(Path::Request(key));
+    }
+    if let Some(call) = plain.strip_prefix("/v1/operator/") {
+        return Some(Path::Operator(call));
+    }
+    let behind = path.strip_prefix("/v1/services/")?;
+    let end = behind.find(['/', '?']).unwrap_or(behind.len());
+    let (name, rest) = behind.split_at(end);
+    Some(Path::Service { name, rest: if rest.is_empty() { "/" } else { rest } })
+}
+
+async fn route(node: &Arc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Fault> {
+    let (parts, body) = request.into_parts();
+    let target = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let path = scan_path(&target)
+        .ok_or_else(|| Fault::new(Code::NotFound, format!("there is nothing at {target}")))?;
+    match (path, &parts.method) {
+        (Path::Addresses, &Method::GET) => addresses(node),
+        (Path::Keys, &Method::POST) => mint(node, &parts),
+        (Path::Completions, &Method::POST) => complete(node, &parts, body).await,
+        (Path::Request(key), &Method::GET) => resume(node, &parts, key).await,
+        (Path::Request(key), &Method::DELETE) => cancel(node, &parts, key).await,
+        (Path::Service { name, rest }, _) => call(node, &parts, body, name, rest).await,
+        (Path::Operator(call), _) => operator::route(node, &parts, body, call).await,
+        (Path::Health, &Method::GET) => Ok(serve::empty(204)),
+        (_, method) => {
+            Err(Fault::field("method", format!("{method} is not taken at {target}")))
+        }
+    }
+}
+
+fn addresses(node: &Node) -> Result<Response<Body>, Fault> {
+    let view = node.view();
+    let none = || come_back(Code::Unavailable, "no address is known yet");
+    let addresses = view.addresses.as_ref().ok_or_else(none)?;
+    Ok(serve::json(200, addresses))
+}
+
+fn mint(node: &Node, parts: &Parts) -> Result<Response<Body>, Fault> {
+    intake::head(&parts.headers, &node.view(), deadline(node))?;
+    Ok(serve::json(201, &Minted { key: node.desk.mint()? }))
+}
+
+async fn complete(
+    node: &Arc<Node>,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Response<Body>, Fault> {
+    let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
+    let key = key(node, head.key.clone())?;
+    let body = read(body).await?;
+    let view = node.view();
+    let stream = intake::prompt(&body)?.stream;
+    let intake = intake::completion(&head, key, &body, &view)?;
+    let model = answer::Shape::completion(&intake, stream);
+    let source = open(node, intake, head.offset);
+    answer::write(node, source, model).await
+}
+
+async fn call(
+    node: &Arc<Node>,
+    parts: &Parts,
+    body: Incoming,
+    service: &str,
+    path: &str,
+) -> Result<Response<Body>, Fault> {
+    let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
+    let key = key(node, head.key.clone())?;
+    let body = read(body).await?;
+    let intake = intake::call(&head, key, service, path, parts, body, &node.view())?;
+    let shape = answer::Shape::call(&intake);
+    let source = open(node, intake, 0);
+    answer::write(node, source, shape).await
+}
+
+async fn resume(
+    node: &Arc<Node>,
+    parts: &Parts,
+    key: &str,
+) -> Result<Response<Body>, Fault> {
+    let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
+    let name = name(head.workspace, key)?;
+    let shape = answer::Shape::resumed(&name);
+    let follow = Follow { name, intake: None, offset: head.offset };
+    answer::write(node, Source::new(Arc::clone(node), follow), shape).await
+}
+
+async fn cancel(
+    node: &Arc<Node>,
+    parts: &Parts,
+    key: &str,
+) -> Result<Response<Body>, Fault> {
+    let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
+    let name = name(head.workspace, key)?;
+    node.cancel(name).await?;
+    Ok(serve::empty(204))
+}
+
+fn open(node: &Arc<Node>, intake: Intake, offset: u64) -> Source {
+    let name = intake.name.clone();
+    let follow = Follow { name, intake: Some(Box::new(intake)), offset };
+    Source::new(Arc::clone(node), follow)
+}
+
+fn name(workspace: coltsfoothall::id::Workspace, key: &str) -> Result<Name, Fault> {
+    let key = key.parse().map_err(|error| Fault::field("request", error))?;
+    Ok(Name { workspace, key })
+}
+
+/// The caller's key, or one minted here, so that this instance owns the request.
+fn key(node: &Node, brought: Option<Key>) -> Result<Key, Fault> {
+    match brought {
+        Some(key) => Ok(key),
+        None if node.view().leaving => {
+            Err(come_back(Code::Unavailable, "this entry instance is leaving; use another"))
+        }
+        None => node.desk.mint(),
+    }
+}
+
+async fn read(body: Incoming) -> Result<Bytes, Fault> {
+    // A length that is over the limit is refused before the body is read.
+    if body.size_hint().lower() > limit::REQUEST as u64 {
+        return Err(too_large());
+    }
+    match tokio::time::timeout(limit::BODY, http::read(body, limit::REQUEST)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(http::Error::Large(_))) => Err(too_large()),
+        Ok(Err(error)) => Err(Fault::field("body", error)),
+        Err(_elapsed) => Err(Fault::field("body", "did not arrive in time")),
+    }
+}
+
+fn too_large() -> Fault {
+    let message = format!("the body is over {} bytes", limit::REQUEST);
+    Fault { field: Some("body".into()), ..Fault::new(Code::TooLarge, message) }
+}
+
+fn come_back(code: Code, message: &str) -> Fault {
+    Fault { retry_after_ms: Some(ELSEWHERE), ..Fault::new(code, message) }
+}
+
+fn deadline(node: &Node) -> Millis {
+    node.settings.times.deadline
+}
--- /dev/null
+++ b/coltsfoothall-entry/src/intake.rs
@@ -0,0 +1,198 @@
+//! Callers' HTTP requests, checked and made into accepted requests.
+
+use std::str::FromStr;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use hyper::http::request::Parts;
+
+use coltsfoothall::catalog::Kind;
+use coltsfoothall::id;
+use coltsfoothall::key::Key;
+use coltsfoothall::record::{Class, Header, Intake, Name, Work};
+use coltsfoothall::size::Millis;
+use coltsfoothall_wire::caller::Prompt;
+use coltsfoothall_wire::fault::{Code, Fault};
+use coltsfoothall_wire::{header, http, limit};
+
+use crate::view::View;
+
+/// Headers of a plain call that end at this hop or belong to the system.
+const KEPT_BACK: [&str; 11] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    header::KEY,
+];
+
+/// Prefix of the system's own headers.
+const OWN: &str = "coltsfoothall-";
+
+/// What a caller's headers say.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// The caller's workspace.
+    pub workspace: id::Workspace,
+    /// The key it brought.
+    pub key: Option<Key>,
+    /// Whether it marked the request idempotent or not.
+    pub idempotent: Option<bool>,
+    /// How urgent it is.
+    pub class: Class,
+    /// How long it will wait.
+    pub deadline: Millis,
+    /// Tokens that it has already.
+    pub offset: u64,
+}
+
+/// Reads the headers of a caller's request.
+///
+/// # Errors
+/// The token is unknown, or a header cannot be read; the fault names it.
+pub fn head(headers: &HeaderMap, view: &View, deadline: Millis) -> Result<Head, Fault> {
+    let workspace = workspace(headers, view)?;
+    let limit = Millis::from(limit::DEADLINE);
+    let deadline = field::<u64>(headers, header::DEADLINE)?.map_or(deadline, Millis);
+    if deadline.0 == 0 || deadline > limit {
+        return Err(Fault::field(header::DEADLINE, format!("must be from 1 to {}", limit.0)));
+    }
+    Ok(Head {
+        workspace,
+        key: field(headers, header::KEY)?,
+        idempotent: field(headers, header::IDEMPOTENT)?,
+        class: class(headers)?,
+        deadline,
+        offset: field(headers, header::LAST_EVENT)?.unwrap_or(0),
+    })
+}
+
+fn workspace(headers: &HeaderMap, view: &View) -> Result<id::Workspace, Fault> {
+    let token = bearer(headers).ok_or_else(|| {
+        Fault::new(Code::Unauthorized, "the request carries no bearer token")
+    })?;
+    let found = view.workspace(token);
+    found.cloned().ok_or_else(|| Fault::new(Code::Unauthorized, "no workspace has this token"))
+}
+
+/// The bearer token of a request.
+#[must_use]
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+}
+
+fn class(headers: &HeaderMap) -> Result<Class, Fault> {
+    match text(headers, header::CLASS)? {
+        None | Some("interactive") => Ok(Class::Interactive),
+        Some("batch") => Ok(Class::Batch),
+        Some(_other) => Err(Fault::field(header::CLASS, "must be interactive or batch")),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Fault> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    value.to_str().map(Some).map_err(|_binary| Fault::field(name, "must be plain text"))
+}
+
+fn field<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Fault>
+where
+    T::Err: std::fmt::Display,
+{
+    let Some(value) = text(headers, name)? else { return Ok(None) };
+    value.parse().map(Some).map_err(|error: T::Err| Fault::field(name, error))
+}
+
+/// A completion as it will be accepted, and whether to stream it.
+///
+/// # Errors
+/// The body cannot be read, or names a model that no service runs.
+pub fn completion(head: &Head, key: Key, body: &[u8], view: &View) -> Result<Intake, Fault> {
+    let prompt = prompt(body)?;
+    let runner = view.runner(&prompt.model).ok_or_else(|| {
+        let message = format!("no service runs {}", prompt.model);
+        Fault { field: Some("model".into()), ..Fault::new(Code::NotFound, message) }
+    })?;
+    Ok(Intake {
+        name: Name { workspace: head.workspace.clone(), key },
+        service: runner.service.name.clone(),
+        work: Work::Completion {
+            model: runner.model.clone(),
+            adapter: runner.adapter.cloned(),
+            prompt: prompt.prompt,
+            max_tokens: prompt.max_tokens,
+        },
+        idempotent: head.idempotent.unwrap_or(true),
+        class: head.class,
+        deadline: head.deadline,
+    })
+}
+
+/// Reads and checks a completion's body.
+///
+/// # Errors
+/// The fault names the field that is wrong.
+pub fn prompt(body: &[u8]) -> Result<Prompt, Fault> {
+    let prompt: Prompt = http::parse(body).map_err(|error| Fault::field("body", error))?;
+    if prompt.prompt.is_empty() {
+        return Err(Fault::field("prompt", "must not be empty"));
+    }
+    if prompt.max_tokens == 0 || prompt.max_tokens > limit::TOKENS {
+        let message = format!("must be from 1 to {}", limit::TOKENS);
+        return Err(Fault::field("max_tokens", message));
+    }
+    Ok(prompt)
+}
+
+/// A call of a plain service as it will be accepted.
+///
+/// `path` is what stands behind the service's prefix, with its query.
+///
+/// # Errors
+/// There is no such plain service.
+pub fn call(
+    head: &Head,
+    key: Key,
+    service: &str,
+    path: &str,
+    parts: &Parts,
+    body: Bytes,
+    view: &View,
+) -> Result<Intake, Fault> {
+    let unknown = || Fault::new(Code::NotFound, format!("there is no plain service {service}"));
+    let service = view.service(service).ok_or_else(unknown)?;
+    let Kind::Plain { non_idempotent } = &service.kind else { return Err(unknown()) };
+    let marked = non_idempotent.iter().any(|prefix| path.starts_with(prefix.as_str()));
+    let idempotent = !marked && head.idempotent.unwrap_or(parts.method.is_idempotent());
+    Ok(Intake {
+        name: Name { workspace: head.workspace.clone(), key },
+        service: service.name.clone(),
+        work: Work::Call {
+            method: parts.method.to_string(),
+            path: path.into(),
+            headers: passed_on(&parts.headers),
+            body,
+        },
+        idempotent,
+        class: head.class,
+        deadline: head.deadline,
+    })
+}
+
+/// Headers that go on to the other side of this hop.
+#[must_use]
+pub fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+    let keep = |name: &str| !KEPT_BACK.contains(&name) && !name.starts_with(OWN);
+    let kept = headers.iter().filter(|(name, _)| keep(name.as_str()));
+    let text = kept.filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        Some(Header { name: name.as_str().into(), value: value.into() })
+    });
+    text.collect()
+}
--- /dev/null
+++ b/coltsfoothall-entry/src/keeper.rs
@@ -0,0 +1,377 @@
+//! Looks after the slots: carries out the duties that the library names, and
+//! reads and writes the slot table at the key-value service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfoothall::clock::Time;
+use coltsfoothall::duty::{Duty, Sight, duties};
+use coltsfoothall::id;
+use coltsfoothall::key::Slot;
+use coltsfoothall::replica::Taken;
+use coltsfoothall::slot::{Candidate, Refused, SLOTS, Table};
+use coltsfoothall::step::Input;
+use coltsfoothall::takeover::Event;
+use coltsfoothall_shell::event;
+use coltsfoothall_wire::http;
+use coltsfoothall_wire::store::Put;
+
+use crate::control::Message;
+use crate::link;
+use crate::members::Members;
+use crate::node::Node;
+use crate::store::Error;
+
+/// Key of the slot table.
+const KEY: &str = "slots";
+
+/// Age at which the table is read again, so that callers' own keys may be used.
+const STALE: Duration = Duration::from_secs(60);
+
+/// Wait after a failed call of the service.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest wait for the answer to a piece of a copy.
+const PIECE: Duration = Duration::from_secs(2);
+
+/// What a round of duties came to.
+#[derive(Debug)]
+pub struct Round {
+    /// The newest table at the service, if it was read or written.
+    pub table: Option<Arc<Table>>,
+    /// Whether the service answered; none if it was not asked.
+    pub service: Option<bool>,
+    /// Whether anything was done, so that there may be more to do at once.
+    pub busy: bool,
+}
+
+/// The slots as this instance knows them, on the control thread.
+pub struct Slots {
+    node: Arc<Node>,
+    table: Arc<Table>,
+    /// Whether a round is under way.
+    round: bool,
+    /// When the service was last asked, and whether it answered.
+    asked: Option<Time>,
+    service: bool,
+    read: bool,
+}
+
+impl Slots {
+    /// No table yet.
+    #[must_use]
+    pub fn new(node: Arc<Node>) -> Self {
+        Self {
+            node,
+            table: Arc::default(),
+            round: false,
+            asked: None,
+            service: true,
+            read: true,
+        }
+    }
+
+    /// The newest table known.
+    #[must_use]
+    pub fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
+    /// Its version.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.table.version
+    }
+
+    /// The table should be read.
+    pub fn read_soon(&mut self) {
+        self.read = true;
+    }
+
+    /// A peer lacks a copy; the next round sees to it.
+    pub fn copy_lost(&mut self, slot: Slot, at: id::Instance) {
+        log::debug!("no copy of slot {slot} at {at}");
+        self.read = true;
+    }
+
+    /// Takes in a table; what it meant for the ledger, if it is not older.
+    pub fn observe(
+        &mut self,
+        now: Time,
+        table: &Arc<Table>,
+        service: bool,
+    ) -> Option<Vec<Event>> {
+        if table.version < self.table.version {
+            return None;
+        }
+        let newer = table.version > self.table.version;
+        self.table = Arc::clone(table);
+        let events = self.node.desk.with_ledger(|ledger| {
+            let events = ledger.observe(now, table);
+            if service {
+                ledger.confirm(now, table.version);
+            }
+            events
+        });
+        newer.then_some(events)
+    }
+
+    /// Starts a round if there is something to do.
+    pub fn look(&mut self, now: Time, members: &Members, leaving: bool) {
+        if self.round || self.pausing(now) {
+            return;
+        }
+        let live = members.candidates();
+        let settled = members.settled(now);
+        let me = &self.node.settings.instance;
+        let sight = |ledger: &mut _| {
+            duties(&Sight {
+                me,
+                table: &self.table,
+                ledger,
+                live: &live,
+                leaving,
+                service: self.service,
+                settled,
+            })
+        };
+        let duties = self.node.desk.with_ledger(sight);
+        let stale = self.asked.is_none_or(|at| now.since(at) >= STALE);
+        let read = self.read || stale || !self.service || self.table.version == 0;
+        if duties.is_empty() && !read {
+            return;
+        }
+        self.round = true;
+        self.read = false;
+        let first = settled || live.len() > 1;
+        let work = Work {
+            node: Arc::clone(&self.node),
+            base: Arc::clone(&self.table),
+            read,
+            make: first.then(|| live.clone()),
+        };
+        tokio::spawn(work.run(duties));
+    }
+
+    /// Notes what a round came to.
+    pub fn ended(&mut self, now: Time, round: &Round) {
+        self.round = false;
+        self.read |= round.busy;
+        if let Some(service) = round.service {
+            self.service = service;
+            self.asked = Some(now);
+        }
+    }
+
+    fn pausing(&self, now: Time) -> bool {
+        let waiting = !self.service || self.table.version == 0;
+        waiting && self.asked.is_some_and(|at| now.since(at) < PAUSE)
+    }
+}
+
+/// One round.
+struct Work {
+    node: Arc<Node>,
+    base: Arc<Table>,
+    read: bool,
+    /// Who may be named in a first table.
+    make: Option<Vec<Candidate>>,
+}
+
+impl Work {
+    async fn run(self, duties: Vec<Duty>) {
+        let busy = !duties.is_empty();
+        let mut changed = Vec::new();
+        for duty in duties {
+            self.local(&duty).await;
+            if let Some(table) = self.proposal(&duty) {
+                changed.push(table);
+            }
+        }
+        let outcome = if changed.is_empty() {
+            if self.read { Some(self.look().await) } else { None }
+        } else {
+            Some(self.write(&changed).await)
+        };
+        let (table, service) = match outcome {
+            None => (None, None),
+            Some(Ok(table)) => (table, Some(true)),
+            Some(Err(error)) => {
+                event::STORE_FAILED.emit(format_args!("step=slots error=\"{error}\""));
+                (None, Some(false))
+            }
+        };
+        self.node.control.send(Message::Round(Round { table, service, busy }));
+    }
+
+    /// What a duty asks of this instance and its peers.
+    async fn local(&self, duty: &Duty) {
+        let desk = &self.node.desk;
+        match duty {
+            Duty::Copy { slot, to } => self.copy(*slot, to).await,
+            Duty::Drain(slot) => desk.with_ledger(|ledger| ledger.drain(*slot)),
+            Duty::Resume(slot) => {
+                desk.with_ledger(|ledger| ledger.resume(*slot));
+                desk.carry_on(&self.node, *slot);
+            }
+            Duty::TakeOver(slot) => {
+                desk.with_ledger(|ledger| ledger.seal(*slot));
+                desk.carry_on(&self.node, *slot);
+            }
+            Duty::Alone(slot) => {
+                desk.with_ledger(|ledger| ledger.go_alone(*slot));
+                desk.flush(*slot);
+            }
+            Duty::Yield(slot) => self.yield_slot(*slot).await,
+            Duty::Claim(_) | Duty::Name { .. } | Duty::HandOver { .. } => {}
+        }
+    }
+
+    /// The table with a duty's change, noted at the ledger before it is written.
+    fn proposal(&self, duty: &Duty) -> Option<Table> {
+        let me = &self.node.settings.instance;
+        let (slot, table) = match duty {
+            Duty::Claim(slot) => (*slot, self.base.claim(*slot, self.epoch(*slot)?, me)),
+            Duty::TakeOver(slot) => (*slot, self.base.takeover(*slot, self.epoch(*slot)?, me)),
+            Duty::Name { slot, backup } => {
+                let backup = Some(backup.clone());
+                (*slot, self.base.replace_backup(*slot, self.epoch(*slot)?, me, backup))
+            }
+            Duty::HandOver { slot, to } => {
+                (*slot, self.base.hand_over(*slot, self.epoch(*slot)?, me, to))
+            }
+            _ => return None,
+        };
+        self.propose(slot, table)
+    }
+
+    fn epoch(&self, slot: Slot) -> Option<coltsfoothall::key::Epoch> {
+        self.base.entry(slot).map(|entry| entry.epoch)
+    }
+
+    fn propose(&self, slot: Slot, table: Result<Table, Refused>) -> Option<Table> {
+        let table = table.ok()?;
+        let entry = table.entry(slot)?.clone();
+        let base = self.base.version;
+        let noted = self.node.desk.with_ledger(|ledger| ledger.propose(slot, base, entry));
+        noted.is_ok().then_some(table)
+    }
+
+    /// Reads the table; makes the first one if there is none.
+    async fn look(&self) -> Result<Option<Arc<Table>>, Error> {
+        match self.node.store.get(KEY).await? {
+            Some(entry) => parse(&entry.value).map(Some),
+            None => match &self.make {
+                Some(live) => self.make_first(live).await,
+                None => Ok(None),
+            },
+        }
+    }
+
+    async fn make_first(&self, live: &[Candidate]) -> Result<Option<Arc<Table>>, Error> {
+        let me = &self.node.settings.instance;
+        let lowest = live.iter().find(|candidate| !candidate.leaving);
+        if lowest.is_none_or(|candidate| candidate.instance != *me) {
+            return Ok(None);
+        }
+        // Each instance named in it then claims its slots, known to be empty.
+        let Ok(table) = Table::first(SLOTS, live) else { return Ok(None) };
+        self.put(&table, 0).await
+    }
+
+    /// Writes the changes over the table that they were made on.
+    async fn write(&self, changed: &[Table]) -> Result<Option<Arc<Table>>, Error> {
+        let Some(entry) = self.node.store.get(KEY).await? else { return Ok(None) };
+        let found = parse(&entry.value)?;
+        if found.version != self.base.version {
+            return Ok(Some(found));
+        }
+        let table = self.base.merge(changed);
+        let written = self.put(&table, entry.version).await;
+        let result = if written.is_ok() { "written" } else { "failed" };
+        event::SLOTS.emit(format_args!(
+            "version={} changes={} result={result}",
+            table.version,
+            changed.len()
+        ));
+        written
+    }
+
+    async fn put(&self, table: &Table, version: u64) -> Result<Option<Arc<Table>>, Error> {
+        let value = serde_json::to_string(table).expect("a table has no map keys");
+        let put = Put { value, version: Some(version), lease: None };
+        match self.node.store.put(KEY, put).await {
+            Ok(_entry) => Ok(Some(Arc::new(table.clone()))),
+            // Whether the write took effect, or another's did: reading settles it.
+            Err(Error::Conflict(_) | Error::Unknown(_)) => match self.node.store.get(KEY).await? {
+                Some(entry) => parse(&entry.value).map(Some),
+                None => Ok(None),
+            },
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Sends a whole copy of a slot.
+    async fn copy(&self, slot: Slot, to: &id::Instance) {
+        if let Err(error) = self.try_copy(slot, to).await {
+            event::COPY_FAILED.emit(format_args!("slot={slot} to={to} error=\"{error}\""));
+        }
+    }
+
+    async fn try_copy(&self, slot: Slot, to: &id::Instance) -> Result<(), String> {
+        let now = self.node.now();
+        let chunks = self.node.desk.with_ledger(|ledger| ledger.export(now, slot, to));
+        let Some(chunks) = chunks else { return Ok(()) };
+        let client = self.node.links.client(to).await.map_err(|error| error.to_string())?;
+        for chunk in chunks {
+            let taken = client.import(link::context(PIECE), chunk).await;
+            match taken.map_err(|error| error.to_string())? {
+                Taken::More(_) => {}
+                Taken::Whole(copy, seq) => return self.whole(slot, to, copy, seq),
+                Taken::Sealed(epoch) => {
+                    self.node.control.send(Message::ReadTable);
+                    return Err(format!("it is at epoch {epoch}"));
+                }
+            }
+        }
+        Err("it did not take the copy whole".into())
+    }
+
+    fn whole(
+        &self,
+        slot: Slot,
+        to: &id::Instance,
+        copy: u64,
+        seq: coltsfoothall::replica::Seq,
+    ) -> Result<(), String> {
+        let desk = &self.node.desk;
+        let missing = desk.with_ledger(|ledger| ledger.copied(slot, to, copy, seq));
+        match missing {
+            Ok(updates) => {
+                self.node.links.send_all(to, updates.unwrap_or_default());
+                Ok(())
+            }
+            Err(broken) => {
+                self.node.broken("ledger_copied", &broken);
+                Err(broken.to_string())
+            }
+        }
+    }
+
+    /// Lets the backup act as owner, without the service.
+    async fn yield_slot(&self, slot: Slot) {
+        let desk = &self.node.desk;
+        let Some((backup, handoff)) = desk.with_ledger(|ledger| ledger.hand_over(slot)) else {
+            return;
+        };
+        desk.tell_slot(slot, &Input::Sealed);
+        let Ok(client) = self.node.links.client(&backup).await else { return };
+        let taken = client.hand_over(link::context(link::CALL), handoff).await;
+        event::YIELDED.emit(format_args!("slot={slot} to={backup} taken={taken:?}"));
+    }
+}
+
+fn parse(value: &str) -> Result<Arc<Table>, Error> {
+    let table = http::parse::<Table>(value.as_bytes());
+    table.map(Arc::new).map_err(|error| Error::Unknown(format!("slots: {error}")))
+}
--- /dev/null
+++ b/coltsfoothall-entry/src/node.rs
@@ -0,0 +1,156 @@
+//! What all traffic of an entry instance shares.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use hyper::header::HeaderValue;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use coltsfoothall::clock::Time;
+use coltsfoothall::record::Name;
+use coltsfoothall_shell::event::BROKEN;
+use coltsfoothall_shell::metric::{self, Board, Labels};
+use coltsfoothall_wire::client::Client;
+use coltsfoothall_wire::fault::{Code, Fault, Outcome};
+
+use crate::control::Handle;
+use crate::desk::Desk;
+use crate::endpoint::Runner;
+use crate::link::Links;
+use crate::settings::Settings;
+use crate::store::Store;
+use crate::view::View;
+
+/// What all traffic of an entry instance shares.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Client towards other entry instances.
+    pub client: Client,
+    /// The platform's key-value service.
+    pub store: Box<dyn Store>,
+    /// The runtime of all traffic.
+    pub traffic: tokio::runtime::Handle,
+    /// What runs attempts at endpoints.
+    pub runner: Box<dyn Runner>,
+    /// Requests that are owned here.
+    pub desk: Desk,
+    /// Connections to other entry instances.
+    pub links: Links,
+    /// Way to the control thread.
+    pub control: Handle,
+    /// Metrics.
+    pub board: Board,
+    /// Start of the process, the zero of [`Time`].
+    pub start: Instant,
+    /// Snapshot of the control state.
+    pub views: watch::Receiver<Arc<View>>,
+    /// Rules found broken.
+    pub broken: AtomicU64,
+    /// A planned stop of this instance.
+    pub stop: CancellationToken,
+}
+
+impl Node {
+    /// The newest snapshot of the control state.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.views.borrow())
+    }
+
+    /// The time now.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time::since_start(self.start.elapsed())
+    }
+
+    /// Header value with which entry instances know each other.
+    #[must_use]
+    pub fn peer_bearer(&self) -> HeaderValue {
+        let text = format!("Bearer {}", self.settings.peer_token);
+        HeaderValue::from_str(&text).expect("the settings' check refuses other characters")
+    }
+
+    /// Cancels a request, wherever it is owned.
+    ///
+    /// # Errors
+    /// Its owner cannot be reached, or knows no such request.
+    pub async fn cancel(&self, name: Name) -> Result<(), Fault> {
+        let view = self.view();
+        let slot = view.slot(&name.key);
+        let unknown = || Fault::new(Code::NotFound, format!("no request {} is known", name.key));
+        let entry = view.table.entry(slot).ok_or_else(unknown)?;
+        if self.desk.cancel(&name) {
+            return Ok(());
+        }
+        for owner in std::iter::once(&entry.primary).chain(&entry.backup) {
+            if *owner != self.settings.instance && self.links.cancel(owner, &name).await {
+                return Ok(());
+            }
+        }
+        Err(unknown())
+    }
+
+    /// Notes that a rule of the system was found broken.
+    pub fn broken(&self, rule: &'static str, error: &dyn std::fmt::Display) {
+        self.broken.fetch_add(1, Ordering::Relaxed);
+        self.board.broken(rule);
+        BROKEN.emit(format_args!("rule={rule} error=\"{error}\""));
+    }
+
+    /// Labels of a request's measurements.
+    #[must_use]
+    pub fn labels(&self, name: &Name, class: coltsfoothall::record::Class) -> Labels {
+        self.board.labels(&name.workspace, class)
+    }
+
+    /// Counts a request's end.
+    pub fn count_end(&self, labels: &Labels, fault: Option<&Fault>) {
+        let end = match fault {
+            None => metric::End { code: "ok", outcome: "done" },
+            Some(fault) => metric::End { code: code(fault.code), outcome: outcome(fault.outcome) },
+        };
+        self.board.ended(labels, end);
+    }
+
+    /// Measures a whole answer.
+    pub fn measure_end(&self, labels: &Labels, span: Duration) {
+        self.board.latency(labels, span);
+        self.count_end(labels, None);
+    }
+}
+
+fn code(code: Code) -> &'static str {
+    match code {
+        Code::BadRequest => "bad_request",
+        Code::Unauthorized => "unauthorized",
+        Code::NotFound => "not_found",
+        Code::TooLarge => "too_large",
+        Code::KeyReused => "key_reused",
+        Code::Limited => "limited",
+        Code::Overloaded => "overloaded",
+        Code::NoEndpoint => "no_endpoint",
+        Code::NotSafe => "not_safe",
+        Code::Unavailable => "unavailable",
+        Code::Deadline => "deadline",
+        Code::Cancelled => "cancelled",
+        Code::Poisonous => "poisonous",
+        Code::Failed => "failed",
+        Code::LedgerLost => "ledger_lost",
+        Code::Stale => "stale",
+        Code::StoreDown => "store_down",
+        Code::Internal => "internal",
+    }
+}
+
+fn outcome(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/coltsfoothall-entry/src/run.rs
@@ -0,0 +1,193 @@
+//! Start and planned stop of an entry instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use hyper::Response;
+use hyper::body::Incoming;
+use quick_error::quick_error;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle as Runtime;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use coltsfoothall::ledger;
+use coltsfoothall_shell::metric::Board;
+use coltsfoothall_shell::{event, stop};
+use coltsfoothall_wire::client::Client;
+use coltsfoothall_wire::serve::{self, Answer, Handler};
+
+use crate::control::{self, Handle, Message};
+use crate::desk::Desk;
+use crate::endpoint::Remote;
+use crate::front::Front;
+use crate::link::Links;
+use crate::node::Node;
+use crate::peer::Back;
+use crate::settings::Settings;
+use crate::view::View;
+use crate::{config, platform, store};
+
+/// Between two looks at whether a planned stop may go on.
+const LOOK: Duration = Duration::from_millis(50);
+
+quick_error! {
+    /// Why an entry instance cannot start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// An address cannot be listened on.
+        Listen(field: &'static str, address: SocketAddr, message: String) {
+            display("settings field {field}: cannot listen on {address}: {message}")
+        }
+        /// The metrics cannot be set up.
+        Metric(message: String) {
+            display("{message}")
+        }
+        /// The process cannot be set up.
+        Process(message: String) {
+            display("cannot start: {message}")
+        }
+    }
+}
+
+/// Runs an entry instance until it is told to stop.
+///
+/// # Errors
+/// An address cannot be listened on, or the process cannot be set up.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let callers = listen("callers", settings.callers).await?;
+    let peers = listen("peers", settings.peers).await?;
+    let metrics = listen("metrics", settings.metrics).await?;
+    let stop = stop::token().map_err(|error| Error::Process(error.to_string()))?;
+    let node = build(settings, stop)?;
+    event::STARTED.emit(format_args!(
+        "instance={} callers={} peers={} metrics={}",
+        node.settings.instance, node.settings.callers, node.settings.peers, node.settings.metrics
+    ));
+    tokio::spawn(config::run(Arc::clone(&node)));
+    tokio::spawn(platform::list(Arc::clone(&node)));
+    tokio::spawn(platform::notices(Arc::clone(&node)));
+    tokio::spawn(platform::reports(Arc::clone(&node)));
+    let doors = Doors::open(&node, callers, peers, metrics);
+    node.stop.cancelled().await;
+    leave(&node, doors).await;
+    Ok(())
+}
+
+async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| Error::Listen(field, address, error.to_string()))
+}
+
+fn build(settings: Settings, stop: CancellationToken) -> Result<Arc<Node>, Error> {
+    let (handle, inbox) = Handle::new();
+    let (views, view) = watch::channel(Arc::new(View::default()));
+    let client = Client::new();
+    let times = settings.times.clone();
+    let store = store::Remote::new(client.clone(), settings.store.to_string(), times.store.duration());
+    let node = Arc::new(Node {
+        store: Box::new(store),
+        traffic: Runtime::current(),
+        runner: Box::new(Remote::new(client.clone(), times.endpoint.duration())),
+        desk: Desk::new(settings.instance.clone(), ledger::Settings::default()),
+        links: Links::default(),
+        control: handle,
+        board: Board::new().map_err(|error| Error::Metric(error.to_string()))?,
+        start: Instant::now(),
+        views: view,
+        broken: AtomicU64::new(0),
+        stop,
+        client,
+        settings,
+    });
+    node.links.attach(&node);
+    control::start(Arc::clone(&node), inbox, views)
+        .map_err(|error| Error::Process(error.to_string()))?;
+    Ok(node)
+}
+
+/// The listeners of an instance.
+struct Doors {
+    callers: Door,
+    peers: Door,
+}
+
+struct Door {
+    close: CancellationToken,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Door {
+    fn open(listener: TcpListener, handler: Arc<dyn Handler>) -> Self {
+        let close = CancellationToken::new();
+        let task = tokio::spawn(serve::run(listener, handler, close.clone()));
+        Self { close, task }
+    }
+
+    /// Takes no more connections and lets the open ones finish, until `limit`.
+    async fn shut(self, limit: Instant) -> bool {
+        self.close.cancel();
+        timeout_at(limit, self.task).await.is_ok()
+    }
+}
+
+impl Doors {
+    fn open(
+        node: &Arc<Node>,
+        callers: TcpListener,
+        peers: TcpListener,
+        metrics: TcpListener,
+    ) -> Self {
+        let front = Arc::new(Front::new(Arc::clone(node)));
+        let back = Arc::new(Back::new(Arc::clone(node)));
+        Door::open(metrics, Arc::new(Scrape { node: Arc::clone(node) }));
+        Self { callers: Door::open(callers, front), peers: Door::open(peers, back) }
+    }
+}
+
+/// A planned stop: slots are handed over, then answers finish, then the process ends.
+async fn leave(node: &Arc<Node>, doors: Doors) {
+    let limit = Instant::now() + node.settings.times.stop.duration();
+    event::STOPPING.emit(format_args!("open={}", node.desk.count()));
+    node.control.send(Message::Leave);
+    while owned(node) > 0 && Instant::now() < limit {
+        sleep(LOOK).await;
+    }
+    let whole = doors.callers.shut(limit).await;
+    let event = if whole { event::STOPPED } else { event::CUT_OFF };
+    event.emit(format_args!("slots={} open={}", owned(node), node.desk.count()));
+    // Streams of other instances end with the last connection.
+    doors.peers.close.cancel();
+    drop(doors.peers.task);
+}
+
+/// Slots that this instance still has to hand over.
+fn owned(node: &Node) -> usize {
+    if node.view().peers.is_empty() {
+        return 0;
+    }
+    node.desk.with_ledger(|ledger| ledger.owned().count())
+}
+
+/// Answers scrapes of the metrics.
+struct Scrape {
+    node: Arc<Node>,
+}
+
+impl Handler for Scrape {
+    fn call(self: Arc<Self>, _request: hyper::Request<Incoming>, _peer: SocketAddr) -> Answer {
+        Box::pin(async move {
+            match self.node.board.render() {
+                Ok(text) => Response::new(serve::full(text)),
+                Err(error) => {
+                    let mut answer = Response::new(serve::full(error.to_string()));
+                    *answer.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+                    answer
+                }
+            }
+        })
+    }
+}
