Slots, ledger, members and the stall watch in the decision library

Cause: requests must survive the loss of their owner, non-idempotent ones run at most once, and "not run" has to be true, with a service that has outages and loses answers.

Chosen: a slot table that changes with membership only; a change's effect leaves once every copy that may take the slot over holds it. A new backup is copied first and then counts with the old one (both acknowledge) until the table settles, so a lost answer of the compare-and-swap is safe either way. The table's role counts only with a copy of the same epoch, so a process that restarts under its old name claims its slots anew. Nobody owns at the first epoch, so a first start loses no key. Members now stand in a ring, two judge each, and deaths spread as news.

Open: idempotent work that goes on alone in an outage may differ in text from what another copy goes on with; an idempotent request run alone at a lost owner and sent again elsewhere may be told "not run" there.

--- a/coltsfoothall/src/duty.rs
+++ b/coltsfoothall/src/duty.rs
@@ -5,8 +5,8 @@
 //! whose outcome the next round sees.
 
 use crate::id;
-use crate::key::Slot;
 use crate::ledger::Ledger;
+use crate::key::{Epoch, Slot};
 use crate::slot::{Candidate, Entry, FIRST, Table};
 
 /// Most copies started in one round; it keeps a change of members from
@@ -45,12 +45,33 @@
     },
     /// Let the backup act as owner without the service; the slot is drained.
     Yield(Slot),
+    /// Tell the backup that the primary's process began anew without the slot's
+    /// records; it takes over. If it has none either, they are lost.
+    Cede {
+        /// The slot.
+        slot: Slot,
+        /// Its epoch.
+        epoch: Epoch,
+        /// The backup.
+        to: id::Instance,
+    },
     /// Take changes again.
     Resume(Slot),
     /// Let idempotent requests go on without a backup.
     Alone(Slot),
 }
 
+/// A backup that the table names and that has no copy.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Missing {
+    /// The slot.
+    pub slot: Slot,
+    /// The slot's epoch.
+    pub epoch: Epoch,
+    /// The backup.
+    pub at: id::Instance,
+}
+
 /// What duties follow from.
 #[derive(Debug, Clone, Copy)]
 pub struct Sight<'a> {
@@ -62,6 +83,8 @@
     pub ledger: &'a Ledger,
     /// Instances that are alive, this one included, sorted by name.
     pub live: &'a [Candidate],
+    /// Backups known to have no copy, sorted.
+    pub missing: &'a [Missing],
     /// Whether this instance is leaving.
     pub leaving: bool,
     /// Whether the key-value service answered lately.
@@ -113,16 +136,33 @@
         found.is_ok_and(|at| !self.live[at].leaving)
     }
 
+    /// Whether the backup that the table names can take over.
+    fn backed(&self, slot: Slot, entry: &Entry, backup: &id::Instance) -> bool {
+        let missing = |m: &Missing| (m.slot, m.epoch, &m.at) == (slot, entry.epoch, backup);
+        self.alive(backup) && !self.missing.iter().any(missing)
+    }
+
+    /// Duties of a primary without its copy: it handed the slot over, nobody has
+    /// kept it yet, or a restart under the same name lost the records.
+    fn lead_bare(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
+        if self.ledger.drained(slot) {
+            return Some(Duty::Yield(slot));
+        }
+        if let Some(backup) = entry.backup.as_ref().filter(|backup| self.alive(backup)) {
+            return Some(Duty::Cede { slot, epoch: entry.epoch, to: backup.clone() });
+        }
+        let lost = self.settled || entry.epoch == FIRST;
+        let claim = lost && self.service && !self.leaving;
+        claim.then_some(Duty::Claim(slot))
+    }
+
     /// Duties of a slot's primary.
     fn lead(&self, slot: Slot, entry: &Entry, to: Option<&id::Instance>) -> Option<Duty> {
         if !self.ledger.keeps(slot, entry.epoch) {
-            // Nobody has kept it yet, or a restart under the same name lost the records.
-            let lost = self.settled || entry.epoch == FIRST;
-            let claim = lost && self.service && !self.leaving;
-            return claim.then_some(Duty::Claim(slot));
+            return self.lead_bare(slot, entry);
         }
-        let backup = entry.backup.as_ref().filter(|backup| self.alive(backup));
-        match backup {
+        let backup = entry.backup.as_ref();
+        match backup.filter(|backup| self.backed(slot, entry, backup)) {
             None => self.find_backup(slot, entry),
             Some(backup) if self.leaving => self.hand_over(slot, backup),
             Some(backup) => match to {
@@ -139,7 +179,8 @@
     fn find_backup(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
         let known = entry.backup.as_ref();
         if !self.service {
-            return known.filter(|backup| !self.alive(backup)).map(|_| Duty::Alone(slot));
+            let lost = |backup: &&id::Instance| !self.backed(slot, entry, backup);
+            return known.filter(lost).map(|_| Duty::Alone(slot));
         }
         let backup = self.table.backup_for(slot, self.live)?;
         if self.ledger.ready(slot, &backup) {
@@ -168,7 +209,8 @@
         if !self.ledger.keeps(slot, entry.epoch) {
             return None;
         }
-        let acts = self.ledger.released(slot).is_some();
+        // Once a copy is sealed, only the table can tell who goes on.
+        let acts = self.ledger.released(slot).is_some() || self.ledger.serving(slot);
         let lost = self.settled && !self.alive(&entry.primary);
         (acts || lost).then_some(Duty::TakeOver(slot))
     }
--- a/coltsfoothall/src/lib.rs
+++ b/coltsfoothall/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod confirm;
 pub mod duty;
 pub mod copy;
+mod digest;
 pub mod effect;
 pub mod fleet;
 mod held;
--- a/coltsfoothall/src/member.rs
+++ b/coltsfoothall/src/member.rs
@@ -1,13 +1,16 @@
 //! Entry instances as each of them sees the others.
 //!
-//! Each tick an instance sends its digest to a few peers, with what it heard
-//! lately about others. The newest incarnation and version of a member wins.
-//! A member that nobody heard for long is removed, after the program has ruled
-//! out its own stall.
-
+//! Members stand in a ring by the hash of their names. Each tick an instance
+//! sends its digest to its next few in the ring and to a few others drawn anew
+//! each time, with the latest news. Only the next two in the ring judge its
+//! silence, so the bytes of a node and the time to find a death do not grow
+//! with the fleet; others hear of the death as news. The newest incarnation
+//! and version of a member wins, so one that is believed dead and is not comes
+//! back with its next digest.
+
+use std::cmp::Reverse;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Time;
@@ -16,78 +19,10 @@
 use crate::slot::Candidate;
 use crate::stall::{Verdict, Watch};
 
-/// Estimate of a digest on the wire, with its share of the frame.
-pub const DIGEST: Bytes = Bytes(110);
-
-/// Estimate of a heartbeat on the wire without digests: frame, call and
-/// answer.
-pub const HEARTBEAT: Bytes = Bytes(160);
-
-/// What an instance says of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Digest {
-    /// Its name.
-    pub instance: id::Instance,
-    /// Its failure domain.
-    pub domain: id::Domain,
-    /// Where callers reach it.
-    pub callers: String,
-    /// Where peers reach it.
-    pub peers: String,
-    /// Rises with each start of its process.
-    pub incarnation: u64,
-    /// Rises with each heartbeat.
-    pub version: u64,
-    /// Whether it is about to stop.
-    pub leaving: bool,
-    /// Use of its capacity, in hundredths.
-    pub load: u32,
-    /// The configuration that is in force there.
-    pub revision: u64,
-    /// The slot table that it knows.
-    pub slots: u64,
-}
-
-impl Digest {
-    fn age(&self) -> (u64, u64) {
-        (self.incarnation, self.version)
-    }
-}
-
-/// One message: the sender's digest first, then news of others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Digests.
-    pub digests: Vec<Digest>,
-}
+pub use crate::digest::{Address, Addresses, DEATH, DIGEST, Death, Digest, HEARTBEAT, Heartbeat};
 
-impl Heartbeat {
-    /// Estimate of the message's size.
-    #[must_use]
-    pub fn size(&self) -> Bytes {
-        Bytes(HEARTBEAT.0 + DIGEST.0 * self.digests.len() as u64)
-    }
-}
-
-/// An address for callers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Address {
-    /// IP number and port.
-    pub address: String,
-    /// Its failure domain.
-    pub domain: id::Domain,
-    /// Share of new connections, at least 1.
-    pub weight: u32,
-}
-
-/// The addresses for callers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Addresses {
-    /// Addresses by domain and address.
-    pub addresses: Vec<Address>,
-    /// How long to keep them.
-    pub ttl: Millis,
-}
+/// Members that judge one's silence: one may die together with it.
+const JUDGES: usize = 2;
 
 /// What became known about a member.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -105,10 +40,14 @@
 /// Limits of the member table.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Peers that get a heartbeat each tick. Bytes grow with it, not with the
-    /// fleet.
+    /// Next members in the ring that get a heartbeat each tick, beside those
+    /// in `turns`. Bytes grow with it, not with the fleet. One more than judge,
+    /// as views of the ring differ for a moment.
     pub fanout: usize,
-    /// Digests of others in a heartbeat, for the same reason.
+    /// Others that get one each tick, drawn anew each time, so that news reach
+    /// the whole fleet in a few ticks.
+    pub turns: usize,
+    /// Digests of others, and deaths, in a heartbeat, for the same reason.
     pub news: usize,
     /// Time between heartbeats.
     pub tick: Duration,
@@ -128,7 +67,8 @@
     fn default() -> Self {
         Self {
             fanout: 3,
-            news: 12,
+            turns: 2,
+            news: 8,
             tick: Duration::from_millis(1000),
             watchers: 1,
             ttl: Millis(2000),
@@ -147,8 +87,10 @@
     pub heard: Time,
     /// Since when it counts as dead.
     pub dead: Option<Time>,
-    /// How often it was passed on.
+    /// How often its news were passed on.
     told: u32,
+    /// Since when this instance judges its silence.
+    judged: Option<Time>,
 }
 
 /// The members.
@@ -192,21 +134,54 @@
 
     /// Takes in a heartbeat, or members read from the platform's keys.
     pub fn merge(&mut self, now: Time, heartbeat: Heartbeat) -> Vec<Event> {
-        let digests = heartbeat.digests.into_iter();
-        let others = digests.filter(|digest| digest.instance != self.me.instance);
         let mut events = Vec::new();
-        for digest in others.collect::<Vec<_>>() {
-            self.learn(now, digest, &mut events);
+        for digest in heartbeat.digests {
+            if digest.instance != self.me.instance {
+                self.learn(now, digest, &mut events);
+            }
+        }
+        for death in heartbeat.deaths {
+            self.mourn(now, &death, &mut events);
         }
         events
     }
 
+    /// Takes in news of a death, unless something later is known. One's own is
+    /// refuted with the next heartbeat.
+    fn mourn(&mut self, now: Time, death: &Death, events: &mut Vec<Event>) {
+        if death.instance == self.me.instance {
+            if death.incarnation == self.me.incarnation {
+                self.me.version = self.me.version.max(death.version);
+            }
+            // A former process of this name; others pass over what is older.
+            if death.incarnation > self.me.incarnation {
+                self.me.incarnation = death.incarnation + 1;
+            }
+            return;
+        }
+        let found = self.find(&death.instance);
+        let Some(member) = found.ok().map(|at| &mut self.members[at]) else {
+            return;
+        };
+        let later = member.digest.age() > (death.incarnation, death.version);
+        if !later && member.dead.is_none() {
+            // Older news of its life are no news any more.
+            member.digest.incarnation = death.incarnation;
+            member.digest.version = death.version;
+            member.dead = Some(now);
+            member.told = 0;
+            events.push(Event::Died(death.instance.clone()));
+        }
+    }
+
+    fn find(&self, instance: &id::Instance) -> Result<usize, usize> {
+        self.members
+            .binary_search_by(|member| member.digest.instance.cmp(instance))
+    }
+
     fn learn(&mut self, now: Time, digest: Digest, events: &mut Vec<Event>) {
         let instance = digest.instance.clone();
-        let found = self
-            .members
-            .binary_search_by(|member| member.digest.instance.cmp(&instance));
-        let (joined, leaving) = match found {
+        let (joined, leaving) = match self.find(&instance) {
             Ok(at) => {
                 let member = &mut self.members[at];
                 if digest.age() <= member.digest.age() {
@@ -215,7 +190,10 @@
                 let anew = digest.incarnation > member.digest.incarnation;
                 let joined = anew || member.dead.is_some();
                 let leaving = digest.leaving && (joined || !member.digest.leaving);
-                *member = Member::new(now, digest);
+                let old = std::mem::replace(member, Member::new(now, digest));
+                let routine = !joined && old.digest.same(&member.digest);
+                member.told = if routine { old.told } else { 0 };
+                member.judged = old.judged.filter(|_| !joined);
                 (joined, leaving)
             }
             Err(at) => {
@@ -238,13 +216,16 @@
         let forget = self.settings.forget;
         let gone = |dead: Time| now.since(dead) >= forget;
         self.members.retain(|member| !member.dead.is_some_and(gone));
-        let tracked = self.live().count();
+        self.judge(now);
+        let tracked = self.live().filter(|m| m.judged.is_some()).count();
         let mut events = Vec::new();
         for member in self.members.iter_mut().filter(|m| m.dead.is_none()) {
+            let Some(since) = member.judged else { continue };
             let instance = member.digest.instance.clone();
-            match watch.judge(now, member.heard, tracked) {
+            match watch.judge(now, member.heard.max(since), tracked) {
                 Verdict::Dead => {
                     member.dead = Some(now);
+                    member.told = 0;
                     events.push(Event::Died(instance));
                 }
                 Verdict::Own => events.push(Event::Doubted(instance)),
@@ -254,56 +235,88 @@
         events
     }
 
-    /// The peers to send a heartbeat to now, and the message. Peers take turns,
-    /// so each is heard directly in every round through the fleet and in
-    /// between through others.
+    /// Chooses whom this instance judges: those before it in the ring.
+    fn judge(&mut self, now: Time) {
+        let mut ring = self.ring();
+        ring.reverse();
+        ring.truncate(JUDGES);
+        for (at, member) in self.members.iter_mut().enumerate() {
+            let judged = ring.contains(&at);
+            member.judged = judged.then(|| member.judged.unwrap_or(now));
+        }
+    }
+
+    /// Places of live members, from the one after this instance round the ring.
+    fn ring(&self) -> Vec<usize> {
+        let place = |instance: &id::Instance| xxh3_64_with_seed(instance.as_str().as_bytes(), 0);
+        let me = place(&self.me.instance);
+        let alive = |at: &usize| self.members[*at].dead.is_none();
+        let mut ring: Vec<_> = (0..self.members.len()).filter(alive).collect();
+        ring.sort_by_cached_key(|at| place(&self.members[*at].digest.instance).wrapping_sub(me));
+        ring
+    }
+
+    /// The peers to send a heartbeat to now, and the message.
     pub fn heartbeat(&mut self, now: Time) -> (Vec<Digest>, Heartbeat) {
         self.me.version += 1;
         let to = self.targets();
         let mut digests = vec![self.me.clone()];
-        digests.extend(self.news(now));
-        let heartbeat = Heartbeat { digests };
+        let (news, deaths) = self.news(now);
+        digests.extend(news);
+        let heartbeat = Heartbeat { digests, deaths };
         let bytes = heartbeat.size().0 * to.len() as u64;
         self.sent = self.sent.plus(Bytes(bytes));
         (to, heartbeat)
     }
 
-    /// Peers of this round: a ring that is shuffled anew each time around.
+    /// The next few in the ring, and some of the others in turn.
     fn targets(&mut self) -> Vec<Digest> {
-        let live: Vec<_> = self.live().map(|member| &member.digest).collect();
-        let count = live.len();
-        let fanout = self.settings.fanout.min(count);
-        let turn = self.round * self.settings.fanout as u64;
-        let lap = turn.checked_div(count as u64).unwrap_or(0);
-        let mut order: Vec<_> = (0..count).collect();
-        let name = self.me.instance.as_str();
-        order.sort_by_cached_key(|at| {
-            let peer = live[*at].instance.as_str();
-            xxh3_64_with_seed(format!("{name}>{peer}").as_bytes(), lap)
+        let ring = self.ring();
+        let next = self.settings.fanout.min(ring.len());
+        let (next, others) = ring.split_at(next);
+        let turns = (0..self.settings.turns.min(others.len())).filter_map(|_| {
+            self.round = self.round.wrapping_add(1);
+            let turn = xxh3_64_with_seed(self.me.instance.as_str().as_bytes(), self.round);
+            let turn = usize::try_from(turn % others.len().max(1) as u64).ok()?;
+            others.get(turn).copied()
         });
-        let start = usize::try_from(turn % (count as u64).max(1)).unwrap_or(0);
-        let picks = (start..start + fanout).map(|at| order[at % count]);
-        let to = picks.map(|at| live[at].clone()).collect();
-        self.round += 1;
-        to
+        let mut to: Vec<_> = next.iter().copied().chain(turns).collect();
+        to.dedup();
+        let to = to.into_iter();
+        to.map(|at| self.members[at].digest.clone()).collect()
     }
 
-    /// News of others, the least told first, each told a few times.
-    fn news(&mut self, now: Time) -> Vec<Digest> {
-        let most = 32 - (self.members.len() as u32 + 1).leading_zeros() + 1;
-        let suspect = self.settings.suspect;
-        let fresh = |member: &Member| {
-            member.dead.is_none() && member.told < most && now.since(member.heard) < suspect
-        };
+    /// News, deaths and leaving members first, then what was told least; each is
+    /// told a few times. Room that is left goes to the members heard last.
+    fn news(&mut self, now: Time) -> (Vec<Digest>, Vec<Death>) {
+        let most = 2 * (usize::BITS - self.members.len().leading_zeros());
         let mut order: Vec<_> = (0..self.members.len()).collect();
-        order.retain(|at| fresh(&self.members[*at]));
-        order.sort_by_key(|at| self.members[*at].told);
+        let suspect = self.settings.suspect;
+        order.retain(|at| {
+            let member = &self.members[*at];
+            let fresh = member.dead.is_none() && now.since(member.heard) < suspect;
+            fresh || member.told < most
+        });
+        order.sort_by_key(|at| {
+            let member = &self.members[*at];
+            let urgent = member.told < most && (member.dead.is_some() || member.digest.leaving);
+            (!urgent, member.told.min(most), Reverse(member.heard))
+        });
         order.truncate(self.settings.news);
-        let tell = |at: usize| {
-            self.members[at].told += 1;
-            self.members[at].digest.clone()
-        };
-        order.into_iter().map(tell).collect()
+        let (mut digests, mut deaths) = (Vec::new(), Vec::new());
+        for at in order {
+            let member = &mut self.members[at];
+            member.told += 1;
+            match member.dead {
+                Some(_) => deaths.push(Death {
+                    instance: member.digest.instance.clone(),
+                    incarnation: member.digest.incarnation,
+                    version: member.digest.version,
+                }),
+                None => digests.push(member.digest.clone()),
+            }
+        }
+        (digests, deaths)
     }
 
     /// Members that count as alive, without this instance.
@@ -314,13 +327,23 @@
     /// A member that counts as alive.
     #[must_use]
     pub fn get(&self, instance: &id::Instance) -> Option<&Member> {
-        let at = self
-            .members
-            .binary_search_by(|member| member.digest.instance.cmp(instance));
-        let member = &self.members[at.ok()?];
+        let member = &self.members[self.find(instance).ok()?];
         member.dead.is_none().then_some(member)
     }
 
+    /// Later news of the sender than its own digest: a former process of its
+    /// name. It is told, since its digests would be passed over otherwise.
+    #[must_use]
+    pub fn former(&self, sender: &Digest) -> Option<Death> {
+        let member = &self.members[self.find(&sender.instance).ok()?];
+        let later = member.digest.incarnation > sender.incarnation;
+        later.then(|| Death {
+            instance: sender.instance.clone(),
+            incarnation: member.digest.incarnation,
+            version: member.digest.version,
+        })
+    }
+
     /// All live members and this instance, as keepers of slots.
     #[must_use]
     pub fn candidates(&self) -> Vec<Candidate> {
@@ -329,11 +352,16 @@
         all
     }
 
-    /// The addresses for callers: members that stay and were heard lately,
+    /// The addresses for callers: members that stay, without those whose
+    /// silence is judged here and has grown long,
     /// weighted by free capacity, each failure domain alike.
     #[must_use]
     pub fn addresses(&self, now: Time) -> Addresses {
-        let heard = |member: &&Member| now.since(member.heard) < self.settings.suspect;
+        let suspect = self.settings.suspect;
+        let heard = |member: &&Member| {
+            let since = member.judged.map(|since| member.heard.max(since));
+            since.is_none_or(|since| now.since(since) < suspect)
+        };
         let mut fit: Vec<_> = self.live().filter(heard).map(|m| &m.digest).collect();
         fit.push(&self.me);
         fit.retain(|digest| !digest.leaving);
@@ -386,6 +414,7 @@
             heard: now,
             dead: None,
             told: 0,
+            judged: None,
         }
     }
 }
--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -85,6 +85,8 @@
     /// An owner that is sealed lets nothing leave; a backup that is sealed
     /// acknowledges nothing.
     pub(crate) sealed: bool,
+    /// An owner that gave its backup its word to be sealed for good.
+    pub(crate) yielded: bool,
     /// An owner whose backup has sealed its copy; only the table can settle who
     /// goes on.
     pub(crate) told: bool,
@@ -125,6 +127,7 @@
             epoch,
             role,
             sealed: false,
+            yielded: false,
             told: false,
             draining: false,
             parted: false,
--- a/coltsfoothall/src/status.rs
+++ b/coltsfoothall/src/status.rs
@@ -36,6 +36,19 @@
         serving.map(|replica| (replica.slot, replica.epoch))
     }
 
+    /// Whether a slot may be served here: by its owner, or by a backup that
+    /// has sealed its copy.
+    #[must_use]
+    pub fn serving(&self, slot: Slot) -> bool {
+        self.replica(slot).is_some_and(serves)
+    }
+
+    /// Whether a write of the table is noted that may still take effect.
+    #[must_use]
+    pub fn proposing(&self) -> bool {
+        !self.proposals.is_empty()
+    }
+
     /// The epoch of the copy here.
     #[must_use]
     pub fn epoch(&self, slot: Slot) -> Option<Epoch> {
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -100,6 +100,7 @@
         };
         let backup = owner.backup.as_ref()?.peer.clone();
         replica.sealed = true;
+        replica.yielded = true;
         let handoff = Handoff {
             slot,
             epoch: replica.epoch,
@@ -161,8 +162,17 @@
         for (slot, entry) in table.iter() {
             self.adopt(now, slot, entry, &mut events);
         }
-        self.proposals
-            .retain(|proposal| proposal.base >= table.version);
+        let settled = |proposal: &mut Proposal| proposal.base < table.version;
+        let failed: Vec<_> = self.proposals.extract_if(.., settled).collect();
+        for proposal in failed {
+            // The entry is as it was, so the owner that was to give it up goes on.
+            if let Some(replica) = self.replica_mut(proposal.slot)
+                && replica.epoch.next() == proposal.entry.epoch
+                && matches!(replica.role, Role::Owner(_))
+            {
+                replica.sealed = replica.yielded;
+            }
+        }
         events
     }
 
@@ -279,6 +289,7 @@
             ..Owner::default()
         });
         self.sealed = false;
+        self.yielded = false;
         self.told = false;
         self.draining = false;
         self.parted = false;
@@ -337,6 +348,7 @@
             primary: entry.primary.clone(),
         };
         self.sealed = false;
+        self.yielded = false;
         self.told = false;
         self.draining = false;
     }
