Configuration proved under failure; bad input refused by field

Stand-ins: stale_reads, lose_then_down; a handler closes a connection without an answer by serve::hang_up instead of unwinding.

--- a/coltsfoothall-entry/src/front.rs
+++ b/coltsfoothall-entry/src/front.rs
@@ -18,6 +18,7 @@
 use coltsfoothall_wire::{http, limit};
 
 use crate::node::Node;
+use crate::path::{self, Path};
 use crate::source::Source;
 use crate::{answer, intake, operator};
 
@@ -50,44 +51,14 @@
     }
 }
 
-/// A path of the interface.
-#[derive(Debug, PartialEq, Eq)]
-enum Path<'a> {
-    Addresses,
-    Keys,
-    Completions,
-    Request(&'a str),
-    Service { name: &'a str, rest: &'a str },
-    Operator(&'a str),
-    Health,
-}
-
-/// Reads a path, the query included.
-fn scan_path(path: &str) -> Option<Path<'_>> {
-    let plain = path.split('?').next().unwrap_or(path);
-    match plain {
-        "/v1/addresses" => return Some(Path::Addresses),
-        "/v1/keys" => return Some(Path::Keys),
-        "/v1/completions" => return Some(Path::Completions),
-        "/health" => return Some(Path::Health),
-        _ => {}
-    }
-    if let Some(key) = plain.strip_prefix("/v1/requests/") {
-        return Some(Path::Request(key));
-    }
-    if let Some(call) = plain.strip_prefix("/v1/operator/") {
-        return Some(Path::Operator(call));
-    }
-    let behind = path.strip_prefix("/v1/services/")?;
-    let end = behind.find(['/', '?']).unwrap_or(behind.len());
-    let (name, rest) = behind.split_at(end);
-    Some(Path::Service { name, rest: if rest.is_empty() { "/" } else { rest } })
-}
-
 async fn route(node: &Arc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Fault> {
     let (parts, body) = request.into_parts();
-    let target = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    let path = scan_path(&target)
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .to_owned();
+    let path = path::scan(&target)
         .ok_or_else(|| Fault::new(Code::NotFound, format!("there is nothing at {target}")))?;
     match (path, &parts.method) {
         (Path::Addresses, &Method::GET) => addresses(node),
@@ -98,9 +69,10 @@
         (Path::Service { name, rest }, _) => call(node, &parts, body, name, rest).await,
         (Path::Operator(call), _) => operator::route(node, &parts, body, call).await,
         (Path::Health, &Method::GET) => Ok(serve::empty(204)),
-        (_, method) => {
-            Err(Fault::field("method", format!("{method} is not taken at {target}")))
-        }
+        (_, method) => Err(Fault::field(
+            "method",
+            format!("{method} is not taken at {target}"),
+        )),
     }
 }
 
@@ -113,7 +85,12 @@
 
 fn mint(node: &Node, parts: &Parts) -> Result<Response<Body>, Fault> {
     intake::head(&parts.headers, &node.view(), deadline(node))?;
-    Ok(serve::json(201, &Minted { key: node.desk.mint()? }))
+    Ok(serve::json(
+        201,
+        &Minted {
+            key: node.desk.mint()?,
+        },
+    ))
 }
 
 async fn complete(
@@ -122,13 +99,14 @@
     body: Incoming,
 ) -> Result<Response<Body>, Fault> {
     let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
+    let fresh = head.key.is_none();
     let key = key(node, head.key.clone())?;
     let body = read(body).await?;
     let view = node.view();
     let stream = intake::prompt(&body)?.stream;
     let intake = intake::completion(&head, key, &body, &view)?;
     let model = answer::Shape::completion(&intake, stream);
-    let source = open(node, intake, head.offset);
+    let source = open(node, intake, head.offset, fresh);
     answer::write(node, source, model).await
 }
 
@@ -140,45 +118,48 @@
     path: &str,
 ) -> Result<Response<Body>, Fault> {
     let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
+    let fresh = head.key.is_none();
     let key = key(node, head.key.clone())?;
     let body = read(body).await?;
     let intake = intake::call(&head, key, service, path, parts, body, &node.view())?;
     let shape = answer::Shape::call(&intake);
-    let source = open(node, intake, 0);
+    let source = open(node, intake, 0, fresh);
     answer::write(node, source, shape).await
 }
 
-async fn resume(
-    node: &Arc<Node>,
-    parts: &Parts,
-    key: &str,
-) -> Result<Response<Body>, Fault> {
+async fn resume(node: &Arc<Node>, parts: &Parts, key: &str) -> Result<Response<Body>, Fault> {
     let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
     let name = name(head.workspace, key)?;
     let shape = answer::Shape::resumed(&name);
-    let follow = Follow { name, intake: None, offset: head.offset };
-    answer::write(node, Source::new(Arc::clone(node), follow), shape).await
+    let follow = Follow {
+        name,
+        intake: None,
+        offset: head.offset,
+    };
+    answer::write(node, Source::new(Arc::clone(node), follow, false), shape).await
 }
 
-async fn cancel(
-    node: &Arc<Node>,
-    parts: &Parts,
-    key: &str,
-) -> Result<Response<Body>, Fault> {
+async fn cancel(node: &Arc<Node>, parts: &Parts, key: &str) -> Result<Response<Body>, Fault> {
     let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
     let name = name(head.workspace, key)?;
     node.cancel(name).await?;
     Ok(serve::empty(204))
 }
 
-fn open(node: &Arc<Node>, intake: Intake, offset: u64) -> Source {
+fn open(node: &Arc<Node>, intake: Intake, offset: u64, fresh: bool) -> Source {
     let name = intake.name.clone();
-    let follow = Follow { name, intake: Some(Box::new(intake)), offset };
-    Source::new(Arc::clone(node), follow)
+    let follow = Follow {
+        name,
+        intake: Some(Box::new(intake)),
+        offset,
+    };
+    Source::new(Arc::clone(node), follow, fresh)
 }
 
 fn name(workspace: coltsfoothall::id::Workspace, key: &str) -> Result<Name, Fault> {
-    let key = key.parse().map_err(|error| Fault::field("request", error))?;
+    let key = key
+        .parse()
+        .map_err(|error| Fault::field("request", error))?;
     Ok(Name { workspace, key })
 }
 
@@ -186,9 +167,10 @@
 fn key(node: &Node, brought: Option<Key>) -> Result<Key, Fault> {
     match brought {
         Some(key) => Ok(key),
-        None if node.view().leaving => {
-            Err(come_back(Code::Unavailable, "this entry instance is leaving; use another"))
-        }
+        None if node.view().leaving => Err(come_back(
+            Code::Unavailable,
+            "this entry instance is leaving; use another",
+        )),
         None => node.desk.mint(),
     }
 }
@@ -208,11 +190,17 @@
 
 fn too_large() -> Fault {
     let message = format!("the body is over {} bytes", limit::REQUEST);
-    Fault { field: Some("body".into()), ..Fault::new(Code::TooLarge, message) }
+    Fault {
+        field: Some("body".into()),
+        ..Fault::new(Code::TooLarge, message)
+    }
 }
 
 fn come_back(code: Code, message: &str) -> Fault {
-    Fault { retry_after_ms: Some(ELSEWHERE), ..Fault::new(code, message) }
+    Fault {
+        retry_after_ms: Some(ELSEWHERE),
+        ..Fault::new(code, message)
+    }
 }
 
 fn deadline(node: &Node) -> Millis {
--- a/coltsfoothall-entry/src/intake.rs
+++ b/coltsfoothall-entry/src/intake.rs
@@ -7,7 +7,7 @@
 use hyper::header::AUTHORIZATION;
 use hyper::http::request::Parts;
 
-use coltsfoothall::catalog::Kind;
+use coltsfoothall::catalog::{Kind, Revision};
 use coltsfoothall::id;
 use coltsfoothall::key::Key;
 use coltsfoothall::record::{Class, Header, Intake, Name, Work};
@@ -33,6 +33,9 @@
     header::KEY,
 ];
 
+/// When to come back while this instance knows no configuration yet.
+const NOT_READY: Millis = Millis(500);
+
 /// Prefix of the system's own headers.
 const OWN: &str = "coltsfoothall-";
 
@@ -62,7 +65,10 @@
     let limit = Millis::from(limit::DEADLINE);
     let deadline = field::<u64>(headers, header::DEADLINE)?.map_or(deadline, Millis);
     if deadline.0 == 0 || deadline > limit {
-        return Err(Fault::field(header::DEADLINE, format!("must be from 1 to {}", limit.0)));
+        return Err(Fault::field(
+            header::DEADLINE,
+            format!("must be from 1 to {}", limit.0),
+        ));
     }
     Ok(Head {
         workspace,
@@ -75,17 +81,31 @@
 }
 
 fn workspace(headers: &HeaderMap, view: &View) -> Result<id::Workspace, Fault> {
-    let token = bearer(headers).ok_or_else(|| {
-        Fault::new(Code::Unauthorized, "the request carries no bearer token")
-    })?;
+    // Without a configuration no token is known, so none can be called wrong.
+    if view.catalog.revision == Revision::default() {
+        let message = "this entry instance knows no configuration yet; use another";
+        let fault = Fault::new(Code::Unavailable, message);
+        return Err(Fault {
+            retry_after_ms: Some(NOT_READY),
+            ..fault
+        });
+    }
+    let token = bearer(headers)
+        .ok_or_else(|| Fault::new(Code::Unauthorized, "the request carries no bearer token"))?;
     let found = view.workspace(token);
-    found.cloned().ok_or_else(|| Fault::new(Code::Unauthorized, "no workspace has this token"))
+    found
+        .cloned()
+        .ok_or_else(|| Fault::new(Code::Unauthorized, "no workspace has this token"))
 }
 
 /// The bearer token of a request.
 #[must_use]
 pub fn bearer(headers: &HeaderMap) -> Option<&str> {
-    headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+    headers
+        .get(AUTHORIZATION)?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")
 }
 
 fn class(headers: &HeaderMap) -> Result<Class, Fault> {
@@ -97,16 +117,26 @@
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Fault> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
-    value.to_str().map(Some).map_err(|_binary| Fault::field(name, "must be plain text"))
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    value
+        .to_str()
+        .map(Some)
+        .map_err(|_binary| Fault::field(name, "must be plain text"))
 }
 
 fn field<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Fault>
 where
     T::Err: std::fmt::Display,
 {
-    let Some(value) = text(headers, name)? else { return Ok(None) };
-    value.parse().map(Some).map_err(|error: T::Err| Fault::field(name, error))
+    let Some(value) = text(headers, name)? else {
+        return Ok(None);
+    };
+    value
+        .parse()
+        .map(Some)
+        .map_err(|error: T::Err| Fault::field(name, error))
 }
 
 /// A completion as it will be accepted, and whether to stream it.
@@ -117,10 +147,16 @@
     let prompt = prompt(body)?;
     let runner = view.runner(&prompt.model).ok_or_else(|| {
         let message = format!("no service runs {}", prompt.model);
-        Fault { field: Some("model".into()), ..Fault::new(Code::NotFound, message) }
+        Fault {
+            field: Some("model".into()),
+            ..Fault::new(Code::NotFound, message)
+        }
     })?;
     Ok(Intake {
-        name: Name { workspace: head.workspace.clone(), key },
+        name: Name {
+            workspace: head.workspace.clone(),
+            key,
+        },
         service: runner.service.name.clone(),
         work: Work::Completion {
             model: runner.model.clone(),
@@ -165,13 +201,25 @@
     body: Bytes,
     view: &View,
 ) -> Result<Intake, Fault> {
-    let unknown = || Fault::new(Code::NotFound, format!("there is no plain service {service}"));
+    let unknown = || {
+        Fault::new(
+            Code::NotFound,
+            format!("there is no plain service {service}"),
+        )
+    };
     let service = view.service(service).ok_or_else(unknown)?;
-    let Kind::Plain { non_idempotent } = &service.kind else { return Err(unknown()) };
-    let marked = non_idempotent.iter().any(|prefix| path.starts_with(prefix.as_str()));
+    let Kind::Plain { non_idempotent } = &service.kind else {
+        return Err(unknown());
+    };
+    let marked = non_idempotent
+        .iter()
+        .any(|prefix| path.starts_with(prefix.as_str()));
     let idempotent = !marked && head.idempotent.unwrap_or(parts.method.is_idempotent());
     Ok(Intake {
-        name: Name { workspace: head.workspace.clone(), key },
+        name: Name {
+            workspace: head.workspace.clone(),
+            key,
+        },
         service: service.name.clone(),
         work: Work::Call {
             method: parts.method.to_string(),
@@ -192,7 +240,10 @@
     let kept = headers.iter().filter(|(name, _)| keep(name.as_str()));
     let text = kept.filter_map(|(name, value)| {
         let value = value.to_str().ok()?;
-        Some(Header { name: name.as_str().into(), value: value.into() })
+        Some(Header {
+            name: name.as_str().into(),
+            value: value.into(),
+        })
     });
     text.collect()
 }
--- a/coltsfoothall-entry/src/settings.rs
+++ b/coltsfoothall-entry/src/settings.rs
@@ -9,6 +9,8 @@
 use coltsfoothall_shell::journal::Log;
 use coltsfoothall_shell::settings::{Check, Fault};
 
+use crate::steward;
+
 /// Settings of an entry instance.
 #[derive(Debug, Clone, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -41,6 +43,8 @@
     pub log: Log,
     /// Times.
     pub times: Times,
+    /// Stewards: orders to engines, starts and stops of instances.
+    pub stewards: steward::Settings,
 }
 
 /// Times that set how fast the instance notices and acts.
@@ -107,6 +111,7 @@
             threads: 2,
             log: Log::default(),
             times: Times::default(),
+            stewards: steward::Settings::default(),
         }
     }
 }
@@ -116,19 +121,27 @@
 
 impl Check for Settings {
     fn check(&self) -> Result<(), Fault> {
-        if self.operator_token.is_empty() {
-            return Err(Fault::new("operator_token", "must not be empty"));
-        }
-        if self.peer_token.is_empty() {
-            return Err(Fault::new("peer_token", "must not be empty"));
-        }
+        check_token("operator_token", &self.operator_token)?;
+        check_token("peer_token", &self.peer_token)?;
         if self.threads == 0 || self.threads > THREADS {
             return Err(Fault::new("threads", format!("must be from 1 to {THREADS}")));
         }
+        self.stewards.check()?;
         self.times.check()
     }
 }
 
+/// A token goes into a header as it stands.
+fn check_token(name: &str, token: &str) -> Result<(), Fault> {
+    if token.is_empty() {
+        return Err(Fault::new(name, "must not be empty"));
+    }
+    if !token.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(Fault::new(name, "has a blank or a character beyond ASCII"));
+    }
+    Ok(())
+}
+
 impl Check for Times {
     fn check(&self) -> Result<(), Fault> {
         let spans = [
@@ -146,7 +159,7 @@
         ];
         for (name, span) in spans {
             if span.0 == 0 {
-                return Err(Fault::new(&format!("times.{name}"), "must not be 0"));
+                return Err(Fault::new(format!("times.{name}"), "must not be 0"));
             }
         }
         if self.suspect.0 < 2 * self.heartbeat.0 {
--- a/coltsfoothall-entry/src/store.rs
+++ b/coltsfoothall-entry/src/store.rs
@@ -72,7 +72,11 @@
     /// The service at `peer`; a call takes at most `within`.
     #[must_use]
     pub fn new(client: Client, peer: String, within: Duration) -> Self {
-        Self { client, peer, within }
+        Self {
+            client,
+            peer,
+            within,
+        }
     }
 
     async fn call(
@@ -83,7 +87,10 @@
         body: Bytes,
         within: Duration,
     ) -> Result<Bytes, Error> {
-        self.client.call(step, method, &self.peer, path, body, within).await.map_err(sort)
+        self.client
+            .call(step, method, &self.peer, path, body, within)
+            .await
+            .map_err(sort)
     }
 }
 
@@ -110,8 +117,9 @@
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>, Error>> {
         Box::pin(async move {
             let path = format!("/v1/kv/{key}");
-            let got =
-                self.call("store_get", Method::GET, &path, Bytes::new(), self.within).await;
+            let got = self
+                .call("store_get", Method::GET, &path, Bytes::new(), self.within)
+                .await;
             match got {
                 Ok(body) => decode(&body).map(Some),
                 Err(Error::Lapsed) => Ok(None),
@@ -124,14 +132,25 @@
         Box::pin(async move {
             let path = format!("/v1/kv/{key}");
             let body = http::json(&put);
-            decode(&self.call("store_put", Method::PUT, &path, body, self.within).await?)
+            decode(
+                &self
+                    .call("store_put", Method::PUT, &path, body, self.within)
+                    .await?,
+            )
         })
     }
 
     fn remove<'a>(&'a self, key: &'a str, version: Version) -> BoxFuture<'a, Result<(), Error>> {
         Box::pin(async move {
             let path = format!("/v1/kv/{key}?version={version}");
-            self.call("store_remove", Method::DELETE, &path, Bytes::new(), self.within).await?;
+            self.call(
+                "store_remove",
+                Method::DELETE,
+                &path,
+                Bytes::new(),
+                self.within,
+            )
+            .await?;
             Ok(())
         })
     }
@@ -139,7 +158,11 @@
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<List, Error>> {
         Box::pin(async move {
             let path = format!("/v1/list/{prefix}");
-            decode(&self.call("store_list", Method::GET, &path, Bytes::new(), self.within).await?)
+            decode(
+                &self
+                    .call("store_list", Method::GET, &path, Bytes::new(), self.within)
+                    .await?,
+            )
         })
     }
 
@@ -153,7 +176,11 @@
             let wait_ms = wait.as_millis();
             let path = format!("/v1/watch/{prefix}?after={after}&wait_ms={wait_ms}");
             let within = wait + self.within;
-            decode(&self.call("store_watch", Method::GET, &path, Bytes::new(), within).await?)
+            decode(
+                &self
+                    .call("store_watch", Method::GET, &path, Bytes::new(), within)
+                    .await?,
+            )
         })
     }
 
@@ -161,7 +188,11 @@
         Box::pin(async move {
             let body = http::json(&grant);
             let step = "store_grant";
-            decode(&self.call(step, Method::POST, "/v1/leases", body, self.within).await?)
+            decode(
+                &self
+                    .call(step, Method::POST, "/v1/leases", body, self.within)
+                    .await?,
+            )
         })
     }
 
@@ -169,14 +200,25 @@
         Box::pin(async move {
             let path = format!("/v1/leases/{lease}");
             let step = "store_renew";
-            decode(&self.call(step, Method::PUT, &path, Bytes::new(), self.within).await?)
+            decode(
+                &self
+                    .call(step, Method::PUT, &path, Bytes::new(), self.within)
+                    .await?,
+            )
         })
     }
 
     fn revoke<'a>(&'a self, lease: u64) -> BoxFuture<'a, Result<(), Error>> {
         Box::pin(async move {
             let path = format!("/v1/leases/{lease}");
-            self.call("store_revoke", Method::DELETE, &path, Bytes::new(), self.within).await?;
+            self.call(
+                "store_revoke",
+                Method::DELETE,
+                &path,
+                Bytes::new(),
+                self.within,
+            )
+            .await?;
             Ok(())
         })
     }
--- a/coltsfoothall-standin/src/cloudserver.rs
+++ b/coltsfoothall-standin/src/cloudserver.rs
@@ -68,7 +68,7 @@
         let lost = writes && answer.status().is_success() && self.gate.lost();
         self.gate.leave().await;
         if lost {
-            fault::hang_up();
+            return serve::hang_up();
         }
         answer
     }
@@ -149,7 +149,10 @@
         let end = tokio::time::sleep(Duration::from_millis(wait).min(WAIT));
         let mut end = std::pin::pin!(end);
         loop {
-            let notices = self.lock().notices(self.now(), after);
+            let mut notices = self.lock().notices(self.now(), after);
+            if !notices.notices.is_empty() && !self.gate.hears() {
+                notices.notices.clear();
+            }
             if !notices.notices.is_empty() || end.is_elapsed() || self.gate.ending() {
                 return serve::json(200, &notices);
             }
--- a/coltsfoothall-standin/src/fault.rs
+++ b/coltsfoothall-standin/src/fault.rs
@@ -45,10 +45,17 @@
     pub lose_answers: u64,
     /// The same for every so many-th write; 0 for none.
     pub lose_every: u64,
+    /// The next write that takes effect is the last: it gets no answer, and the
+    /// service is down from then on.
+    pub lose_then_down: bool,
+    /// Reads of a key show the value before its last, if it had one.
+    pub stale_reads: bool,
     /// Starts of instances that are refused.
     pub refuse_starts: Option<Refusals>,
     /// Age of the instance list, in place of the age in the settings.
     pub list_lag_ms: Option<Millis>,
+    /// So many of the next calls for notices hear of any; the others go on waiting.
+    pub hearers: Option<u64>,
 }
 
 /// What a call has to pass on its way in and out.
@@ -144,12 +151,30 @@
             let counted = fault.lose_answers > 0;
             fault.lose_answers = fault.lose_answers.saturating_sub(1);
             lost = counted || (fault.lose_every > 0 && nth.is_multiple_of(fault.lose_every));
+            if std::mem::take(&mut fault.lose_then_down) {
+                fault.down = true;
+                lost = true;
+            }
             // Waiting calls need not wake for a counter.
             false
         });
         lost
     }
 
+    /// Counts a call for notices that would hear some and says whether it does.
+    #[must_use]
+    pub fn hears(&self) -> bool {
+        let mut hears = true;
+        self.fault.send_if_modified(|fault| {
+            if let Some(left) = &mut fault.hearers {
+                hears = *left > 0;
+                *left = left.saturating_sub(1);
+            }
+            false
+        });
+        hears
+    }
+
     /// Counts a start and says whether it is refused.
     #[must_use]
     pub fn refused(&self) -> bool {
@@ -169,14 +194,6 @@
     }
 }
 
-/// Closes the connection of the call that is being answered, without an answer.
-///
-/// The server loop has no other way out of an answer than to unwind its task;
-/// this does so without the message of a panic.
-pub fn hang_up() -> ! {
-    std::panic::resume_unwind(Box::new("answer lost on demand"))
-}
-
 /// The answer to a body that cannot be read.
 #[must_use]
 pub fn malformed(error: &http::Error) -> Response<Body> {
--- a/coltsfoothall-standin/src/kvserver.rs
+++ b/coltsfoothall-standin/src/kvserver.rs
@@ -15,7 +15,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::size::Rate;
 use coltsfoothall_wire::serve::{self, Answer, Body, Handler};
-use coltsfoothall_wire::store::{Conflict, Grant, Put};
+use coltsfoothall_wire::store::{Conflict, Entry, Grant, Put};
 use coltsfoothall_wire::{http, limit};
 
 use crate::fault::{self, Gate};
@@ -149,9 +149,28 @@
     reads: Window,
     writes: Window,
     counts: Counts,
+    /// The value before the last of each key that was written twice, sorted by key.
+    past: Vec<Entry>,
 }
 
 impl State {
+    /// Keeps the value that a write replaced.
+    fn keep(&mut self, entry: Entry) {
+        match self.past.binary_search_by(|past| past.key.cmp(&entry.key)) {
+            Ok(at) => self.past[at] = entry,
+            Err(at) => self.past.insert(at, entry),
+        }
+    }
+
+    /// The value before the last.
+    fn stale(&self, key: &str) -> Option<Entry> {
+        let at = self
+            .past
+            .binary_search_by(|past| past.key.as_str().cmp(key))
+            .ok()?;
+        Some(self.past[at].clone())
+    }
+
     /// Counts a call and says whether it is within the rate.
     fn admit(&mut self, now: Time, call: &Call) -> bool {
         let window = if call.writes() {
@@ -196,6 +215,7 @@
             reads: Window::new(settings.reads),
             writes: Window::new(settings.writes),
             counts: Counts::default(),
+            past: Vec::new(),
         };
         Self {
             state: Mutex::new(state),
@@ -254,14 +274,14 @@
         self.gate.leave().await;
         if lost {
             self.lock().counts.lost += 1;
-            fault::hang_up();
+            return serve::hang_up();
         }
         answer
     }
 
     async fn apply(&self, call: Call, request: Request<Incoming>) -> Response<Body> {
         match call {
-            Call::Get(key) => match self.with(|state, now| state.store.get(now, &key)) {
+            Call::Get(key) => match self.get(&key) {
                 Some(entry) => serve::json(200, &entry),
                 None => serve::empty(404),
             },
@@ -277,9 +297,24 @@
         }
     }
 
+    fn get(&self, key: &str) -> Option<Entry> {
+        let stale = self.gate.fault().stale_reads;
+        self.with(|state, now| {
+            let past = if stale { state.stale(key) } else { None };
+            past.or_else(|| state.store.get(now, key))
+        })
+    }
+
     async fn put(&self, key: &str, request: Request<Incoming>) -> Response<Body> {
         match http::read_json::<Put, _>(request.into_body(), limit::FRAME).await {
-            Ok(put) => self.reply(|store, now| store.put(now, key, put)),
+            Ok(put) => {
+                let before = self.with(|state, now| state.store.get(now, key));
+                let answer = self.reply(|store, now| store.put(now, key, put));
+                if let (Some(before), true) = (before, answer.status().is_success()) {
+                    self.lock().keep(before);
+                }
+                answer
+            }
             Err(error) => fault::malformed(&error),
         }
     }
--- a/coltsfoothall-standin/src/model.rs
+++ b/coltsfoothall-standin/src/model.rs
@@ -219,7 +219,7 @@
             };
             // The receiver is in hand, so the chunk arrives.
             let _sent = sender.send(nothing_left);
-            self.counts.ran(request.attempt);
+            self.counts.ran(request.attempt, digest(&request.prompt));
             return Ok(receiver);
         }
         let job = Job {
@@ -233,7 +233,7 @@
             Error::Full(_) => Denial::new(503, error.to_string()),
             Error::Duplicate(_) => Denial::new(409, error.to_string()),
         })?;
-        self.counts.ran(request.attempt);
+        self.counts.ran(request.attempt, digest(&request.prompt));
         let stream = Stream {
             attempt: request.attempt,
             sender,
--- a/coltsfoothall-standin/src/report.rs
+++ b/coltsfoothall-standin/src/report.rs
@@ -40,15 +40,20 @@
     pub orders_refused: u64,
     /// The newest attempts taken, in order.
     pub runs: VecDeque<Attempt>,
+    /// Digests of their prompts, in the same order.
+    #[serde(default)]
+    pub digests: VecDeque<u32>,
 }
 
 impl Counts {
     /// Lists an attempt that was taken.
-    pub fn ran(&mut self, attempt: Attempt) {
+    pub fn ran(&mut self, attempt: Attempt, digest: u32) {
         if self.runs.len() == RUNS {
             self.runs.pop_front();
+            self.digests.pop_front();
         }
         self.runs.push_back(attempt);
+        self.digests.push_back(digest);
     }
 }
 
--- a/coltsfoothall-standin/src/weights.rs
+++ b/coltsfoothall-standin/src/weights.rs
@@ -107,7 +107,7 @@
         let lost = answer.status().is_success() && self.gate.lost();
         self.gate.leave().await;
         if lost {
-            fault::hang_up();
+            return serve::hang_up();
         }
         answer
     }
--- a/coltsfoothall-wire/src/http.rs
+++ b/coltsfoothall-wire/src/http.rs
@@ -35,6 +35,10 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    // A length that is over the limit is refused before any of the body comes.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Error::Large(limit));
+    }
     match Limited::new(body, limit).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(Error::Large(limit)),
--- a/coltsfoothall-wire/src/serve.rs
+++ b/coltsfoothall-wire/src/serve.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use quick_error::quick_error;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -77,6 +78,36 @@
     answer
 }
 
+/// Mark of an answer that is not given.
+#[derive(Debug, Clone, Copy)]
+struct Silence;
+
+quick_error! {
+    /// The connection ends without an answer.
+    #[derive(Debug)]
+    enum Error {
+        /// The handler wants it so.
+        Silent {
+            display("closed without an answer")
+        }
+    }
+}
+
+/// In place of an answer: the connection closes, and the peer gets none.
+#[must_use]
+pub fn hang_up() -> Response<Body> {
+    let mut answer = empty(500);
+    answer.extensions_mut().insert(Silence);
+    answer
+}
+
+fn spoken(answer: Response<Body>) -> Result<Response<Body>, Error> {
+    match answer.extensions().get::<Silence>() {
+        Some(Silence) => Err(Error::Silent),
+        None => Ok(answer),
+    }
+}
+
 fn code(status: u16) -> hyper::StatusCode {
     hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR)
 }
@@ -118,7 +149,7 @@
     }
     let service = service_fn(move |request| {
         let answer = Arc::clone(&handler).call(request, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { spoken(answer.await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
