--- a/coltsfoothall-wire/src/cloud.rs
+++ b/coltsfoothall-wire/src/cloud.rs
@@ -14,15 +14,8 @@
 use coltsfoothall::id;
 use coltsfoothall::size::{Millis, Price};
 
-/// How an instance is lent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Lend {
-    /// Cheap, taken back on a few seconds' notice.
-    Reclaimable,
-    /// Kept until given back.
-    OnDemand,
-}
+pub use coltsfoothall::fleet::Lend;
+pub use coltsfoothall::start::Phase;
 
 /// A price.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,18 +59,6 @@
     pub message: String,
 }
 
-/// Where an instance is in its life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Phase {
-    /// It is being started.
-    Starting,
-    /// It serves.
-    Live,
-    /// It was given notice.
-    Leaving,
-}
-
 /// An instance of the platform.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Machine {
--- a/coltsfoothall-wire/src/engine.rs
+++ b/coltsfoothall-wire/src/engine.rs
@@ -17,6 +17,7 @@
 use coltsfoothall::prefix::Block;
 use coltsfoothall::size::Tokens;
 
+pub use coltsfoothall::order::{Loaded, Role};
 pub use coltsfoothall::record::Finish;
 
 /// Number of an attempt: the request's slot epoch and counter, unique in the fleet.
@@ -126,28 +127,6 @@
     pub newest: u64,
 }
 
-/// Work that an engine takes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Role {
-    /// All requests.
-    #[default]
-    Mixed,
-    /// Long prompts first.
-    Prefill,
-    /// Nothing new.
-    Drain,
-}
-
-/// A model or adapter at a version.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Loaded {
-    /// Name of the model or adapter.
-    pub name: String,
-    /// Its version.
-    pub version: u32,
-}
-
 /// The state that an engine is ordered to be in; a repeat is harmless.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
--- a/coltsfoothall/src/held.rs
+++ b/coltsfoothall/src/held.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Time;
 use crate::fleet::Cell;
 use crate::id;
@@ -10,7 +12,8 @@
 const OUTAGE_PART: usize = 4;
 
 /// Where an instance is in its life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// It is being started.
     Starting,
--- a/coltsfoothall/src/rollout.rs
+++ b/coltsfoothall/src/rollout.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::Time;
 use crate::id;
-use crate::order::{Engine, Order, Role, Wanted};
+use crate::order::{Engine, Loaded, Order, Role, Wanted};
 use crate::share;
 use crate::size::Bytes;
 
@@ -94,6 +94,8 @@
 struct Task {
     endpoint: id::Endpoint,
     step: Step,
+    /// The model that the last load was for; what is wanted may have changed since.
+    goal: Option<Loaded>,
     sent_at: Option<Time>,
     failures: u32,
     retry_at: Time,
@@ -150,6 +152,7 @@
             let task = Task {
                 endpoint: endpoint.clone(),
                 step: Step::Rest,
+                goal: None,
                 sent_at: None,
                 failures: 0,
                 retry_at: Time::START,
@@ -194,6 +197,10 @@
         match step {
             Step::Load(_) if engine.is_current(wanted) => Step::Rest,
             Step::Load(until) if until <= now => Step::Rest,
+            // It may serve the former wish by now, so it is drained before it loads again.
+            Step::Load(_) if engine.loading.is_none() && self.is_stale(wanted, engine) => {
+                Step::Rest
+            }
             Step::Load(until) => Step::Load(until),
             Step::Drain(_) if engine.runs(wanted) => Step::Rest,
             Step::Drain(since) => Step::Drain(idle.then_some(since.unwrap_or(now))),
@@ -211,9 +218,18 @@
         self.task(&engine.endpoint).retry_at <= now
     }
 
+    /// Whether another model was wanted when its load began.
+    fn is_stale(&mut self, wanted: &Wanted, engine: &Engine) -> bool {
+        let goal = &self.task(&engine.endpoint).goal;
+        goal.as_ref()
+            .is_some_and(|goal| *goal != wanted.model.loaded)
+    }
+
     /// Takes on a load that a former steward ordered.
     fn adopt(&mut self, now: Time, wanted: &Wanted, engine: &Engine) -> Step {
         let size = engine.missing(wanted);
+        let is_model = |loading: &Loaded| loading.name == wanted.model.loaded.name;
+        self.task(&engine.endpoint).goal = engine.loading.clone().filter(is_model);
         self.bucket.charge(now, size);
         Step::Load(self.deadline(now, size))
     }
@@ -274,6 +290,7 @@
             let until = self.deadline(now, size);
             let task = self.task(&engine.endpoint);
             task.step = Step::Load(until);
+            task.goal = Some(wanted.model.loaded.clone());
             task.sent_at = None;
             room -= 1;
         }
--- a/coltsfoothall/tests/order.rs
+++ b/coltsfoothall/tests/order.rs
@@ -255,3 +255,20 @@
         assert_eq!(fleet.current(&wanted(2, 6)), 9, "seed {seed}");
     }
 }
+
+#[test]
+fn wish_changes() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(9, seed);
+        let mut rollout = Rollout::new(settings());
+        fleet.run(&mut rollout, &wanted(1, 6), 400, 0.2);
+        for version in 2..12 {
+            let span = 10 + 3 * seed + u64::from(version);
+            let fewest = fleet.run(&mut rollout, &wanted(version, 6), span, 0.2);
+            assert!(fewest >= 6, "seed {seed}: only {fewest} served");
+            assert_eq!(rollout.broken(), None, "seed {seed}, version {version}");
+        }
+        fleet.run(&mut rollout, &wanted(12, 6), 600, 0.2);
+        assert_eq!(fleet.current(&wanted(12, 6)), 9, "seed {seed}");
+    }
+}
