--- a/coltsfoothall-entry/src/platform.rs
+++ b/coltsfoothall-entry/src/platform.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::{StreamExt, stream};
 use tokio::time::{Instant, interval, sleep};
 
 use coltsfoothall::id;
@@ -20,6 +21,9 @@
 const WITHIN: Duration = Duration::from_secs(2);
 /// Longest wait of one call for notices.
 const WATCH: Duration = Duration::from_secs(20);
+/// Reads of reports at once; more than one, so that an engine that does not
+/// answer holds up no other, and few, so that a large fleet opens few connections.
+const READS: usize = 32;
 /// Wait after a failed call.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -78,10 +82,14 @@
     loop {
         let began = Instant::now();
         renew(&node, &mut readers);
-        for reader in &mut readers {
-            // An engine that does not report is judged by own requests alone.
-            let _silent = read(&node, reader).await;
-        }
+        let reads = stream::iter(&mut readers).for_each_concurrent(READS, |reader| {
+            let node = Arc::clone(&node);
+            async move {
+                // An engine that does not report is judged by own requests alone.
+                let _silent = read(&node, reader).await;
+            }
+        });
+        reads.await;
         sleep(every.saturating_sub(began.elapsed())).await;
     }
 }
