--- a/coltsfoothall-entry/src/desk.rs
+++ b/coltsfoothall-entry/src/desk.rs
@@ -1,5 +1,6 @@
 //! Requests that are owned here: the ledger, and a relay for each open one.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::mpsc::UnboundedSender;
@@ -59,6 +60,8 @@
 #[derive(Debug)]
 pub struct Desk {
     state: Mutex<State>,
+    /// Whether new requests are turned away.
+    closed: AtomicBool,
 }
 
 impl Desk {
@@ -66,7 +69,12 @@
     #[must_use]
     pub fn new(me: id::Instance, settings: ledger::Settings) -> Self {
         let state = State { ledger: Ledger::new(me, settings), live: Vec::new() };
-        Self { state: Mutex::new(state) }
+        Self { state: Mutex::new(state), closed: AtomicBool::new(false) }
+    }
+
+    /// Turns new requests away from now on; those that are open go on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
     }
 
     /// Mints a key in a slot that is owned here.
@@ -92,6 +100,12 @@
         self.state().flush(slot);
     }
 
+    /// Tells all relays what may leave now: a new table or a copy that is no
+    /// longer waited for lets changes leave without an acknowledgement.
+    pub fn flush_all(&self) {
+        self.state().flush_where(|_live| true);
+    }
+
     /// Applies changes that an owner sent for the copies here.
     #[must_use]
     pub fn receive(&self, node: &Node, updates: Vec<Update>) -> Vec<Ack> {
@@ -200,12 +214,20 @@
         }
     }
 
-    /// Forgets a relay that has ended.
-    pub fn end(&self, name: &Name) {
+    /// Forgets a relay that has ended. One that was sealed may end only after
+    /// the slot has come back: its request goes on then.
+    pub fn end(&self, node: &Arc<Node>, slot: Slot, name: &Name, feed: &Arc<Feed>) {
         let mut state = self.state();
-        if let Ok(at) = state.find(name) {
+        if let Ok(at) = state.find(name)
+            && Arc::ptr_eq(&state.live[at].feed, feed)
+        {
             state.live.remove(at);
         }
+        let back = state.ledger.serving(slot) && state.ledger.released(slot).is_some();
+        drop(state);
+        if back {
+            self.carry_on(node, slot);
+        }
     }
 
     /// Gives the answer of a request that is owned here, run now if it is new.
@@ -215,7 +237,12 @@
     pub async fn follow(&self, node: &Arc<Node>, follow: &Follow) -> Result<Follower, Fault> {
         let slot = node.view().slot(&follow.name.key);
         let number = match &follow.intake {
-            Some(intake) if self.takes(node, slot, intake)? => Some(admit(node, intake).await?),
+            Some(intake) if self.takes(node, slot, intake)? => match admit(node, intake).await {
+                Ok(number) => Some(number),
+                // The same request may have been taken in meanwhile.
+                Err(fault) if self.takes(node, slot, intake)? => return Err(fault),
+                Err(_refused) => None,
+            },
             _ => None,
         };
         let result = self.open(node, slot, follow, number);
@@ -235,7 +262,8 @@
             return Err(come_back(Code::Unavailable, "the request is owned elsewhere"));
         }
         // What cannot be handed over while it runs must not begin at one that leaves.
-        if node.view().leaving && !intake.idempotent {
+        let closed = self.closed.load(Ordering::Relaxed);
+        if closed || (node.view().leaving && !intake.idempotent) {
             return Err(come_back(Code::Unavailable, "the request's owner is leaving"));
         }
         Ok(true)
@@ -257,13 +285,20 @@
                 }
                 Arc::clone(&live.feed)
             }
+            // Nothing may begin for a caller who is then told that it was refused.
+            (Err(_), Some(_)) if follow.offset > 0 && state.fresh(slot, &follow.name) => {
+                return Err(unresumable());
+            }
             (Err(_), Some(intake)) => state.begin(node, slot, intake, number)?,
             (Err(_), None) => state.known(slot, &follow.name)?,
         };
         drop(state);
         if !feed.resumable(follow.offset) {
-            let message = "must be the id of an event of this answer";
-            return Err(Fault::field(coltsfoothall_wire::header::LAST_EVENT, message));
+            if !feed.closed() {
+                // A new owner shows the text once its own copies hold it.
+                return Err(come_back(Code::Unavailable, "the answer is not there yet"));
+            }
+            return Err(unresumable());
         }
         Ok(Follower::new(feed, follow.offset))
     }
@@ -308,6 +343,11 @@
         self.live.binary_search_by(|live| live.name.cmp(name))
     }
 
+    /// Whether no such request is known.
+    fn fresh(&self, slot: Slot, name: &Name) -> bool {
+        self.ledger.record(slot, name).is_none()
+    }
+
     fn begin(
         &mut self,
         node: &Arc<Node>,
@@ -388,9 +428,13 @@
 
     /// Tells relays of a slot what may leave.
     fn flush(&mut self, slot: Slot) {
+        self.flush_where(|live| live.slot == slot);
+    }
+
+    fn flush_where(&mut self, wanted: impl Fn(&Live) -> bool) {
         let ledger = &self.ledger;
-        for live in self.live.iter_mut().filter(|live| live.slot == slot) {
-            let name = &live.name;
+        for live in self.live.iter_mut().filter(|live| wanted(live)) {
+            let (slot, name) = (live.slot, &live.name);
             let leaves = |pending: &Pending| ledger.may_leave(slot, name, pending.seq);
             let held = live.pending.partition_point(leaves);
             if let Some(last) = live.pending.drain(..held).next_back() {
@@ -414,6 +458,7 @@
     let (code, message) = match refusal.cause {
         Cause::NoEndpoint => (Code::NoEndpoint, "no endpoint can take the request now"),
         Cause::Deadline => (Code::Deadline, "the deadline cannot be kept"),
+        _ if refusal.limited => (Code::Limited, "a limit of the workspace is reached"),
         _ => (Code::Overloaded, "there is no capacity for the request within its deadline"),
     };
     Fault {
@@ -424,6 +469,13 @@
     }
 }
 
+/// The caller has got an offset from somewhere: the request may well have run.
+fn unresumable() -> Fault {
+    let message = "must be the id of an event of this answer";
+    let fault = Fault::field(coltsfoothall_wire::header::LAST_EVENT, message);
+    Fault { outcome: Outcome::Unknown, ..fault }
+}
+
 fn reused(name: &Name) -> Fault {
     Fault::new(Code::KeyReused, format!("the key {} names another request", name.key))
 }
--- a/coltsfoothall-entry/src/keeper.rs
+++ b/coltsfoothall-entry/src/keeper.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use coltsfoothall::clock::Time;
-use coltsfoothall::duty::{Duty, Sight, duties};
+use coltsfoothall::duty::{Duty, Missing, Sight, duties};
 use coltsfoothall::id;
-use coltsfoothall::key::Slot;
+use coltsfoothall::key::{Epoch, Slot};
 use coltsfoothall::replica::Taken;
 use coltsfoothall::slot::{Candidate, Refused, SLOTS, Table};
 use coltsfoothall::step::Input;
@@ -41,6 +41,8 @@
     pub table: Option<Arc<Table>>,
     /// Whether the service answered; none if it was not asked.
     pub service: Option<bool>,
+    /// When it was asked, so that what it said held no earlier.
+    pub asked: Time,
     /// Whether anything was done, so that there may be more to do at once.
     pub busy: bool,
 }
@@ -55,6 +57,8 @@
     asked: Option<Time>,
     service: bool,
     read: bool,
+    /// Backups known to have no copy, sorted.
+    missing: Vec<Missing>,
 }
 
 impl Slots {
@@ -68,6 +72,7 @@
             asked: None,
             service: true,
             read: true,
+            missing: Vec::new(),
         }
     }
 
@@ -90,26 +95,48 @@
 
     /// A peer lacks a copy; the next round sees to it.
     pub fn copy_lost(&mut self, slot: Slot, at: id::Instance) {
-        log::debug!("no copy of slot {slot} at {at}");
+        if let Some(entry) = self.table.entry(slot) {
+            let missing = Missing {
+                slot,
+                epoch: entry.epoch,
+                at,
+            };
+            if let Err(place) = self.missing.binary_search(&missing) {
+                self.missing.insert(place, missing);
+            }
+        }
         self.read = true;
     }
 
+    /// An instance began anew: the copies that it kept are lost.
+    pub fn restarted(&mut self, instance: &id::Instance) {
+        let table = Arc::clone(&self.table);
+        let kept = table
+            .iter()
+            .filter(|(_, entry)| entry.backup.as_ref() == Some(instance));
+        kept.for_each(|(slot, _)| self.copy_lost(slot, instance.clone()));
+    }
+
     /// Takes in a table; what it meant for the ledger, if it is not older.
+    /// `asked` is when the service was asked for it, none if a peer gave it.
     pub fn observe(
         &mut self,
         now: Time,
         table: &Arc<Table>,
-        service: bool,
+        asked: Option<Time>,
     ) -> Option<Vec<Event>> {
         if table.version < self.table.version {
             return None;
         }
         let newer = table.version > self.table.version;
         self.table = Arc::clone(table);
+        let epoch = |slot| table.entry(slot).map(|entry| entry.epoch);
+        self.missing
+            .retain(|missing| epoch(missing.slot) == Some(missing.epoch));
         let events = self.node.desk.with_ledger(|ledger| {
             let events = ledger.observe(now, table);
-            if service {
-                ledger.confirm(now, table.version);
+            if let Some(asked) = asked {
+                ledger.confirm(asked, table.version);
             }
             events
         });
@@ -130,14 +157,16 @@
                 table: &self.table,
                 ledger,
                 live: &live,
+                missing: &self.missing,
                 leaving,
                 service: self.service,
                 settled,
             })
         };
         let duties = self.node.desk.with_ledger(sight);
+        let open = self.node.desk.with_ledger(|ledger| ledger.proposing());
         let stale = self.asked.is_none_or(|at| now.since(at) >= STALE);
-        let read = self.read || stale || !self.service || self.table.version == 0;
+        let read = self.read || open || stale || !self.service || self.table.version == 0;
         if duties.is_empty() && !read {
             return;
         }
@@ -149,6 +178,9 @@
             base: Arc::clone(&self.table),
             read,
             make: first.then(|| live.clone()),
+            settled,
+            silent: Vec::new(),
+            ceded: 0,
         };
         tokio::spawn(work.run(duties));
     }
@@ -176,22 +208,38 @@
     read: bool,
     /// Who may be named in a first table.
     make: Option<Vec<Candidate>>,
+    /// Whether this instance can tell who is dead.
+    settled: bool,
+    /// Peers that did not answer in this round; waiting for each again would
+    /// hold up the other slots.
+    silent: Vec<id::Instance>,
+    /// Slots ceded in this round.
+    ceded: usize,
 }
 
 impl Work {
-    async fn run(self, duties: Vec<Duty>) {
+    async fn run(mut self, duties: Vec<Duty>) {
         let busy = !duties.is_empty();
         let mut changed = Vec::new();
         for duty in duties {
-            self.local(&duty).await;
-            if let Some(table) = self.proposal(&duty) {
+            let next = self.local(duty).await;
+            if let Some(table) = next.and_then(|duty| self.proposal(&duty)) {
                 changed.push(table);
             }
         }
-        let outcome = if changed.is_empty() {
-            if self.read { Some(self.look().await) } else { None }
-        } else {
+        if self.ceded > 0 {
+            event::CEDED.emit(format_args!("slots={}", self.ceded));
+        }
+        let asked = self.node.now();
+        // A write whose outcome is not known blocks its slot until a later
+        // version of the table settles it, so there has to be one.
+        let open = self.node.desk.with_ledger(|ledger| ledger.proposing());
+        let outcome = if open {
             Some(self.write(&changed).await)
+        } else if self.read {
+            Some(self.look().await)
+        } else {
+            None
         };
         let (table, service) = match outcome {
             None => (None, None),
@@ -201,30 +249,64 @@
                 (None, Some(false))
             }
         };
-        self.node.control.send(Message::Round(Round { table, service, busy }));
+        self.node.control.send(Message::Round(Round {
+            table,
+            service,
+            asked,
+            busy,
+        }));
     }
 
-    /// What a duty asks of this instance and its peers.
-    async fn local(&self, duty: &Duty) {
-        let desk = &self.node.desk;
-        match duty {
+    /// What a duty asks of this instance and its peers; comes back with what it
+    /// asks of the table.
+    async fn local(&mut self, duty: Duty) -> Option<Duty> {
+        let node = Arc::clone(&self.node);
+        let desk = &node.desk;
+        match &duty {
             Duty::Copy { slot, to } => self.copy(*slot, to).await,
+            Duty::Cede { slot, epoch, to } => return self.cede(*slot, *epoch, to).await,
             Duty::Drain(slot) => desk.with_ledger(|ledger| ledger.drain(*slot)),
             Duty::Resume(slot) => {
                 desk.with_ledger(|ledger| ledger.resume(*slot));
-                desk.carry_on(&self.node, *slot);
+                desk.carry_on(&node, *slot);
             }
             Duty::TakeOver(slot) => {
                 desk.with_ledger(|ledger| ledger.seal(*slot));
-                desk.carry_on(&self.node, *slot);
+                desk.carry_on(&node, *slot);
             }
             Duty::Alone(slot) => {
                 desk.with_ledger(|ledger| ledger.go_alone(*slot));
                 desk.flush(*slot);
             }
             Duty::Yield(slot) => self.yield_slot(*slot).await,
+            Duty::GiveUp(slot) => {
+                let _kept = desk.with_ledger(|ledger| ledger.give_up(*slot));
+                desk.flush(*slot);
+            }
             Duty::Claim(_) | Duty::Name { .. } | Duty::HandOver { .. } => {}
         }
+        Some(duty)
+    }
+
+    /// Tells the backup to take over; a claim if it has no copy either.
+    async fn cede(&mut self, slot: Slot, epoch: Epoch, to: &id::Instance) -> Option<Duty> {
+        if self.silent.contains(to) {
+            return None;
+        }
+        let client = self.node.links.client(to).await.ok();
+        let held = match client {
+            Some(client) => client
+                .cede(link::context(link::CALL), slot, epoch)
+                .await
+                .ok(),
+            None => None,
+        };
+        log::debug!("ceded slot={slot} to={to} held={held:?}");
+        self.ceded += 1;
+        if held.is_none() {
+            self.silent.push(to.clone());
+        }
+        (held == Some(false) && self.settled).then_some(Duty::Claim(slot))
     }
 
     /// The table with a duty's change, noted at the ledger before it is written.
@@ -235,17 +317,22 @@
             Duty::TakeOver(slot) => (*slot, self.base.takeover(*slot, self.epoch(*slot)?, me)),
             Duty::Name { slot, backup } => {
                 let backup = Some(backup.clone());
-                (*slot, self.base.replace_backup(*slot, self.epoch(*slot)?, me, backup))
-            }
-            Duty::HandOver { slot, to } => {
-                (*slot, self.base.hand_over(*slot, self.epoch(*slot)?, me, to))
+                (
+                    *slot,
+                    self.base
+                        .replace_backup(*slot, self.epoch(*slot)?, me, backup),
+                )
             }
+            Duty::HandOver { slot, to } => (
+                *slot,
+                self.base.hand_over(*slot, self.epoch(*slot)?, me, to),
+            ),
             _ => return None,
         };
         self.propose(slot, table)
     }
 
-    fn epoch(&self, slot: Slot) -> Option<coltsfoothall::key::Epoch> {
+    fn epoch(&self, slot: Slot) -> Option<Epoch> {
         self.base.entry(slot).map(|entry| entry.epoch)
     }
 
@@ -253,7 +340,10 @@
         let table = table.ok()?;
         let entry = table.entry(slot)?.clone();
         let base = self.base.version;
-        let noted = self.node.desk.with_ledger(|ledger| ledger.propose(slot, base, entry));
+        let noted = self
+            .node
+            .desk
+            .with_ledger(|ledger| ledger.propose(slot, base, entry));
         noted.is_ok().then_some(table)
     }
 
@@ -275,13 +365,17 @@
             return Ok(None);
         }
         // Each instance named in it then claims its slots, known to be empty.
-        let Ok(table) = Table::first(SLOTS, live) else { return Ok(None) };
+        let Ok(table) = Table::first(SLOTS, live) else {
+            return Ok(None);
+        };
         self.put(&table, 0).await
     }
 
     /// Writes the changes over the table that they were made on.
     async fn write(&self, changed: &[Table]) -> Result<Option<Arc<Table>>, Error> {
-        let Some(entry) = self.node.store.get(KEY).await? else { return Ok(None) };
+        let Some(entry) = self.node.store.get(KEY).await? else {
+            return Ok(None);
+        };
         let found = parse(&entry.value)?;
         if found.version != self.base.version {
             return Ok(Some(found));
@@ -299,7 +393,11 @@
 
     async fn put(&self, table: &Table, version: u64) -> Result<Option<Arc<Table>>, Error> {
         let value = serde_json::to_string(table).expect("a table has no map keys");
-        let put = Put { value, version: Some(version), lease: None };
+        let put = Put {
+            value,
+            version: Some(version),
+            lease: None,
+        };
         match self.node.store.put(KEY, put).await {
             Ok(_entry) => Ok(Some(Arc::new(table.clone()))),
             // Whether the write took effect, or another's did: reading settles it.
@@ -312,17 +410,29 @@
     }
 
     /// Sends a whole copy of a slot.
-    async fn copy(&self, slot: Slot, to: &id::Instance) {
+    async fn copy(&mut self, slot: Slot, to: &id::Instance) {
+        if self.silent.contains(to) {
+            return;
+        }
         if let Err(error) = self.try_copy(slot, to).await {
+            self.silent.push(to.clone());
             event::COPY_FAILED.emit(format_args!("slot={slot} to={to} error=\"{error}\""));
         }
     }
 
     async fn try_copy(&self, slot: Slot, to: &id::Instance) -> Result<(), String> {
         let now = self.node.now();
-        let chunks = self.node.desk.with_ledger(|ledger| ledger.export(now, slot, to));
+        let chunks = self
+            .node
+            .desk
+            .with_ledger(|ledger| ledger.export(now, slot, to));
         let Some(chunks) = chunks else { return Ok(()) };
-        let client = self.node.links.client(to).await.map_err(|error| error.to_string())?;
+        let client = self
+            .node
+            .links
+            .client(to)
+            .await
+            .map_err(|error| error.to_string())?;
         for chunk in chunks {
             let taken = client.import(link::context(PIECE), chunk).await;
             match taken.map_err(|error| error.to_string())? {
@@ -365,7 +475,9 @@
             return;
         };
         desk.tell_slot(slot, &Input::Sealed);
-        let Ok(client) = self.node.links.client(&backup).await else { return };
+        let Ok(client) = self.node.links.client(&backup).await else {
+            return;
+        };
         let taken = client.hand_over(link::context(link::CALL), handoff).await;
         event::YIELDED.emit(format_args!("slot={slot} to={backup} taken={taken:?}"));
     }
@@ -373,5 +485,7 @@
 
 fn parse(value: &str) -> Result<Arc<Table>, Error> {
     let table = http::parse::<Table>(value.as_bytes());
-    table.map(Arc::new).map_err(|error| Error::Unknown(format!("slots: {error}")))
+    table
+        .map(Arc::new)
+        .map_err(|error| Error::Unknown(format!("slots: {error}")))
 }
--- a/coltsfoothall-entry/src/members.rs
+++ b/coltsfoothall-entry/src/members.rs
@@ -7,6 +7,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::id;
 use coltsfoothall::member::{self, Digest, Event, Heartbeat, Table};
+use coltsfoothall::print::Evidence;
 use coltsfoothall::size::Millis;
 use coltsfoothall::slot::Candidate;
 use coltsfoothall::stall::{self, Watch};
@@ -29,6 +30,9 @@
 /// heard of first.
 const SETTLE: Duration = Duration::from_secs(5);
 
+/// Most starts remembered; it bounds memory where instances never keep a name.
+const STARTS: usize = 8192;
+
 /// Peers that a notice is passed on to; with that, it reaches all in a few steps.
 const PASS_ON: usize = 3;
 
@@ -41,6 +45,17 @@
     seeds: Vec<String>,
     /// When it last could not be told whether others or this instance stalled.
     doubted: Option<Time>,
+    /// The last known incarnation of each instance, sorted by name.
+    starts: Vec<Start>,
+    /// Instances that began anew since last asked for.
+    restarted: Vec<id::Instance>,
+}
+
+/// A start of an instance's process.
+#[derive(Debug)]
+struct Start {
+    instance: id::Instance,
+    incarnation: u64,
 }
 
 impl Members {
@@ -77,13 +92,17 @@
             watch: Watch::new(node.now(), stall),
             seeds: Vec::new(),
             doubted: None,
+            starts: Vec::new(),
+            restarted: Vec::new(),
             node,
         }
     }
 
     /// Sets where entry instances may listen, from the instance list.
     pub fn set_seeds(&mut self, machines: &[Machine]) {
-        let entries = machines.iter().filter(|machine| machine.service.as_str() == ENTRY);
+        let entries = machines
+            .iter()
+            .filter(|machine| machine.service.as_str() == ENTRY);
         let up = entries.filter(|machine| machine.phase == Phase::Live);
         self.seeds = up.map(|machine| machine.address.clone()).collect();
         self.seeds.sort();
@@ -101,20 +120,59 @@
         }
     }
 
-    /// This instance's heartbeat as an answer.
+    /// This instance's heartbeat as an answer to `sender`.
     #[must_use]
-    pub fn answer(&self) -> Heartbeat {
-        Heartbeat { digests: vec![self.table.me().clone()] }
+    pub fn answer(&self, sender: Option<&Digest>) -> Heartbeat {
+        let former = sender.and_then(|sender| self.table.former(sender));
+        Heartbeat {
+            digests: vec![self.table.me().clone()],
+            deaths: former.into_iter().collect(),
+        }
     }
 
     /// Takes in a heartbeat; true if somebody joined or is leaving.
     pub fn hear(&mut self, now: Time, heartbeat: Heartbeat) -> bool {
         self.watch.heard(now);
         let events = self.table.merge(now, heartbeat);
+        for event in &events {
+            if let Event::Joined(instance) = event {
+                self.note_start(instance);
+            }
+        }
         self.log(&events);
         !events.is_empty()
     }
 
+    /// Instances that began anew since the last call: their records are lost.
+    pub fn restarted(&mut self) -> Vec<id::Instance> {
+        std::mem::take(&mut self.restarted)
+    }
+
+    fn note_start(&mut self, instance: &id::Instance) {
+        let Some(member) = self.table.get(instance) else {
+            return;
+        };
+        let incarnation = member.digest.incarnation;
+        match self
+            .starts
+            .binary_search_by(|start| start.instance.cmp(instance))
+        {
+            Ok(at) if self.starts[at].incarnation == incarnation => {}
+            Ok(at) => {
+                self.starts[at].incarnation = incarnation;
+                self.restarted.push(instance.clone());
+            }
+            Err(at) => {
+                let start = Start {
+                    instance: instance.clone(),
+                    incarnation,
+                };
+                self.starts.insert(at, start);
+                self.starts.truncate(STARTS);
+            }
+        }
+    }
+
     /// Notes deaths; true if somebody died. One's own stall is not a death of others.
     pub fn expire(&mut self, now: Time) -> bool {
         if self.watch.tick(now) {
@@ -122,11 +180,16 @@
             self.doubted = Some(now);
         }
         let events = self.table.expire(now, &self.watch);
-        if events.iter().any(|event| matches!(event, Event::Doubted(_))) {
+        if events
+            .iter()
+            .any(|event| matches!(event, Event::Doubted(_)))
+        {
             self.doubted = Some(now);
         }
-        let died: Vec<Event> =
-            events.into_iter().filter(|event| matches!(event, Event::Died(_))).collect();
+        let died: Vec<Event> = events
+            .into_iter()
+            .filter(|event| matches!(event, Event::Died(_)))
+            .collect();
         self.log(&died);
         !died.is_empty()
     }
@@ -181,7 +244,10 @@
             domain: address.domain,
             weight: address.weight,
         });
-        Addresses { addresses: addresses.collect(), ttl_ms: known.ttl }
+        Addresses {
+            addresses: addresses.collect(),
+            ttl_ms: known.ttl,
+        }
     }
 
     /// Members for operators, this one included, sorted by name.
@@ -198,14 +264,65 @@
         members
     }
 
+    /// Tells evidence to some peers, which tell it on; with none to tell, asks
+    /// a peer for all.
+    pub fn tell(&self, evidence: &[Evidence], peers: usize) {
+        let live: Vec<_> = self
+            .table
+            .live()
+            .map(|m| m.digest.instance.clone())
+            .collect();
+        if live.is_empty() {
+            return;
+        }
+        let start = rand::random_range(0..live.len());
+        for peer in live.iter().cycle().skip(start).take(peers.min(live.len())) {
+            let (node, peer, told) = (Arc::clone(&self.node), peer.clone(), evidence.to_vec());
+            tokio::spawn(async move {
+                let Ok(client) = node.links.client(&peer).await else {
+                    return;
+                };
+                // What gets lost is repeated.
+                let answer = client.evidence(link::context(link::CALL), told).await;
+                if let Ok(told) = answer
+                    && !told.is_empty()
+                {
+                    let ask = |reply| Message::Evidence { told, reply };
+                    let _taken = node.control.ask(ask).await;
+                }
+            });
+        }
+    }
+
+    /// This instance's place among all that live, by name, and how many live.
+    #[must_use]
+    pub fn place(&self) -> (usize, usize) {
+        let me = &self.node.settings.instance;
+        let before = self
+            .table
+            .live()
+            .filter(|m| m.digest.instance < *me)
+            .count();
+        (before, self.count())
+    }
+
     /// Passes a notice on to some peers.
     pub fn pass_on(&self, instance: &id::Instance) {
-        let live: Vec<_> = self.table.live().map(|m| m.digest.instance.clone()).collect();
+        let live: Vec<_> = self
+            .table
+            .live()
+            .map(|m| m.digest.instance.clone())
+            .collect();
         if live.is_empty() {
             return;
         }
         let start = rand::random_range(0..live.len());
-        for peer in live.iter().cycle().skip(start).take(PASS_ON.min(live.len())) {
+        for peer in live
+            .iter()
+            .cycle()
+            .skip(start)
+            .take(PASS_ON.min(live.len()))
+        {
             let (node, peer, instance) = (Arc::clone(&self.node), peer.clone(), instance.clone());
             tokio::spawn(async move {
                 if let Ok(client) = node.links.client(&peer).await {
@@ -220,9 +337,17 @@
     fn strangers(&self) -> Vec<String> {
         let own = &self.table.me().peers;
         let known = |address: &String| {
-            address == own || self.table.live().any(|member| member.digest.peers == *address)
+            address == own
+                || self
+                    .table
+                    .live()
+                    .any(|member| member.digest.peers == *address)
         };
-        self.seeds.iter().filter(|address| !known(address)).cloned().collect()
+        self.seeds
+            .iter()
+            .filter(|address| !known(address))
+            .cloned()
+            .collect()
     }
 
     fn send(&self, address: String, heartbeat: Heartbeat) {
@@ -232,7 +357,8 @@
             node.board.peer_bytes(Flow::Out, bytes);
             match node.links.beat(&node, &address, heartbeat).await {
                 Ok(answer) => {
-                    node.board.peer_bytes(Flow::In, peer::encode(&answer).len() as u64);
+                    node.board
+                        .peer_bytes(Flow::In, peer::encode(&answer).len() as u64);
                     node.control.send(Message::Heard(answer));
                 }
                 Err(error) => log::debug!("heartbeat: {error}"),
--- a/coltsfoothall-entry/src/peer.rs
+++ b/coltsfoothall-entry/src/peer.rs
@@ -17,12 +17,15 @@
 use tokio_util::codec::Framed;
 
 use coltsfoothall::id;
+use coltsfoothall::key::{Epoch, Slot};
 use coltsfoothall::member::Heartbeat;
+use coltsfoothall::print::Evidence;
 use coltsfoothall::record::Name;
 use coltsfoothall::replica::{Ack, Chunk, Taken, Update};
 use coltsfoothall::slot::Table;
 use coltsfoothall::takeover::Handoff;
 use coltsfoothall_shell::event;
+use coltsfoothall_shell::metric::Flow;
 use coltsfoothall_wire::fault::{Code, Fault};
 use coltsfoothall_wire::peer::{self, Config, Follow, Peer, Piece};
 use coltsfoothall_wire::serve::{self, Answer, Body, Handler};
@@ -61,12 +64,18 @@
 
 async fn route(node: &Arc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Fault> {
     if intake::bearer(request.headers()) != Some(node.settings.peer_token.as_str()) {
-        return Err(Fault::new(Code::Unauthorized, "the peers' token is missing or wrong"));
+        return Err(Fault::new(
+            Code::Unauthorized,
+            "the peers' token is missing or wrong",
+        ));
     }
     match (request.method(), request.uri().path()) {
         (&Method::POST, peer::FOLLOW) => follow(node, request.into_body()).await,
         (&Method::GET, peer::PEER) => Ok(upgrade(node, request)),
-        (_, path) => Err(Fault::new(Code::NotFound, format!("there is nothing at {path}"))),
+        (_, path) => Err(Fault::new(
+            Code::NotFound,
+            format!("there is nothing at {path}"),
+        )),
     }
 }
 
@@ -103,8 +112,15 @@
             Self::Fault(fault) => Some((Piece::Fault(fault), Self::Over)),
             Self::Follow(mut follower) => {
                 let piece = follower.next().await;
-                let last = matches!(piece, Piece::End(_) | Piece::Moved);
-                Some((piece, if last { Self::Over } else { Self::Follow(follower) }))
+                let last = matches!(piece, Piece::End { .. } | Piece::Moved);
+                Some((
+                    piece,
+                    if last {
+                        Self::Over
+                    } else {
+                        Self::Follow(follower)
+                    },
+                ))
             }
         }
     }
@@ -131,7 +147,10 @@
     let transport = serde_transport::new(framed, MessagePack::default());
     let channel = BaseChannel::with_defaults(transport);
     // One call after another: changes of a record must not overtake each other.
-    channel.execute(Calls { node }.serve()).for_each(|call| call).await;
+    channel
+        .execute(Calls { node }.serve())
+        .for_each(|call| call)
+        .await;
 }
 
 /// Carries out calls.
@@ -142,9 +161,12 @@
 
 impl Peer for Calls {
     async fn beat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
+        let board = &self.node.board;
+        board.peer_bytes(Flow::In, peer::encode(&heartbeat).len() as u64);
         let ask = |reply| Message::Beat { heartbeat, reply };
-        let empty = Heartbeat { digests: Vec::new() };
-        self.node.control.ask(ask).await.unwrap_or(empty)
+        let answer = self.node.control.ask(ask).await.unwrap_or_default();
+        board.peer_bytes(Flow::Out, peer::encode(&answer).len() as u64);
+        answer
     }
 
     async fn config(self, _: Context) -> Option<Config> {
@@ -161,7 +183,9 @@
 
     async fn import(self, _: Context, chunk: Chunk) -> Taken {
         let now = self.node.now();
-        self.node.desk.with_ledger(|ledger| ledger.import(now, chunk))
+        self.node
+            .desk
+            .with_ledger(|ledger| ledger.import(now, chunk))
     }
 
     async fn hand_over(self, _: Context, handoff: Handoff) -> bool {
@@ -169,13 +193,25 @@
         self.node.control.ask(ask).await.unwrap_or(false)
     }
 
+    async fn cede(self, _: Context, slot: Slot, epoch: Epoch) -> bool {
+        let sealed = self.node.desk.with_ledger(|ledger| {
+            ledger.keeps(slot, epoch) && (ledger.seal(slot).is_some() || ledger.serving(slot))
+        });
+        self.node.control.send(Message::ReadTable);
+        sealed
+    }
+
     async fn cancel(self, _: Context, name: Name) -> bool {
         self.node.desk.cancel(&name)
     }
 
+    async fn evidence(self, _: Context, told: Vec<Evidence>) -> Vec<Evidence> {
+        let ask = |reply| Message::Evidence { told, reply };
+        self.node.control.ask(ask).await.unwrap_or_default()
+    }
+
     async fn notice(self, _: Context, instance: id::Instance) {
         event::NOTICE.emit(format_args!("instance={instance} left_ms=0 heard=peer"));
         self.node.control.send(Message::Notice(instance));
     }
 }
-
--- a/coltsfoothall-wire/src/peer.rs
+++ b/coltsfoothall-wire/src/peer.rs
@@ -11,7 +11,9 @@
 
 use coltsfoothall::catalog::Catalog;
 use coltsfoothall::id;
+use coltsfoothall::key::{Epoch, Slot};
 use coltsfoothall::member::Heartbeat;
+use coltsfoothall::print::Evidence;
 use coltsfoothall::record::{Answer, End, Finish, Intake, Name};
 use coltsfoothall::replica::{Ack, Chunk, Taken, Update};
 use coltsfoothall::size::Millis;
@@ -55,7 +57,12 @@
     /// The whole answer of a plain service.
     Answer(Box<Answer>),
     /// The request ended.
-    End(End),
+    End {
+        /// How.
+        end: End,
+        /// When its caller may come back, if it was given up.
+        retry_after_ms: Option<Millis>,
+    },
     /// Another entry instance owns the request now.
     Moved,
     /// The request was refused.
@@ -166,8 +173,14 @@
     async fn import(chunk: Chunk) -> Taken;
     /// Lets the backup act as owner; false if its copy lacks a change.
     async fn hand_over(handoff: Handoff) -> bool;
+    /// Tells the backup that the slot's owner has lost its records; false if
+    /// there is no copy here either.
+    async fn cede(slot: Slot, epoch: Epoch) -> bool;
     /// Cancels a request; false if it is not open there.
     async fn cancel(name: Name) -> bool;
+    /// Tells evidence against requests, at most what a docket holds. Nothing told
+    /// asks for all; else the answer is empty.
+    async fn evidence(told: Vec<Evidence>) -> Vec<Evidence>;
     /// Passes on that an instance was given notice.
     async fn notice(instance: id::Instance);
 }
--- a/coltsfoothall/src/duty.rs
+++ b/coltsfoothall/src/duty.rs
@@ -5,8 +5,8 @@
 //! whose outcome the next round sees.
 
 use crate::id;
-use crate::ledger::Ledger;
 use crate::key::{Epoch, Slot};
+use crate::ledger::Ledger;
 use crate::slot::{Candidate, Entry, FIRST, Table};
 
 /// Most copies started in one round; it keeps a change of members from
@@ -59,6 +59,8 @@
     Resume(Slot),
     /// Let idempotent requests go on without a backup.
     Alone(Slot),
+    /// Wait no longer for a copy that the table does not name: its holder died.
+    GiveUp(Slot),
 }
 
 /// A backup that the table names and that has no copy.
@@ -142,6 +144,17 @@
         self.alive(backup) && !self.missing.iter().any(missing)
     }
 
+    /// Whether a backup is in this instance's failure domain although there are others.
+    fn near(&self, backup: &id::Instance) -> bool {
+        let domain = |instance: &id::Instance| {
+            let found = self.live.binary_search_by(|c| c.instance.cmp(instance));
+            found.ok().map(|at| &self.live[at].domain)
+        };
+        let home = domain(self.me);
+        let apart = |c: &Candidate| !c.leaving && Some(&c.domain) != home;
+        domain(backup) == home && self.live.iter().any(apart)
+    }
+
     /// Duties of a primary without its copy: it handed the slot over, nobody has
     /// kept it yet, or a restart under the same name lost the records.
     fn lead_bare(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
@@ -149,7 +162,11 @@
             return Some(Duty::Yield(slot));
         }
         if let Some(backup) = entry.backup.as_ref().filter(|backup| self.alive(backup)) {
-            return Some(Duty::Cede { slot, epoch: entry.epoch, to: backup.clone() });
+            return Some(Duty::Cede {
+                slot,
+                epoch: entry.epoch,
+                to: backup.clone(),
+            });
         }
         let lost = self.settled || entry.epoch == FIRST;
         let claim = lost && self.service && !self.leaving;
@@ -161,15 +178,26 @@
         if !self.ledger.keeps(slot, entry.epoch) {
             return self.lead_bare(slot, entry);
         }
+        if self
+            .ledger
+            .learner(slot)
+            .is_some_and(|learner| !self.alive(learner))
+        {
+            return Some(Duty::GiveUp(slot));
+        }
         let backup = entry.backup.as_ref();
         match backup.filter(|backup| self.backed(slot, entry, backup)) {
             None => self.find_backup(slot, entry),
-            Some(backup) if self.leaving => self.hand_over(slot, backup),
+            Some(backup) if self.leaving && self.staying(backup) => self.hand_over(slot, backup),
+            Some(_leaving) if self.leaving => self.stay_on(slot, entry),
             Some(backup) => match to {
                 Some(to) if to == backup => self.hand_over(slot, to),
                 Some(to) if self.ledger.ready(slot, to) => self.hand_over(slot, to),
-                Some(to) => Some(Duty::Copy { slot, to: to.clone() }),
-                None if !self.staying(backup) => self.find_backup(slot, entry),
+                Some(to) => Some(Duty::Copy {
+                    slot,
+                    to: to.clone(),
+                }),
+                None if !self.staying(backup) || self.near(backup) => self.find_backup(slot, entry),
                 None if self.ledger.drained(slot) => Some(Duty::Resume(slot)),
                 None => None,
             },
@@ -189,6 +217,16 @@
         Some(Duty::Copy { slot, to: backup })
     }
 
+    /// Duties of a primary that is leaving like its backup: a slot that went to
+    /// the backup would only come back. It goes to one that stays, if any does.
+    fn stay_on(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
+        if self.ledger.drained(slot) {
+            return Some(Duty::Resume(slot));
+        }
+        let stays = self.live.iter().any(|candidate| !candidate.leaving);
+        stays.then(|| self.find_backup(slot, entry)).flatten()
+    }
+
     /// A slot is handed over once nothing in it could end as unknown by that.
     fn hand_over(&self, slot: Slot, to: &id::Instance) -> Option<Duty> {
         let begun = |r: &crate::record::Record| !r.intake.idempotent && r.begun();
@@ -199,25 +237,33 @@
             return Some(Duty::Drain(slot));
         }
         if self.service {
-            return Some(Duty::HandOver { slot, to: to.clone() });
+            return Some(Duty::HandOver {
+                slot,
+                to: to.clone(),
+            });
         }
         Some(Duty::Yield(slot))
     }
 
     /// Duties of a slot's backup.
     fn back(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
+        let lost = self.settled && !self.alive(&entry.primary);
         if !self.ledger.keeps(slot, entry.epoch) {
-            return None;
+            // This process began anew, and the owner died before it made another copy.
+            let claim = lost && self.service && !self.leaving;
+            return claim.then_some(Duty::Claim(slot));
         }
         // Once a copy is sealed, only the table can tell who goes on.
         let acts = self.ledger.released(slot).is_some() || self.ledger.serving(slot);
-        let lost = self.settled && !self.alive(&entry.primary);
         (acts || lost).then_some(Duty::TakeOver(slot))
     }
 
     /// Duties of the others: a slot that nobody keeps any more goes to one of them.
     fn watch(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
-        let backup = entry.backup.as_ref().is_some_and(|backup| self.alive(backup));
+        let backup = entry
+            .backup
+            .as_ref()
+            .is_some_and(|backup| self.alive(backup));
         if !self.settled || !self.service || backup || self.alive(&entry.primary) {
             return None;
         }
--- a/coltsfoothall/src/transfer.rs
+++ b/coltsfoothall/src/transfer.rs
@@ -68,6 +68,15 @@
         true
     }
 
+    /// Who holds a copy that the table does not name; what leaves waits for it.
+    #[must_use]
+    pub fn learner(&self, slot: Slot) -> Option<&id::Instance> {
+        match &self.replica(slot)?.role {
+            Role::Owner(owner) => owner.learner.as_ref().map(|link| &link.peer),
+            Role::Backup { .. } | Role::Learner { .. } => None,
+        }
+    }
+
     /// Notes that the copy at `to` is whole up to `seq`. From now on it has to
     /// hold what leaves. The updates are those that it still lacks; none means
     /// that the copy was given up or has fallen too far behind.
--- /dev/null
+++ b/coltsfoothall/tests/duty.rs
@@ -0,0 +1,234 @@
+//! What an instance does for the slots, step by step.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use coltsfoothall::clock::Time;
+use coltsfoothall::duty::{Duty, Missing, Sight, duties};
+use coltsfoothall::id;
+use coltsfoothall::key::Slot;
+use coltsfoothall::ledger::{Ledger, Settings};
+use coltsfoothall::replica::Taken;
+use coltsfoothall::slot::{Candidate, Refused, Table};
+
+const NOW: Time = Time::START;
+const SLOT: Slot = Slot(0);
+
+fn name(name: &str) -> id::Instance {
+    name.parse().unwrap()
+}
+
+fn live(names: &[&str]) -> Vec<Candidate> {
+    let candidate = |at: &&str| Candidate {
+        instance: name(at),
+        domain: format!("domain-{at}").parse().unwrap(),
+        leaving: false,
+    };
+    names.iter().map(candidate).collect()
+}
+
+/// One slot of `a` with its copy at `b`.
+struct World {
+    table: Table,
+    a: Ledger,
+    b: Ledger,
+}
+
+impl World {
+    fn new() -> Self {
+        let a = Ledger::new(name("a"), Settings::default());
+        let b = Ledger::new(name("b"), Settings::default());
+        let table = Table::first(1, &live(&["a"])).unwrap();
+        let mut world = Self { table, a, b };
+        let claimed = world.table.claim(SLOT, world.entry_epoch(), &name("a"));
+        assert!(world.propose(&claimed));
+        world.settle(claimed.unwrap());
+        world.copy();
+        let named =
+            world
+                .table
+                .replace_backup(SLOT, world.entry_epoch(), &name("a"), Some(name("b")));
+        assert!(world.propose(&named));
+        world.settle(named.unwrap());
+        world
+    }
+
+    fn entry_epoch(&self) -> coltsfoothall::key::Epoch {
+        self.table.entry(SLOT).unwrap().epoch
+    }
+
+    fn propose(&mut self, table: &Result<Table, Refused>) -> bool {
+        let entry = table.as_ref().unwrap().entry(SLOT).unwrap().clone();
+        self.a.propose(SLOT, self.table.version, entry).is_ok()
+    }
+
+    fn settle(&mut self, table: Table) {
+        self.a.observe(NOW, &table);
+        self.b.observe(NOW, &table);
+        self.table = table;
+    }
+
+    fn copy(&mut self) {
+        for chunk in self.a.export(NOW, SLOT, &name("b")).unwrap() {
+            if let Taken::Whole(copy, seq) = self.b.import(NOW, chunk) {
+                self.a.copied(SLOT, &name("b"), copy, seq).unwrap();
+            }
+        }
+    }
+
+    fn duties(&self, me: &str, live: &[Candidate], missing: &[Missing]) -> Vec<Duty> {
+        duties(&Sight {
+            me: &name(me),
+            table: &self.table,
+            ledger: if me == "a" { &self.a } else { &self.b },
+            live,
+            missing,
+            leaving: false,
+            service: true,
+            settled: true,
+        })
+    }
+}
+
+#[test]
+fn nothing_to_do() {
+    let world = World::new();
+    let all = live(&["a", "b"]);
+    assert_eq!(world.duties("a", &all, &[]), []);
+    assert_eq!(world.duties("b", &all, &[]), []);
+}
+
+#[test]
+fn primary_dead() {
+    let world = World::new();
+    assert_eq!(
+        world.duties("b", &live(&["b"]), &[]),
+        [Duty::TakeOver(SLOT)]
+    );
+}
+
+/// A sealed copy acknowledges nothing, so the takeover has to go on even if
+/// the primary is heard again.
+#[test]
+fn seal_goes_on() {
+    let mut world = World::new();
+    world.b.seal(SLOT);
+    assert_eq!(
+        world.duties("b", &live(&["a", "b"]), &[]),
+        [Duty::TakeOver(SLOT)]
+    );
+}
+
+/// The backup has the records, so the primary that lost its own claims nothing.
+#[test]
+fn primary_restarted() {
+    let mut world = World::new();
+    world.a = Ledger::new(name("a"), Settings::default());
+    let cede = Duty::Cede {
+        slot: SLOT,
+        epoch: world.entry_epoch(),
+        to: name("b"),
+    };
+    assert_eq!(world.duties("a", &live(&["a", "b"]), &[]), [cede]);
+    assert_eq!(world.duties("a", &live(&["a"]), &[]), [Duty::Claim(SLOT)]);
+}
+
+#[test]
+fn backup_restarted() {
+    let world = World::new();
+    let missing = Missing {
+        slot: SLOT,
+        epoch: world.entry_epoch(),
+        at: name("b"),
+    };
+    let all = live(&["a", "b"]);
+    let copy = Duty::Copy {
+        slot: SLOT,
+        to: name("b"),
+    };
+    assert_eq!(world.duties("a", &all, &[missing]), [copy]);
+}
+
+/// A handover's write that lost against another one leaves the owner in charge.
+#[test]
+fn handover_lost() {
+    let mut world = World::new();
+    world.a.drain(SLOT);
+    assert!(world.a.drained(SLOT));
+    let given = world
+        .table
+        .hand_over(SLOT, world.entry_epoch(), &name("a"), &name("b"));
+    assert!(world.propose(&given));
+    assert_eq!(
+        world.a.released(SLOT),
+        None,
+        "nothing leaves while the write may take effect"
+    );
+    let other = world.table.merge(&[]);
+    world.settle(other);
+    assert!(world.a.released(SLOT).is_some());
+    assert_eq!(
+        world.duties("a", &live(&["a", "b"]), &[]),
+        [Duty::Resume(SLOT)]
+    );
+}
+
+/// The owner's word to its backup holds, whatever becomes of the table.
+#[test]
+fn yield_holds() {
+    let mut world = World::new();
+    world.a.drain(SLOT);
+    let (backup, handoff) = world.a.hand_over(SLOT).unwrap();
+    assert_eq!(backup, name("b"));
+    let other = world.table.merge(&[]);
+    world.settle(other);
+    assert_eq!(world.a.released(SLOT), None);
+    assert_eq!(
+        world.duties("a", &live(&["a", "b"]), &[]),
+        [Duty::Yield(SLOT)]
+    );
+    assert!(world.b.accept(handoff));
+    assert_eq!(
+        world.duties("b", &live(&["a", "b"]), &[]),
+        [Duty::TakeOver(SLOT)]
+    );
+}
+
+/// A proposal whose outcome is not known blocks others until the version rises.
+#[test]
+fn proposal_settled() {
+    let mut world = World::new();
+    let alone = world
+        .table
+        .replace_backup(SLOT, world.entry_epoch(), &name("a"), None);
+    assert!(world.propose(&alone));
+    assert!(world.a.proposing());
+    assert!(world.a.export(NOW, SLOT, &name("c")).is_none());
+    let bumped = world.table.merge(&[]);
+    world.settle(bumped);
+    assert!(!world.a.proposing());
+    assert!(world.a.export(NOW, SLOT, &name("c")).is_some());
+}
+
+/// A move may leave the former owner as backup in the same failure domain.
+#[test]
+fn backup_near() {
+    let world = World::new();
+    let mut all = live(&["a", "b", "c"]);
+    all[1].domain = all[0].domain.clone();
+    let copy = Duty::Copy {
+        slot: SLOT,
+        to: name("c"),
+    };
+    assert_eq!(world.duties("a", &all, &[]), [copy]);
+    all[2].domain = all[0].domain.clone();
+    assert_eq!(world.duties("a", &all, &[]), []);
+}
+
+/// The owner died before it made another copy for a backup that began anew.
+#[test]
+fn both_lost() {
+    let mut world = World::new();
+    world.b = Ledger::new(name("b"), Settings::default());
+    assert_eq!(world.duties("b", &live(&["a", "b"]), &[]), []);
+    assert_eq!(world.duties("b", &live(&["b"]), &[]), [Duty::Claim(SLOT)]);
+}
