--- a/coltsfoothall-entry/src/answer.rs
+++ b/coltsfoothall-entry/src/answer.rs
@@ -50,25 +50,48 @@
     #[must_use]
     pub fn completion(intake: &Intake, stream: bool) -> Self {
         let prompt = match &intake.work {
-            Work::Completion { model, adapter, prompt, .. } => Some(Prompt {
-                model: adapter.as_ref().map_or(model.as_str(), |a| a.as_str()).to_owned(),
+            Work::Completion {
+                model,
+                adapter,
+                prompt,
+                ..
+            } => Some(Prompt {
+                model: adapter
+                    .as_ref()
+                    .map_or(model.as_str(), |a| a.as_str())
+                    .to_owned(),
                 tokens: prefix::tokens(prompt),
             }),
             Work::Call { .. } => None,
         };
-        Self { name: intake.name.clone(), class: intake.class, prompt, stream }
+        Self {
+            name: intake.name.clone(),
+            class: intake.class,
+            prompt,
+            stream,
+        }
     }
 
     /// A plain service's answer.
     #[must_use]
     pub fn call(intake: &Intake) -> Self {
-        Self { name: intake.name.clone(), class: intake.class, prompt: None, stream: false }
+        Self {
+            name: intake.name.clone(),
+            class: intake.class,
+            prompt: None,
+            stream: false,
+        }
     }
 
     /// The answer of a request that is already known: streamed, if it is a completion.
     #[must_use]
     pub fn resumed(name: &Name) -> Self {
-        Self { name: name.clone(), class: Class::default(), prompt: None, stream: true }
+        Self {
+            name: name.clone(),
+            class: Class::default(),
+            prompt: None,
+            stream: true,
+        }
     }
 }
 
@@ -97,8 +120,16 @@
     let meter = Meter::new(Arc::clone(node), shape);
     let first = source.next().await;
     let mut response = match first {
-        Piece::Text { tokens, text, finish } => {
-            let piece = Text { tokens, text, finish };
+        Piece::Text {
+            tokens,
+            text,
+            finish,
+        } => {
+            let piece = Text {
+                tokens,
+                text,
+                finish,
+            };
             if shape.stream {
                 streamed(source, shape, piece, meter)
             } else {
@@ -106,12 +137,11 @@
             }
         }
         Piece::Answer(answer) => {
-            // Its end comes behind it: only then is the outcome settled.
-            settle(&mut source, &shape.name.key).await?;
+            let answer = settle(&mut source, answer, &shape.name.key).await?;
             meter.end();
             plain(*answer)
         }
-        Piece::End(End::Done) if shape.prompt.is_some() || shape.stream => {
+        Piece::End { end: End::Done, .. } if shape.prompt.is_some() || shape.stream => {
             // The caller resumed behind the last piece.
             streamed_end()
         }
@@ -121,10 +151,19 @@
     Ok(response)
 }
 
-async fn settle(source: &mut Source, key: &Key) -> Result<(), Fault> {
-    match source.next().await {
-        Piece::End(End::Done) => Ok(()),
-        other => Err(fault(other, key)),
+/// Waits for the end behind a plain service's answer: only then is the outcome settled.
+async fn settle(
+    source: &mut Source,
+    mut answer: Box<Answer>,
+    key: &Key,
+) -> Result<Box<Answer>, Fault> {
+    loop {
+        match source.next().await {
+            Piece::End { end: End::Done, .. } => return Ok(answer),
+            // The owner changed in between, and the new one begins with the answer.
+            Piece::Answer(again) => answer = again,
+            other => return Err(fault(other, key)),
+        }
     }
 }
 
@@ -132,33 +171,66 @@
 fn fault(piece: Piece, key: &Key) -> Fault {
     let fault = match piece {
         Piece::Fault(fault) => *fault,
-        Piece::End(End::NotRun(cause)) => ended(cause, Outcome::NotRun),
-        Piece::End(End::Unknown(cause)) => ended(cause, Outcome::Unknown),
-        Piece::End(End::Done) | Piece::Text { .. } | Piece::Answer(_) | Piece::Moved => {
-            Fault::new(Code::Internal, "the answer's pieces are out of order")
-        }
+        Piece::End {
+            end: End::NotRun(cause),
+            retry_after_ms,
+        } => ended(cause, Outcome::NotRun, retry_after_ms),
+        Piece::End {
+            end: End::Unknown(cause),
+            retry_after_ms,
+        } => ended(cause, Outcome::Unknown, retry_after_ms),
+        Piece::End { end: End::Done, .. }
+        | Piece::Text { .. }
+        | Piece::Answer(_)
+        | Piece::Moved => Fault::new(Code::Internal, "the answer's pieces are out of order"),
     };
-    Fault { request: Some(key.clone()), ..fault }
+    Fault {
+        request: Some(key.clone()),
+        ..fault
+    }
 }
 
-fn ended(cause: Cause, outcome: Outcome) -> Fault {
+/// `after` is when the caller may come back, if the gate said so.
+fn ended(cause: Cause, outcome: Outcome, after: Option<Millis>) -> Fault {
     let (code, message, again) = match cause {
         Cause::Cancelled => (Code::Cancelled, "the request was cancelled", false),
         Cause::Deadline => (Code::Deadline, "the deadline passed", true),
-        Cause::NoEndpoint => (Code::NoEndpoint, "no endpoint can take the request now", true),
+        Cause::NoEndpoint => (
+            Code::NoEndpoint,
+            "no endpoint can take the request now",
+            true,
+        ),
         Cause::Overloaded => (Code::Overloaded, "there is no capacity now", true),
-        Cause::Failed => (Code::Failed, "every attempt that could be made has failed", true),
-        Cause::Poisonous => (Code::Poisonous, "endpoints died when this request ran", false),
-        Cause::OwnerLost => (Code::LedgerLost, "the entry instance that ran it was lost", false),
+        Cause::Failed => (
+            Code::Failed,
+            "every attempt that could be made has failed",
+            true,
+        ),
+        Cause::Poisonous => (
+            Code::Poisonous,
+            "endpoints died when this request ran",
+            false,
+        ),
+        Cause::OwnerLost => (
+            Code::LedgerLost,
+            "the entry instance that ran it was lost",
+            false,
+        ),
         Cause::NotSafe => (Code::NotSafe, "at most once cannot be promised now", true),
     };
-    let retry_after_ms = again.then_some(COME_BACK);
-    Fault { outcome, retry_after_ms, ..Fault::new(code, message) }
+    let retry_after_ms = after.or_else(|| again.then_some(COME_BACK));
+    Fault {
+        outcome,
+        retry_after_ms,
+        ..Fault::new(code, message)
+    }
 }
 
 fn name(response: &mut Response<Body>, key: &Key) {
     let value = HeaderValue::from_str(key.as_str()).expect("keys hold only plain characters");
-    response.headers_mut().insert(HeaderName::from_static(header::REQUEST), value);
+    response
+        .headers_mut()
+        .insert(HeaderName::from_static(header::REQUEST), value);
 }
 
 fn plain(answer: Answer) -> Response<Body> {
@@ -194,23 +266,37 @@
     meter.tokens(all.tokens);
     loop {
         match source.next().await {
-            Piece::Text { tokens, text, finish } => {
+            Piece::Text {
+                tokens,
+                text,
+                finish,
+            } => {
                 all.text.push_str(&text);
                 all.tokens = tokens;
                 all.finish = finish;
                 meter.tokens(tokens);
             }
-            Piece::End(End::Done) => break,
+            Piece::End { end: End::Done, .. } => break,
             other => return Err(fault(other, &shape.name.key)),
         }
     }
     meter.end();
-    let prompt = shape.prompt.clone().unwrap_or(Prompt { model: String::new(), tokens: Tokens(0) });
+    let prompt = shape.prompt.clone().unwrap_or(Prompt {
+        model: String::new(),
+        tokens: Tokens(0),
+    });
     let completion = Completion {
         id: shape.name.key.clone(),
         model: prompt.model,
-        usage: Usage { prompt_tokens: prompt.tokens, completion_tokens: Tokens(all.tokens) },
-        choices: vec![Choice { index: 0, text: all.text, finish_reason: all.finish }],
+        usage: Usage {
+            prompt_tokens: prompt.tokens,
+            completion_tokens: Tokens(all.tokens),
+        },
+        choices: vec![Choice {
+            index: 0,
+            text: all.text,
+            finish_reason: all.finish,
+        }],
     };
     Ok(serve::json(200, &completion))
 }
@@ -232,7 +318,12 @@
 /// Streams a completion part by part.
 fn streamed(source: Source, shape: &Shape, first: Text, meter: Meter) -> Response<Body> {
     let key = shape.name.key.clone();
-    let writer = Writer { source, key, meter, next: Next::Piece(first) };
+    let writer = Writer {
+        source,
+        key,
+        meter,
+        next: Next::Piece(first),
+    };
     let frames = stream::unfold(writer, |mut writer| async move {
         let text = writer.event().await?;
         let frame = Frame::data(Bytes::from(text));
@@ -242,7 +333,10 @@
 }
 
 fn streamed_end() -> Response<Body> {
-    let done = Event { id: None, data: DONE.into() };
+    let done = Event {
+        id: None,
+        data: DONE.into(),
+    };
     events(serve::full(done.encode()))
 }
 
@@ -259,11 +353,25 @@
             Next::Piece(text) => text,
             Next::End => return None,
             Next::Follow => match self.source.next().await {
-                Piece::Text { tokens, text, finish } => Text { tokens, text, finish },
-                Piece::End(End::Done) => {
+                Piece::Text {
+                    tokens,
+                    text,
+                    finish,
+                } => Text {
+                    tokens,
+                    text,
+                    finish,
+                },
+                Piece::End { end: End::Done, .. } => {
                     self.next = Next::End;
                     self.meter.end();
-                    return Some(Event { id: None, data: DONE.into() }.encode());
+                    return Some(
+                        Event {
+                            id: None,
+                            data: DONE.into(),
+                        }
+                        .encode(),
+                    );
                 }
                 other => {
                     self.next = Next::End;
@@ -279,15 +387,28 @@
 }
 
 fn part(key: &Key, piece: Text) -> String {
-    let choice = Choice { index: 0, text: piece.text, finish_reason: piece.finish };
-    let part = Part { id: key.clone(), choices: vec![choice] };
+    let choice = Choice {
+        index: 0,
+        text: piece.text,
+        finish_reason: piece.finish,
+    };
+    let part = Part {
+        id: key.clone(),
+        choices: vec![choice],
+    };
     let data = String::from_utf8_lossy(&http::json(&part)).into_owned();
-    Event { id: Some(piece.tokens.to_string()), data }.encode()
+    Event {
+        id: Some(piece.tokens.to_string()),
+        data,
+    }
+    .encode()
 }
 
 /// The error that ends a stream whose head has been sent already.
 fn broken(fault: &Fault) -> String {
-    let body = FaultBody { error: fault.clone() };
+    let body = FaultBody {
+        error: fault.clone(),
+    };
     let data = String::from_utf8_lossy(&http::json(&body)).into_owned();
     Event { id: None, data }.encode()
 }
@@ -304,7 +425,13 @@
 impl Meter {
     fn new(node: Arc<Node>, shape: &Shape) -> Self {
         let labels = node.labels(&shape.name, shape.class);
-        Self { node, labels, began: Instant::now(), last: None, have: 0 }
+        Self {
+            node,
+            labels,
+            began: Instant::now(),
+            last: None,
+            have: 0,
+        }
     }
 
     fn tokens(&mut self, tokens: u64) {
@@ -322,7 +449,8 @@
     }
 
     fn end(&self) {
-        self.node.measure_end(&self.labels, Instant::now() - self.began);
+        self.node
+            .measure_end(&self.labels, Instant::now() - self.began);
     }
 
     fn fault(&self, fault: &Fault) {
--- a/coltsfoothall-entry/src/control.rs
+++ b/coltsfoothall-entry/src/control.rs
@@ -15,12 +15,14 @@
 use coltsfoothall::adoption::{Config, Need, Outcome, Source, in_force};
 use coltsfoothall::catalog::{Catalog, Kind, Revision};
 use coltsfoothall::choice::Endpoint as Choice;
+use coltsfoothall::clock::Time;
 use coltsfoothall::id;
 use coltsfoothall::index;
 use coltsfoothall::key::Slot;
 use coltsfoothall::limit::{Number, Refusal, Ticket};
 use coltsfoothall::load::Report;
 use coltsfoothall::member::Heartbeat;
+use coltsfoothall::print::Evidence;
 use coltsfoothall::retry::Verdict;
 use coltsfoothall::size::{Millis, Tokens};
 use coltsfoothall::slot::Table;
@@ -34,7 +36,9 @@
 
 pub use crate::dispatch::Pick;
 
+use crate::death::{self, Found};
 use crate::dispatch::Dispatch;
+use crate::endpoint::Ended;
 use crate::keeper::{Round, Slots};
 use crate::link;
 use crate::members::{ENTRY, Members};
@@ -47,6 +51,19 @@
 /// Between two looks at members and slots; the lag of this timer tells an own stall.
 pub const LOOK: Duration = Duration::from_millis(200);
 
+/// Peers that new evidence is told to, which tell it on.
+const FAN: usize = 6;
+/// Looks between two repeats of evidence to a peer.
+const REPEAT: u64 = 25;
+/// How long notices are repeated to peers.
+const RETELL: Duration = Duration::from_secs(10);
+/// How long a notice is kept for an instance that is not listed; lists lag less.
+const UNLISTED: Duration = Duration::from_secs(120);
+/// Looks between two repeats of notices to some peers.
+const TELL: u64 = 5;
+/// Peers that an instance asks for evidence after its start.
+const ASKED: u32 = 3;
+
 /// Open requests that make an instance fully loaded.
 const OPEN: usize = 2000;
 
@@ -89,8 +106,17 @@
     Ended {
         /// The attempt.
         attempt: u64,
-        /// Whether its endpoint broke it.
-        broke: bool,
+        /// How.
+        ended: Ended,
+    },
+    /// A trial of an endpoint ended.
+    Tried(id::Endpoint, Found),
+    /// A peer tells evidence against requests, or asks for all.
+    Evidence {
+        /// What it tells.
+        told: Vec<Evidence>,
+        /// Gets all evidence if nothing is told.
+        reply: oneshot::Sender<Vec<Evidence>>,
     },
     /// A request is over.
     Over(Number),
@@ -189,6 +215,13 @@
     }
 }
 
+/// An instance that was given notice.
+#[derive(Debug)]
+struct Noticed {
+    instance: id::Instance,
+    at: Time,
+}
+
 /// The state that decisions rest on.
 struct Control {
     node: Arc<Node>,
@@ -198,9 +231,13 @@
     members: Members,
     slots: Slots,
     /// Sorted by name.
-    machines: Vec<Machine>,
+    machines: Arc<Vec<Machine>>,
     /// Instances that were given notice, sorted.
-    noticed: Vec<id::Instance>,
+    noticed: Vec<Noticed>,
+    /// Looks so far; it spaces what is done less often.
+    looks: u64,
+    /// Times that peers were asked for all evidence.
+    asked: u32,
     leaving: bool,
 }
 
@@ -229,8 +266,10 @@
             dispatch,
             members: Members::new(Arc::clone(&node)),
             slots: Slots::new(Arc::clone(&node)),
-            machines: Vec::new(),
+            machines: Arc::default(),
             noticed: Vec::new(),
+            looks: 0,
+            asked: 0,
             leaving: false,
             node,
         }
@@ -263,7 +302,9 @@
             self.publish();
         }
         self.slots.look(now, &self.members, self.leaving);
+        self.node.desk.flush_all();
         self.node.desk.with_ledger(|ledger| ledger.retire(now));
+        self.look_at_endpoints(now);
         self.gauge();
     }
 
@@ -271,6 +312,8 @@
         let load = self.load();
         let revision = self.config.revision();
         self.members.beat(self.leaving, load, revision.0, self.slots.version());
+        let (place, count) = self.members.place();
+        self.dispatch.set_place(place, count);
         // Weights and ages of members change with each heartbeat.
         self.publish();
     }
@@ -290,10 +333,15 @@
     /// Takes in what a peer said of itself and others.
     fn hear(&mut self, heartbeat: Heartbeat) {
         let now = self.node.now();
-        let Some(sender) = heartbeat.digests.first().cloned() else { return };
+        let Some(sender) = heartbeat.digests.first().cloned() else {
+            return;
+        };
         if self.members.hear(now, heartbeat) {
             self.publish();
         }
+        for instance in self.members.restarted() {
+            self.slots.restarted(&instance);
+        }
         let source = Source::Peer { id: sender.instance.clone(), age: None };
         if self.config.hear(&source, Revision(sender.revision), now) == Need::Fetch {
             fetch_config(Arc::clone(&self.node), sender.instance.clone());
@@ -316,17 +364,26 @@
             Message::Pick { pick, reply } => self.dispatch.pick(now, pick, reply),
             Message::Retry { service, attempts, reply } => self.retry(&service, attempts, reply),
             Message::First { attempt, cached, .. } => self.dispatch.first(now, attempt, cached),
-            Message::Ended { attempt, broke } => {
-                let endpoint = self.dispatch.ended(now, attempt);
-                if let (Some(endpoint), true) = (endpoint, broke) {
-                    self.dispatch.broke(now, &endpoint);
+            Message::Ended { attempt, ended } => {
+                if let Some(endpoint) = self.dispatch.ended(now, attempt, ended) {
+                    self.try_endpoint(endpoint);
+                }
+            }
+            Message::Tried(endpoint, found) => {
+                let found = self.settle(&endpoint, found);
+                if self.dispatch.rule(now, &endpoint, found) {
+                    self.endpoint_died(&endpoint, found == (Found::Dead { domain: true }));
                 }
             }
+            Message::Evidence { told, reply } => {
+                let answer = self.evidence(&told);
+                let _gone = reply.send(answer);
+            }
             Message::Over(number) => self.dispatch.over(now, number),
             Message::Machines(machines) => self.set_machines(machines),
             Message::Notice(instance) => self.notice(&instance),
             Message::Load(endpoint, report) => {
-                self.dispatch.router().report(now, &endpoint, &report);
+                self.dispatch.report(now, &endpoint, &report);
             }
             Message::Cache(endpoint, events) => {
                 let _lost = self.dispatch.router().cache_events(&endpoint, &events);
@@ -337,12 +394,13 @@
                 let base = self.config.at(base).cloned();
                 let _gone = reply.send(Held { held, base });
             }
-            Message::Table(table) => self.observe(&table, false),
+            Message::Table(table) => self.observe(&table, None),
             Message::ReadTable => self.slots.read_soon(),
             Message::Round(round) => self.round(round),
             Message::Beat { heartbeat, reply } => {
+                let sender = heartbeat.digests.first().cloned();
                 self.hear(heartbeat);
-                let _gone = reply.send(self.members.answer());
+                let _gone = reply.send(self.members.answer(sender.as_ref()));
             }
             Message::Heard(heartbeat) => self.hear(heartbeat),
             Message::Config(reply) => {
@@ -367,6 +425,122 @@
         }
     }
 
+    /// Repeats what peers may have missed, and tries dead endpoints again.
+    fn look_at_endpoints(&mut self, now: Time) {
+        self.looks += 1;
+        for endpoint in self.dispatch.judge().due(now) {
+            self.try_endpoint(endpoint);
+        }
+        if self.looks.is_multiple_of(TELL) {
+            for noticed in self.noticed.iter().filter(|n| now.since(n.at) < RETELL) {
+                self.members.pass_on(&noticed.instance);
+            }
+        }
+        if self.asked < ASKED && self.members.count() > 1 {
+            self.asked += 1;
+            self.members.tell(&[], 1);
+        }
+        if self.looks.is_multiple_of(REPEAT) {
+            self.dispatch.judge().expire(now);
+            let newest = self.dispatch.judge().newest(now);
+            if !newest.is_empty() {
+                self.members.tell(&newest, 1);
+            }
+        }
+    }
+
+    /// What a trial found, where no answer of an endpoint that left the instance
+    /// list means that it is dead.
+    fn settle(&self, endpoint: &id::Endpoint, found: Found) -> Found {
+        let listed = self.machines.iter().any(|m| m.id.as_str() == endpoint.as_str());
+        match found {
+            Found::Silent if !listed => Found::Dead { domain: false },
+            Found::Silent | Found::Alive | Found::Dead { .. } => found,
+        }
+    }
+
+    /// Tries endpoints that run something here and left the instance list.
+    fn try_gone(&mut self, old: &[Machine]) {
+        for machine in old {
+            let listed = self.machines.binary_search_by(|m| m.id.cmp(&machine.id)).is_ok();
+            let Ok(endpoint) = machine.id.as_str().parse::<id::Endpoint>() else { continue };
+            if listed || self.dispatch.open_at(&endpoint) == 0 {
+                continue;
+            }
+            if self.dispatch.judge().accuse(&endpoint, None) {
+                self.try_machine(endpoint, Some(machine));
+            }
+        }
+    }
+
+    fn try_endpoint(&self, endpoint: id::Endpoint) {
+        let machine = self.machines.iter().find(|m| m.id.as_str() == endpoint.as_str());
+        self.try_machine(endpoint, machine);
+    }
+
+    /// Tries an endpoint, and if it is dead the others of its failure domain.
+    fn try_machine(&self, endpoint: id::Endpoint, machine: Option<&Machine>) {
+        let node = Arc::clone(&self.node);
+        let address = machine.map(|m| m.address.clone()).unwrap_or_default();
+        let mates = self.mates(machine);
+        tokio::spawn(async move {
+            let found = death::probe(&address, &mates).await;
+            node.control.send(Message::Tried(endpoint, found));
+        });
+    }
+
+    /// Addresses of the others in a machine's failure domain.
+    fn mates(&self, machine: Option<&Machine>) -> Vec<String> {
+        let Some(machine) = machine else {
+            return Vec::new();
+        };
+        let mates = self
+            .machines
+            .iter()
+            .filter(|m| m.domain == machine.domain && m.id != machine.id && m.phase == Phase::Live);
+        mates.map(|m| m.address.clone()).take(death::MATES).collect()
+    }
+
+    /// An endpoint died: its requests go on elsewhere at once, and what ran
+    /// there is suspected unless its death was announced.
+    fn endpoint_died(&mut self, endpoint: &id::Endpoint, domain: bool) {
+        let now = self.node.now();
+        let again = self.dispatch.judge().is_dead(endpoint);
+        if again && self.dispatch.open_at(endpoint) == 0 {
+            // Tried again and still dead; all know.
+            self.dispatch.died(now, endpoint, true);
+            return;
+        }
+        let listed = self.machines.iter().find(|m| m.id.as_str() == endpoint.as_str());
+        let noticed = self.noticed.iter().any(|n| n.instance.as_str() == endpoint.as_str());
+        let left = listed.is_some_and(|machine| machine.phase == Phase::Leaving);
+        let announced = domain || noticed || left;
+        let marks = self.dispatch.died(now, endpoint, announced);
+        event::ENDPOINT_DIED.emit(format_args!(
+            "endpoint={endpoint} announced={announced} suspects={}",
+            marks.len()
+        ));
+        self.node.desk.tell_all(&Input::EndpointDied { endpoint: endpoint.clone() });
+        if !marks.is_empty() {
+            let evidence = self.dispatch.judge().about(now, &marks);
+            self.members.tell(&evidence, FAN);
+        }
+        self.dispatch.poll(now);
+    }
+
+    /// Takes in evidence and tells on what is new; nothing told asks for all.
+    fn evidence(&mut self, told: &[Evidence]) -> Vec<Evidence> {
+        let now = self.node.now();
+        if told.is_empty() {
+            return self.dispatch.judge().evidence(now);
+        }
+        let news = self.dispatch.judge().merge(now, told);
+        if !news.is_empty() {
+            self.members.tell(&news, FAN);
+        }
+        Vec::new()
+    }
+
     fn retry(&mut self, service: &id::Service, attempts: u32, reply: UnboundedSender<Input>) {
         match self.dispatch.retry(self.node.now(), service, attempts) {
             Verdict::Stop(_after) => {
@@ -412,14 +586,18 @@
             .filter(|machine| machine.phase == Phase::Leaving)
             .map(|machine| machine.id.clone())
             .collect();
-        self.machines = machines;
+        let now = self.node.now();
+        let old = std::mem::replace(&mut self.machines, Arc::new(machines));
         let listed = |id: &id::Instance| self.machines.binary_search_by(|m| m.id.cmp(id)).is_ok();
-        self.noticed.retain(listed);
+        // A notice may come before its instance is listed.
+        self.noticed.retain(|n| now.since(n.at) < UNLISTED || listed(&n.instance));
+        self.try_gone(&old);
         let endpoints = self.endpoints().filter_map(endpoint);
         let endpoints: Vec<Choice> = endpoints.collect();
-        self.dispatch.router().set_endpoints(endpoints);
+        self.dispatch.set_endpoints(endpoints);
         self.members.set_seeds(&self.machines);
-        for instance in leaving.iter().chain(&self.noticed.clone()) {
+        let noticed: Vec<id::Instance> = self.noticed.iter().map(|n| n.instance.clone()).collect();
+        for instance in leaving.iter().chain(&noticed) {
             self.leave(instance);
         }
         self.dispatch.poll(self.node.now());
@@ -431,8 +609,9 @@
             self.node.stop.cancel();
             return;
         }
-        if let Err(at) = self.noticed.binary_search(instance) {
-            self.noticed.insert(at, instance.clone());
+        let at = self.node.now();
+        if let Err(place) = self.noticed.binary_search_by(|n| n.instance.cmp(instance)) {
+            self.noticed.insert(place, Noticed { instance: instance.clone(), at });
             self.members.pass_on(instance);
         }
         self.leave(instance);
@@ -441,15 +620,17 @@
 
     /// An instance was given notice: no new work, and what runs goes on elsewhere.
     fn leave(&mut self, instance: &id::Instance) {
-        let Ok(endpoint) = instance.as_str().parse::<id::Endpoint>() else { return };
+        let Ok(endpoint) = instance.as_str().parse::<id::Endpoint>() else {
+            return;
+        };
         self.dispatch.router().leaving(&endpoint);
         let input = Input::Leaving { endpoint, finishes: false };
         self.node.desk.tell_all(&input);
     }
 
     /// Takes in a slot table, from the service or from a peer.
-    fn observe(&mut self, table: &Arc<Table>, service: bool) {
-        let events = self.slots.observe(self.node.now(), table, service);
+    fn observe(&mut self, table: &Arc<Table>, asked: Option<Time>) {
+        let events = self.slots.observe(self.node.now(), table, asked);
         if let Some(events) = events {
             self.publish();
             self.node.desk.adopt(&self.node, events);
@@ -459,7 +640,7 @@
     fn round(&mut self, round: Round) {
         self.slots.ended(self.node.now(), &round);
         if let Some(table) = &round.table {
-            self.observe(table, true);
+            self.observe(table, Some(round.asked));
         }
     }
 
@@ -485,6 +666,9 @@
             peers: self.members.peers(),
             leaving: self.leaving,
             watches: self.members.watches(),
+            machines: Arc::clone(&self.machines),
+            noticed: self.noticed.iter().map(|n| n.instance.clone()).collect(),
+            busy: self.dispatch.busy(&self.machines),
         };
         self.views.send_replace(Arc::new(view));
     }
@@ -521,7 +705,7 @@
 
     fn endpoint_status(&self, machine: &Machine) -> Option<Endpoint> {
         let id: id::Endpoint = machine.id.as_str().parse().ok()?;
-        let noticed = self.noticed.binary_search(&machine.id).is_ok();
+        let noticed = self.noticed.binary_search_by(|n| n.instance.cmp(&machine.id)).is_ok();
         let state = match machine.phase {
             Phase::Starting => "starting",
             Phase::Live if noticed => "leaving",
@@ -541,7 +725,9 @@
 
 fn fetch_config(node: Arc<Node>, from: id::Instance) {
     tokio::spawn(async move {
-        let Ok(client) = node.links.client(&from).await else { return };
+        let Ok(client) = node.links.client(&from).await else {
+            return;
+        };
         if let Ok(Some(config)) = client.config(link::context(link::CALL)).await {
             let age = config.age.map(Millis::duration);
             let source = Source::Peer { id: from, age };
@@ -552,7 +738,9 @@
 
 fn fetch_table(node: Arc<Node>, from: id::Instance) {
     tokio::spawn(async move {
-        let Ok(client) = node.links.client(&from).await else { return };
+        let Ok(client) = node.links.client(&from).await else {
+            return;
+        };
         if let Ok(table) = client.table(link::context(link::CALL)).await {
             node.control.send(Message::Table(Arc::new(table)));
         }
--- a/coltsfoothall-entry/src/endpoint.rs
+++ b/coltsfoothall-entry/src/endpoint.rs
@@ -48,9 +48,9 @@
 
 /// What runs attempts.
 pub trait Runner: Send + Sync + fmt::Debug {
-    /// Runs an attempt and reports on it; true if the endpoint broke it.
-    /// Dropping it stops reading.
-    fn run(&self, job: Job, inputs: Sender<Input>) -> BoxFuture<'_, bool>;
+    /// Runs an attempt and reports on it, but for [`Ended::Broke`], which is told
+    /// once it is known whether its endpoint died. Dropping it stops reading.
+    fn run(&self, job: Job, inputs: Sender<Input>) -> BoxFuture<'_, Ended>;
     /// Tells an endpoint to stop an attempt.
     fn cancel(&self, address: String, attempt: u64) -> BoxFuture<'_, ()>;
 }
@@ -64,12 +64,17 @@
 }
 
 /// How an attempt ended.
-enum Ended {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With its whole answer.
     Whole,
+    /// Its endpoint refused it before it began.
     Refused,
+    /// No connection came up.
     Unsent,
+    /// Its connection broke, or its answer makes no sense.
     Broke,
-    /// Nobody listens any more.
+    /// Nobody listens any more, or it was aborted.
     Unheard,
 }
 
@@ -83,11 +88,16 @@
     async fn attempt(&self, job: &Job, inputs: &Sender<Input>) -> Ended {
         let request = match &job.intake.work {
             Work::Completion { .. } => generate(job),
-            Work::Call { method, path, headers, body } => {
-                call(job, method, path, headers, body.clone())
-            }
+            Work::Call {
+                method,
+                path,
+                headers,
+                body,
+            } => call(job, method, path, headers, body.clone()),
+        };
+        let Some(request) = request else {
+            return Ended::Unsent;
         };
-        let Some(request) = request else { return Ended::Unsent };
         match self.client.send("attempt", request, self.silence).await {
             Err(Error::Connect(..)) => Ended::Unsent,
             Err(_sent) => Ended::Broke,
@@ -130,12 +140,7 @@
         }
     }
 
-    async fn answer(
-        &self,
-        job: &Job,
-        answer: Response<Incoming>,
-        inputs: &Sender<Input>,
-    ) -> Ended {
+    async fn answer(&self, job: &Job, answer: Response<Incoming>, inputs: &Sender<Input>) -> Ended {
         if declined(&answer) {
             return Ended::Refused;
         }
@@ -143,9 +148,21 @@
         let status = answer.status().as_u16();
         let headers = passed_on(answer.headers());
         let body = http::read(answer.into_body(), limit::ANSWER);
-        let Ok(Ok(body)) = timeout(self.silence, body).await else { return Ended::Broke };
-        let answer = Box::new(Answer { status, headers, body });
-        match inputs.send(Input::Answer { attempt: echo, answer }).await {
+        let Ok(Ok(body)) = timeout(self.silence, body).await else {
+            return Ended::Broke;
+        };
+        let answer = Box::new(Answer {
+            status,
+            headers,
+            body,
+        });
+        match inputs
+            .send(Input::Answer {
+                attempt: echo,
+                answer,
+            })
+            .await
+        {
             Ok(()) => Ended::Whole,
             Err(_closed) => Ended::Unheard,
         }
@@ -153,21 +170,19 @@
 }
 
 impl Runner for Remote {
-    fn run(&self, job: Job, inputs: Sender<Input>) -> BoxFuture<'_, bool> {
+    fn run(&self, job: Job, inputs: Sender<Input>) -> BoxFuture<'_, Ended> {
         Box::pin(async move {
             let attempt = job.attempt;
             let ended = self.attempt(&job, &inputs).await;
-            let broke = matches!(ended, Ended::Broke | Ended::Unsent);
             let input = match ended {
                 Ended::Whole => Input::Ended { attempt },
                 Ended::Refused => Input::Refused { attempt },
                 Ended::Unsent => Input::Unsent { attempt },
-                Ended::Broke => Input::Broke { attempt },
-                Ended::Unheard => return false,
+                Ended::Broke | Ended::Unheard => return ended,
             };
             // A request that has ended meanwhile needs to hear nothing more.
             let _heard = inputs.send(input).await;
-            broke
+            ended
         })
     }
 
@@ -195,11 +210,21 @@
         text: chunk.text,
         finish: chunk.finish,
     };
-    Input::Chunk { attempt: chunk.attempt, part, cached: chunk.cached }
+    Input::Chunk {
+        attempt: chunk.attempt,
+        part,
+        cached: chunk.cached,
+    }
 }
 
 fn generate(job: &Job) -> Option<Request<Full<Bytes>>> {
-    let Work::Completion { model, adapter, prompt, max_tokens } = &job.intake.work else {
+    let Work::Completion {
+        model,
+        adapter,
+        prompt,
+        max_tokens,
+    } = &job.intake.work
+    else {
         return None;
     };
     let generate = Generate {
@@ -249,7 +274,13 @@
 
 /// The number of the attempt that the answer names, if it names one.
 fn echo<B>(answer: &Response<B>) -> Option<u64> {
-    answer.headers().get(header::ATTEMPT)?.to_str().ok()?.parse().ok()
+    answer
+        .headers()
+        .get(header::ATTEMPT)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
 }
 
 async fn refusal(answer: Response<Incoming>) -> Ended {
--- a/coltsfoothall-entry/src/feed.rs
+++ b/coltsfoothall-entry/src/feed.rs
@@ -2,26 +2,47 @@
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use coltsfoothall::record::{Answer, End, Finish, Mark, Record};
+use coltsfoothall::size::Millis;
 use coltsfoothall_wire::peer::Piece;
 
 /// How a feed ended.
 #[derive(Debug, Clone, Copy)]
 enum Close {
-    End(End),
+    End {
+        end: End,
+        retry_after_ms: Option<Millis>,
+    },
     Moved,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     text: String,
     marks: Vec<Mark>,
     finish: Option<Finish>,
     answer: Option<Box<Answer>>,
     close: Option<Close>,
+    /// When the last follower left, or the feed began.
+    left: Instant,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            text: String::new(),
+            marks: Vec::new(),
+            finish: None,
+            answer: None,
+            close: None,
+            left: Instant::now(),
+        }
+    }
 }
 
 /// What callers may see of one answer.
@@ -47,7 +68,7 @@
     #[must_use]
     pub fn ended(record: &Record, end: End) -> Arc<Self> {
         let feed = Self::default();
-        feed.end(record, end);
+        feed.end(record, end, None);
         Arc::new(feed)
     }
 
@@ -67,13 +88,17 @@
     }
 
     /// Shows the end of a record, which the backup holds; only the first end counts.
-    pub fn end(&self, record: &Record, end: End) {
+    pub fn end(&self, record: &Record, end: End, retry_after: Option<Duration>) {
         self.show(record, record.tokens());
         let mut state = self.state();
         if state.close.is_none() {
             state.finish = record.finish;
             state.answer.clone_from(&record.answer);
-            state.close = Some(Close::End(end));
+            let retry_after_ms = retry_after.map(Millis::from);
+            state.close = Some(Close::End {
+                end,
+                retry_after_ms,
+            });
         }
         drop(state);
         self.changed.send_replace(());
@@ -91,17 +116,23 @@
         self.state().close.is_some()
     }
 
-    /// Callers that follow now.
+    /// For how long nobody has followed; none while somebody does.
     #[must_use]
-    pub fn followers(&self) -> u32 {
-        self.followers.load(Ordering::Relaxed)
+    pub fn unfollowed(&self) -> Option<Duration> {
+        let state = self.state();
+        let followed = self.followers.load(Ordering::Relaxed) > 0;
+        (!followed).then(|| state.left.elapsed())
     }
 
     /// Whether a piece ends at this offset, so that a caller can resume there.
     #[must_use]
     pub fn resumable(&self, tokens: u64) -> bool {
         let state = self.state();
-        tokens == 0 || state.marks.binary_search_by_key(&tokens, |mark| mark.tokens).is_ok()
+        tokens == 0
+            || state
+                .marks
+                .binary_search_by_key(&tokens, |mark| mark.tokens)
+                .is_ok()
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -126,7 +157,13 @@
     pub fn new(feed: Arc<Feed>, tokens: u64) -> Self {
         feed.followers.fetch_add(1, Ordering::Relaxed);
         let changed = feed.changed.subscribe();
-        Self { feed, changed, tokens, answered: false, finished: false }
+        Self {
+            feed,
+            changed,
+            tokens,
+            answered: false,
+            finished: false,
+        }
     }
 
     /// The next piece, as soon as there is one.
@@ -145,10 +182,14 @@
     fn ready(&mut self) -> Option<Piece> {
         let feed = Arc::clone(&self.feed);
         let state = feed.state();
-        let seen = state.marks.partition_point(|mark| mark.tokens <= self.tokens);
+        let seen = state
+            .marks
+            .partition_point(|mark| mark.tokens <= self.tokens);
         let news = state.marks.len() > seen;
         if news || (state.finish.is_some() && !self.finished) {
-            let from = seen.checked_sub(1).map_or(0, |last| state.marks[last].bytes);
+            let from = seen
+                .checked_sub(1)
+                .map_or(0, |last| state.marks[last].bytes);
             self.tokens = state.marks.last().map_or(self.tokens, |mark| mark.tokens);
             self.finished = state.finish.is_some();
             return Some(Piece::Text {
@@ -162,7 +203,13 @@
             return Some(Piece::Answer(answer.clone()));
         }
         match state.close {
-            Some(Close::End(end)) => Some(Piece::End(end)),
+            Some(Close::End {
+                end,
+                retry_after_ms,
+            }) => Some(Piece::End {
+                end,
+                retry_after_ms,
+            }),
             Some(Close::Moved) => Some(Piece::Moved),
             None => None,
         }
@@ -171,6 +218,7 @@
 
 impl Drop for Follower {
     fn drop(&mut self) {
+        self.feed.state().left = Instant::now();
         self.feed.followers.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/coltsfoothall-entry/src/relay.rs
+++ b/coltsfoothall-entry/src/relay.rs
@@ -11,12 +11,14 @@
 use coltsfoothall::id;
 use coltsfoothall::key::Slot;
 use coltsfoothall::limit::Number;
+use coltsfoothall::prefix;
 use coltsfoothall::record::{Change, Class, End, Intake, Record, Work};
 use coltsfoothall::request::{Request, Settings};
-use coltsfoothall::step::{Action, Input};
+use coltsfoothall::size::Tokens;
+use coltsfoothall::step::{Action, Dropped, Input};
 
 use crate::control::{Message, Pick};
-use crate::endpoint::Job;
+use crate::endpoint::{Ended, Job};
 use crate::feed::Feed;
 use crate::node::Node;
 
@@ -73,24 +75,17 @@
     /// Its place at the gate.
     number: Option<Number>,
     running: Vec<Running>,
-    /// Since when nobody follows.
-    unfollowed: Option<Instant>,
+    /// When to look again whether somebody follows.
+    look: Instant,
 }
 
 /// Starts a relay; inputs from control and ledger go to what it returns.
-pub fn spawn(
-    node: Arc<Node>,
-    slot: Slot,
-    begun: Begun,
-    feed: Arc<Feed>,
-) -> UnboundedSender<Input> {
+pub fn spawn(node: Arc<Node>, slot: Slot, begun: Begun, feed: Arc<Feed>) -> UnboundedSender<Input> {
     let (signals, heard) = mpsc::unbounded_channel();
     let (pieces, arrived) = mpsc::channel(PIECES);
     let now = node.now();
     let (request, number) = match begun {
-        Begun::New { intake, number } => {
-            (Request::new(*intake, now, Settings::default()), number)
-        }
+        Begun::New { intake, number } => (Request::new(*intake, now, Settings::default()), number),
         Begun::Resumed(record) => (Request::resume(*record, now, Settings::default()), None),
     };
     feed.show(request.record(), request.released());
@@ -104,7 +99,7 @@
         pieces,
         number,
         running: Vec::new(),
-        unfollowed: None,
+        look: Instant::now() + LOOK,
     };
     traffic.spawn(relay.run(heard, arrived));
     signals
@@ -131,24 +126,42 @@
         if self.request.end().is_none() {
             self.feed.moved();
         }
-        self.node.desk.end(&self.request.record().intake.name);
+        let name = &self.request.record().intake.name;
+        self.node.desk.end(&self.node, self.slot, name, &self.feed);
     }
 
     fn wake(&self) -> Instant {
-        let look = Instant::now() + LOOK;
-        let due = self.request.wake().map(|at| self.node.start + at.since(Time::START));
-        due.map_or(look, |due| due.min(look))
+        let due = self
+            .request
+            .wake()
+            .map(|at| self.node.start + at.since(Time::START));
+        due.map_or(self.look, |due| due.min(self.look))
     }
 
     /// What the passing of time means.
     fn tick(&mut self) -> Input {
-        let waiting = self.request.record().intake.class == Class::Interactive;
-        if self.feed.followers() > 0 || !waiting {
-            self.unfollowed = None;
+        let now = Instant::now();
+        if now < self.look {
             return Input::Tick;
         }
-        let since = *self.unfollowed.get_or_insert_with(Instant::now);
-        if since.elapsed() >= UNFOLLOWED { Input::Cancel } else { Input::Tick }
+        self.look = now + LOOK;
+        let alone = self
+            .feed
+            .unfollowed()
+            .is_some_and(|span| span >= UNFOLLOWED);
+        if alone && self.stoppable() {
+            Input::Cancel
+        } else {
+            Input::Tick
+        }
+    }
+
+    /// Whether stopping it saves work. A call that may not be repeated runs on
+    /// at its service, and its caller may still come back for the answer.
+    fn stoppable(&self) -> bool {
+        let record = self.request.record();
+        let interactive = record.intake.class == Class::Interactive;
+        interactive && (record.intake.idempotent || !record.begun())
     }
 
     fn handle(&mut self, input: Input) {
@@ -178,16 +191,30 @@
                 attempts: self.request.record().attempts,
                 reply: self.signals.clone(),
             }),
-            Action::Start { attempt, endpoint, resume, offset } => {
+            Action::Start {
+                attempt,
+                endpoint,
+                resume,
+                offset,
+            } => {
                 self.start(attempt, &endpoint, resume, offset);
             }
             Action::Abort { attempt } => self.abort(attempt),
             Action::Release { tokens } => self.feed.show(self.request.record(), tokens),
-            Action::Finish { end, .. } => self.finish(end),
-            Action::Cached { attempt, cached, resumed } => {
-                self.node.control.send(Message::First { attempt, cached, resumed });
+            Action::Finish { end, retry_after } => self.finish(end, retry_after),
+            Action::Cached {
+                attempt,
+                cached,
+                resumed,
+            } => {
+                self.count_recomputed(cached, resumed);
+                self.node.control.send(Message::First {
+                    attempt,
+                    cached,
+                    resumed,
+                });
             }
-            Action::Count(_dropped) => {}
+            Action::Count(dropped) => self.node.board.dropped(name(dropped)),
         }
         None
     }
@@ -207,8 +234,15 @@
         let deadline = self.request.deadline();
         let mut pick = Pick::new(&record.intake, &record.text, attempt, exclude, deadline);
         pick.number = self.number;
-        self.running.push(Running { attempt, stop: CancellationToken::new(), started: false });
-        self.node.control.send(Message::Pick { pick, reply: self.signals.clone() });
+        self.running.push(Running {
+            attempt,
+            stop: CancellationToken::new(),
+            started: false,
+        });
+        self.node.control.send(Message::Pick {
+            pick,
+            reply: self.signals.clone(),
+        });
     }
 
     fn start(&mut self, attempt: u64, endpoint: &id::Endpoint, resume: String, offset: u64) {
@@ -232,12 +266,12 @@
         tokio::spawn(async move {
             let address = job.address.clone();
             let engine = matches!(job.intake.work, Work::Completion { .. });
-            let (stopped, broke) = tokio::select! {
-                () = stop.cancelled() => (true, false),
-                broke = node.runner.run(job, pieces) => (false, broke),
+            let ended = tokio::select! {
+                () = stop.cancelled() => Ended::Unheard,
+                ended = node.runner.run(job, pieces) => ended,
             };
-            node.control.send(Message::Ended { attempt, broke });
-            if stopped && engine {
+            node.control.send(Message::Ended { attempt, ended });
+            if ended == Ended::Unheard && engine {
                 node.runner.cancel(address, attempt).await;
             }
         });
@@ -246,34 +280,72 @@
     /// Where an endpoint listens; nowhere if it has just left the list.
     fn address(&self, endpoint: &id::Endpoint) -> String {
         let view = self.node.view();
-        view.place(endpoint).map(|place| place.address.clone()).unwrap_or_default()
+        view.place(endpoint)
+            .map(|place| place.address.clone())
+            .unwrap_or_default()
     }
 
     /// The slot's epoch, for services that check fencing numbers.
     fn fence(&self) -> u64 {
         let view = self.node.view();
-        view.table.entry(self.slot).map_or(0, |entry| u64::from(entry.epoch.0))
+        view.table
+            .entry(self.slot)
+            .map_or(0, |entry| u64::from(entry.epoch.0))
     }
 
     fn abort(&mut self, attempt: u64) {
-        let Some(at) = self.running.iter().position(|r| r.attempt == attempt) else { return };
+        let Some(at) = self.running.iter().position(|r| r.attempt == attempt) else {
+            return;
+        };
         let running = self.running.swap_remove(at);
         running.stop.cancel();
         if !running.started {
-            self.node.control.send(Message::Ended { attempt, broke: false });
+            self.node.control.send(Message::Ended {
+                attempt,
+                ended: Ended::Unheard,
+            });
         }
     }
 
-    fn finish(&mut self, end: End) {
-        self.feed.end(self.request.record(), end);
+    fn finish(&mut self, end: End, retry_after: Option<Duration>) {
+        self.feed.end(self.request.record(), end, retry_after);
+    }
+
+    /// Counts what an attempt after the first had to read again.
+    fn count_recomputed(&self, cached: Tokens, resumed: u64) {
+        let record = self.request.record();
+        let Work::Completion { prompt, .. } = &record.intake.work else {
+            return;
+        };
+        if record.attempts < 2 {
+            return;
+        }
+        let read = prefix::tokens(prompt).0 + resumed;
+        let labels = self.node.labels(&record.intake.name, record.intake.class);
+        self.node
+            .board
+            .recomputed(&labels, read.saturating_sub(cached.0));
     }
 
     fn stop_all(&mut self) {
         while let Some(running) = self.running.pop() {
             running.stop.cancel();
             if !running.started {
-                self.node.control.send(Message::Ended { attempt: running.attempt, broke: false });
+                self.node.control.send(Message::Ended {
+                    attempt: running.attempt,
+                    ended: Ended::Unheard,
+                });
             }
         }
     }
 }
+
+fn name(dropped: Dropped) -> &'static str {
+    match dropped {
+        Dropped::Superseded => "superseded",
+        Dropped::Doubled => "doubled",
+        Dropped::Late => "late",
+        Dropped::Gap => "gap",
+        Dropped::Malformed => "malformed",
+    }
+}
--- a/coltsfoothall-entry/src/run.rs
+++ b/coltsfoothall-entry/src/run.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Handle as Runtime;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use coltsfoothall::ledger;
@@ -29,11 +29,15 @@
 use crate::peer::Back;
 use crate::settings::Settings;
 use crate::view::View;
-use crate::{config, platform, store};
+use crate::{config, platform, steward, store};
 
 /// Between two looks at whether a planned stop may go on.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Part of a planned stop, as its divisor, in which slots are handed over
+/// before callers are turned away; the rest is left for open answers to finish.
+const HAND_OVER: u32 = 3;
+
 quick_error! {
     /// Why an entry instance cannot start.
     #[derive(Debug)]
@@ -71,9 +75,12 @@
     tokio::spawn(platform::list(Arc::clone(&node)));
     tokio::spawn(platform::notices(Arc::clone(&node)));
     tokio::spawn(platform::reports(Arc::clone(&node)));
+    let stewards = tokio::spawn(steward::run(Arc::clone(&node)));
     let doors = Doors::open(&node, callers, peers, metrics);
     node.stop.cancelled().await;
     leave(&node, doors).await;
+    // A lease that isn't given back in time lapses.
+    let _ended = timeout(node.settings.times.store.duration(), stewards).await;
     Ok(())
 }
 
@@ -87,7 +94,11 @@
     let (views, view) = watch::channel(Arc::new(View::default()));
     let client = Client::new();
     let times = settings.times.clone();
-    let store = store::Remote::new(client.clone(), settings.store.to_string(), times.store.duration());
+    let store = store::Remote::new(
+        client.clone(),
+        settings.store.to_string(),
+        times.store.duration(),
+    );
     let node = Arc::new(Node {
         store: Box::new(store),
         traffic: Runtime::current(),
@@ -143,22 +154,49 @@
     ) -> Self {
         let front = Arc::new(Front::new(Arc::clone(node)));
         let back = Arc::new(Back::new(Arc::clone(node)));
-        Door::open(metrics, Arc::new(Scrape { node: Arc::clone(node) }));
-        Self { callers: Door::open(callers, front), peers: Door::open(peers, back) }
+        Door::open(
+            metrics,
+            Arc::new(Scrape {
+                node: Arc::clone(node),
+            }),
+        );
+        Self {
+            callers: Door::open(callers, front),
+            peers: Door::open(peers, back),
+        }
     }
 }
 
 /// A planned stop: slots are handed over, then answers finish, then the process ends.
+///
+/// While slots cannot be handed over, callers may still connect for a part of
+/// the time, as their requests may belong to these slots.
 async fn leave(node: &Arc<Node>, doors: Doors) {
-    let limit = Instant::now() + node.settings.times.stop.duration();
+    let span = node.settings.times.stop.duration();
+    let (hand_over, limit) = (Instant::now() + span / HAND_OVER, Instant::now() + span);
     event::STOPPING.emit(format_args!("open={}", node.desk.count()));
     node.control.send(Message::Leave);
-    while owned(node) > 0 && Instant::now() < limit {
+    while owned(node) > 0 && Instant::now() < hand_over {
         sleep(LOOK).await;
     }
-    let whole = doors.callers.shut(limit).await;
-    let event = if whole { event::STOPPED } else { event::CUT_OFF };
-    event.emit(format_args!("slots={} open={}", owned(node), node.desk.count()));
+    // What comes now could not finish here, and its owner-to-be has the slots then.
+    node.desk.close();
+    let mut whole = doors.callers.shut(limit).await;
+    // What is still owned here runs for callers of other instances.
+    while owned(node) > 0 && node.desk.count() > 0 && Instant::now() < limit {
+        sleep(LOOK).await;
+    }
+    whole &= owned(node) == 0 || node.desk.count() == 0;
+    let event = if whole {
+        event::STOPPED
+    } else {
+        event::CUT_OFF
+    };
+    event.emit(format_args!(
+        "slots={} open={}",
+        owned(node),
+        node.desk.count()
+    ));
     // Streams of other instances end with the last connection.
     doors.peers.close.cancel();
     drop(doors.peers.task);
@@ -169,7 +207,12 @@
     if node.view().peers.is_empty() {
         return 0;
     }
-    node.desk.with_ledger(|ledger| ledger.owned().count())
+    let view = node.view();
+    node.desk.with_ledger(|ledger| {
+        // A slot that takes no changes any more counts until it is handed over.
+        let held = |slot| ledger.released(slot).is_some() || ledger.serving(slot);
+        view.table.iter().filter(|(slot, _)| held(*slot)).count()
+    })
 }
 
 /// Answers scrapes of the metrics.
--- a/coltsfoothall-entry/src/source.rs
+++ b/coltsfoothall-entry/src/source.rs
@@ -23,13 +23,21 @@
 /// Between two rounds over the instances that may own a request.
 const ROUND: Duration = Duration::from_millis(100);
 
-/// How long an accepted request's next owner is waited for: a takeover takes
-/// the suspicion time and one write at the key-value service.
-const TAKEOVER: Duration = Duration::from_secs(8);
+/// Between the end of a stream and the search for the next owner.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// How long the next owner of an accepted request is waited for. A takeover
+/// takes the suspicion time and one write at the key-value service, which may
+/// be down meanwhile.
+const TAKEOVER: Duration = Duration::from_secs(60);
 
 /// How long a new request waits for an owner that never had it.
 const FIRST: Duration = Duration::from_secs(2);
 
+/// How long an instance that is leaving searches for the next owner before its
+/// caller is sent to another instance, which goes on with the same request.
+const LEAVING: Duration = Duration::from_secs(5);
+
 /// When to come back while a slot changes its owner.
 const COME_BACK: Millis = Millis(1000);
 
@@ -45,20 +53,39 @@
     node: Arc<Node>,
     follow: Follow,
     stream: Option<Stream>,
-    /// An owner has taken the request.
-    accepted: bool,
+    /// The key is known to nobody else, so that it was never sent before.
+    fresh: bool,
     /// An owner may have taken the request.
     sent: bool,
-    /// When to give the search for an owner up.
-    until: Instant,
+    /// An owner that may have taken the request was lost.
+    lost: bool,
+    /// Since when an owner is searched for; none while one answers.
+    since: Option<Instant>,
+    /// When the caller's patience ends.
+    deadline: Instant,
 }
 
 impl Source {
-    /// The answer that `follow` asks for.
+    /// The answer that `follow` asks for. A `fresh` request has a key that
+    /// nobody else knows, so that it was never sent before.
     #[must_use]
-    pub fn new(node: Arc<Node>, follow: Follow) -> Self {
-        let until = Instant::now() + FIRST;
-        Self { node, follow, stream: None, accepted: false, sent: false, until }
+    pub fn new(node: Arc<Node>, follow: Follow, fresh: bool) -> Self {
+        let span = follow
+            .intake
+            .as_ref()
+            .map_or(TAKEOVER, |intake| intake.deadline.duration());
+        let deadline = Instant::now() + span;
+        let sent = follow.intake.is_none();
+        Self {
+            node,
+            follow,
+            stream: None,
+            fresh,
+            sent,
+            lost: false,
+            since: None,
+            deadline,
+        }
     }
 
     /// The next piece; after an end or a fault there is none.
@@ -75,27 +102,66 @@
                 Stream::Remote { body, frames } => remote(body, frames).await,
             };
             match piece {
-                Some(Piece::Moved) | None => self.lose(),
+                Some(Piece::Moved) => {
+                    self.stream = None;
+                    self.sent = true;
+                }
+                None => self.lose(),
                 Some(Piece::Fault(fault)) if elsewhere(&fault) => {
                     self.stream = None;
+                    if self.expired() {
+                        return Piece::Fault(Box::new(self.unreached()));
+                    }
                     sleep(ROUND).await;
+                    continue;
+                }
+                Some(Piece::Fault(fault)) => {
+                    return Piece::Fault(Box::new(self.settled(*fault)));
                 }
                 Some(piece) => {
-                    self.accepted = true;
+                    self.sent = true;
+                    self.since = None;
                     if let Piece::Text { tokens, .. } = &piece {
                         self.follow.offset = *tokens;
                     }
                     return piece;
                 }
             }
+            sleep(PAUSE).await;
         }
     }
 
+    /// The owner's stream broke off.
     fn lose(&mut self) {
         self.stream = None;
-        if self.accepted || self.sent {
-            self.until = Instant::now() + TAKEOVER;
+        self.sent = true;
+        self.lost = true;
+    }
+
+    /// Whether the search for an owner is to be given up. A request that may
+    /// have been taken in is stayed with for as long as its caller waits.
+    fn expired(&mut self) -> bool {
+        let now = Instant::now();
+        let began = *self.since.get_or_insert(now);
+        let span = match (self.sent, self.node.view().leaving) {
+            (false, _) => FIRST,
+            (true, true) => LEAVING,
+            (true, false) => TAKEOVER,
+        };
+        now >= (began + span).min(self.deadline)
+    }
+
+    /// A refusal by an owner that never had the request says nothing of one
+    /// that had it and was lost.
+    fn settled(&self, fault: Fault) -> Fault {
+        let unsure = self.lost || self.follow.intake.is_none();
+        if fault.outcome == Outcome::NotRun && unsure {
+            return Fault {
+                outcome: Outcome::Unknown,
+                ..fault
+            };
         }
+        fault
     }
 
     /// Finds the owner and opens a stream to it.
@@ -107,8 +173,8 @@
                     return Ok(());
                 }
             }
-            if Instant::now() >= self.until {
-                return Err(self.lost());
+            if self.expired() {
+                return Err(self.unreached());
             }
             sleep(ROUND).await;
         }
@@ -118,21 +184,30 @@
     fn owners(&self) -> Vec<id::Instance> {
         let view = self.node.view();
         let slot = view.slot(&self.follow.name.key);
-        let Some(entry) = view.table.entry(slot) else { return Vec::new() };
+        let Some(entry) = view.table.entry(slot) else {
+            return Vec::new();
+        };
         let backup = entry.backup.clone();
-        std::iter::once(entry.primary.clone()).chain(backup).collect()
+        std::iter::once(entry.primary.clone())
+            .chain(backup)
+            .collect()
     }
 
     async fn open(&mut self, owner: &id::Instance) -> Result<Option<Stream>, Fault> {
         if *owner == self.node.settings.instance {
             return match self.node.desk.follow(&self.node, &self.follow).await {
-                Ok(follower) => Ok(Some(Stream::Local(follower))),
+                Ok(follower) => {
+                    self.sent = true;
+                    Ok(Some(Stream::Local(follower)))
+                }
                 Err(fault) if elsewhere(&fault) => Ok(None),
-                Err(fault) => Err(fault),
+                Err(fault) => Err(self.settled(fault)),
             };
         }
         let view = self.node.view();
-        let Some(peer) = view.peer(owner) else { return Ok(None) };
+        let Some(peer) = view.peer(owner) else {
+            return Ok(None);
+        };
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{}{}", peer.address, peer::FOLLOW))
@@ -142,21 +217,30 @@
         let within = self.node.settings.times.suspect.duration();
         match self.node.client.send("follow", request, within).await {
             Ok(answer) if answer.status().is_success() => {
-                self.sent = true;
                 let frames = Frames::default();
-                Ok(Some(Stream::Remote { body: answer.into_body(), frames }))
+                Ok(Some(Stream::Remote {
+                    body: answer.into_body(),
+                    frames,
+                }))
             }
             Ok(_refused) => Ok(None),
             Err(error) => {
-                self.sent |= !error.unsent();
+                if !error.unsent() {
+                    self.sent = true;
+                    self.lost = true;
+                }
                 Ok(None)
             }
         }
     }
 
     /// The answer when no owner can be found.
-    fn lost(&self) -> Fault {
-        let outcome = if self.sent { Outcome::Unknown } else { Outcome::NotRun };
+    fn unreached(&self) -> Fault {
+        let outcome = if self.fresh && !self.sent {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        };
         let message = "no entry instance that owns this request can be reached";
         Fault {
             outcome,
--- a/coltsfoothall-entry/src/view.rs
+++ b/coltsfoothall-entry/src/view.rs
@@ -6,6 +6,7 @@
 use coltsfoothall::slot::Table;
 use coltsfoothall::{id, key};
 use coltsfoothall_wire::caller::Addresses;
+use coltsfoothall_wire::cloud::Machine;
 
 /// A bearer token and the workspace that holds it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,6 +39,17 @@
     pub address: String,
 }
 
+/// Requests of a service on this instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Busy {
+    /// The service.
+    pub service: id::Service,
+    /// Open at endpoints.
+    pub open: u64,
+    /// Waiting for an endpoint.
+    pub queued: u64,
+}
+
 /// A snapshot of the control state.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -57,13 +69,22 @@
     pub leaving: bool,
     /// Whether this instance watches the key-value service for its failure domain.
     pub watches: bool,
+    /// The instance list as it was last read, sorted by name; the same `Arc` until it is read again.
+    pub machines: Arc<Vec<Machine>>,
+    /// Instances that were given notice, sorted.
+    pub noticed: Vec<id::Instance>,
+    /// Requests on this instance, sorted by service.
+    pub busy: Vec<Busy>,
 }
 
 impl View {
     /// The workspace that a bearer token belongs to.
     #[must_use]
     pub fn workspace(&self, token: &str) -> Option<&id::Workspace> {
-        let at = self.tokens.binary_search_by(|held| held.token.as_str().cmp(token)).ok()?;
+        let at = self
+            .tokens
+            .binary_search_by(|held| held.token.as_str().cmp(token))
+            .ok()?;
         Some(&self.tokens[at].workspace)
     }
 
@@ -71,34 +92,49 @@
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
         let services = &self.catalog.services;
-        let at = services.binary_search_by(|held| held.name.as_str().cmp(name)).ok()?;
+        let at = services
+            .binary_search_by(|held| held.name.as_str().cmp(name))
+            .ok()?;
         Some(&services[at])
     }
 
     /// The service that runs a model or an adapter, the model, and the adapter.
     #[must_use]
     pub fn runner(&self, name: &str) -> Option<Runner<'_>> {
-        self.catalog.services.iter().find_map(|service| match &service.kind {
-            Kind::Model { model, adapters } => {
-                let adapter = adapters.iter().find(|adapter| adapter.as_str() == name);
-                let found = model.as_str() == name || adapter.is_some();
-                found.then_some(Runner { service, model, adapter })
-            }
-            Kind::Plain { .. } => None,
-        })
+        self.catalog
+            .services
+            .iter()
+            .find_map(|service| match &service.kind {
+                Kind::Model { model, adapters } => {
+                    let adapter = adapters.iter().find(|adapter| adapter.as_str() == name);
+                    let found = model.as_str() == name || adapter.is_some();
+                    found.then_some(Runner {
+                        service,
+                        model,
+                        adapter,
+                    })
+                }
+                Kind::Plain { .. } => None,
+            })
     }
 
     /// Another entry instance by name.
     #[must_use]
     pub fn peer(&self, instance: &id::Instance) -> Option<&Peer> {
-        let at = self.peers.binary_search_by(|peer| peer.instance.cmp(instance)).ok()?;
+        let at = self
+            .peers
+            .binary_search_by(|peer| peer.instance.cmp(instance))
+            .ok()?;
         Some(&self.peers[at])
     }
 
     /// Where an endpoint listens.
     #[must_use]
     pub fn place(&self, endpoint: &id::Endpoint) -> Option<&Place> {
-        let at = self.places.binary_search_by(|place| place.endpoint.cmp(endpoint)).ok()?;
+        let at = self
+            .places
+            .binary_search_by(|place| place.endpoint.cmp(endpoint))
+            .ok()?;
         Some(&self.places[at])
     }
 
--- a/coltsfoothall-entry/tests/system/mod.rs
+++ b/coltsfoothall-entry/tests/system/mod.rs
@@ -40,9 +40,15 @@
     pub services: usize,
     /// Extra YAML lines of the engines' settings.
     pub engine: String,
+    /// YAML lines of the plain services' settings.
+    pub service: String,
     /// Extra YAML lines under `times:` of the entry instances' settings.
     pub times: String,
     pub list_lag_ms: u64,
+    /// Engines that stand by for instances that are started, over all domains.
+    pub spares: usize,
+    /// Extra YAML lines under `stewards:` of the entry instances' settings.
+    pub stewards: String,
 }
 
 impl Default for Shape {
@@ -52,8 +58,11 @@
             engines: 3,
             services: 2,
             engine: String::new(),
+            service: String::new(),
             times: String::new(),
             list_lag_ms: 300,
+            spares: 0,
+            stewards: String::new(),
         }
     }
 }
@@ -92,7 +101,9 @@
 
     /// Waits for the process to end after [`Part::stop`]; true if it ended well.
     pub async fn ended(&mut self) -> bool {
-        let Some(mut process) = self.process.take() else { return false };
+        let Some(mut process) = self.process.take() else {
+            return false;
+        };
         for _ in 0..600 {
             if let Some(status) = process.try_wait().unwrap() {
                 return status.success();
@@ -106,7 +117,13 @@
 
     fn signal(&self, signal: &str) {
         let id = self.process.as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+        assert!(
+            Command::new("kill")
+                .args([signal, &id])
+                .status()
+                .unwrap()
+                .success()
+        );
     }
 }
 
@@ -122,6 +139,7 @@
     pub entries: Vec<Part>,
     pub engines: Vec<Part>,
     pub services: Vec<Part>,
+    pub spares: Vec<Part>,
     pub client: Client,
 }
 
@@ -146,17 +164,32 @@
         let name = format!("coltsfoothall-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).unwrap();
-        let mut ports = ports(3 + 3 * shape.entries + shape.engines + shape.services).into_iter();
+        let mut ports =
+            ports(3 + 3 * shape.entries + shape.engines + shape.services + shape.spares)
+                .into_iter();
         let mut next = || format!("127.0.0.1:{}", ports.next().unwrap());
-        let part = |name: String, address: String| Part { name, address, process: None };
+        let part = |name: String, address: String| Part {
+            name,
+            address,
+            process: None,
+        };
         let mut system = Self {
             store: next(),
             cloud: next(),
             weights: next(),
             platform: part("platform".into(), String::new()),
-            entries: (1..=shape.entries).map(|at| part(format!("entry-{at}"), next())).collect(),
-            engines: (1..=shape.engines).map(|at| part(format!("engine-{at}"), next())).collect(),
-            services: (1..=shape.services).map(|at| part(format!("desk-{at}"), next())).collect(),
+            entries: (1..=shape.entries)
+                .map(|at| part(format!("entry-{at}"), next()))
+                .collect(),
+            engines: (1..=shape.engines)
+                .map(|at| part(format!("engine-{at}"), next()))
+                .collect(),
+            services: (1..=shape.services)
+                .map(|at| part(format!("desk-{at}"), next()))
+                .collect(),
+            spares: (1..=shape.spares)
+                .map(|at| part(format!("spare-{at}"), next()))
+                .collect(),
             client: Client::new(),
             folder,
             shape,
@@ -168,10 +201,14 @@
             system.write_entry(at, peers, metrics);
         }
         fs::write(system.folder.join("engine.yaml"), &system.shape.engine).unwrap();
+        fs::write(system.folder.join("service.yaml"), &system.shape.service).unwrap();
         system.start_platform();
         for at in 0..system.engines.len() {
             system.start_engine(at);
         }
+        for at in 0..system.spares.len() {
+            system.start_spare(at);
+        }
         for at in 0..system.services.len() {
             system.start_service(at);
         }
@@ -180,7 +217,12 @@
 
     fn write_platform(&self, peers: &[String]) {
         let mut text = String::from("kv: {writes: 4000, reads: 20000}\ncloud:\n");
-        writeln!(text, "  start_ms: 500\n  list_lag_ms: {}", self.shape.list_lag_ms).unwrap();
+        writeln!(
+            text,
+            "  start_ms: 500\n  list_lag_ms: {}",
+            self.shape.list_lag_ms
+        )
+        .unwrap();
         text.push_str("  offers:\n");
         for domain in DOMAINS {
             for (lend, price) in [("reclaimable", 300_000), ("on_demand", 900_000)] {
@@ -192,10 +234,24 @@
             }
         }
         text.push_str("  machines:\n");
-        let entries = self.entries.iter().zip(peers).map(|(part, peer)| (part, "entry", peer));
-        let engines = self.engines.iter().map(|part| (part, "rights-reader", &part.address));
-        let services = self.services.iter().map(|part| (part, "clerk-desk", &part.address));
-        for rows in [entries.collect::<Vec<_>>(), engines.collect(), services.collect()] {
+        let entries = self
+            .entries
+            .iter()
+            .zip(peers)
+            .map(|(part, peer)| (part, "entry", peer));
+        let engines = self
+            .engines
+            .iter()
+            .map(|part| (part, "rights-reader", &part.address));
+        let services = self
+            .services
+            .iter()
+            .map(|part| (part, "clerk-desk", &part.address));
+        for rows in [
+            entries.collect::<Vec<_>>(),
+            engines.collect(),
+            services.collect(),
+        ] {
             for (at, (part, service, address)) in rows.into_iter().enumerate() {
                 let domain = DOMAINS[at % DOMAINS.len()];
                 writeln!(
@@ -207,13 +263,30 @@
                 .unwrap();
             }
         }
+        text.push_str("  pool:\n");
+        for (at, spare) in self.spares.iter().enumerate() {
+            let domain = DOMAINS[at % DOMAINS.len()];
+            let address = &spare.address;
+            writeln!(
+                text,
+                "    - {{address: \"{address}\", service: rights-reader, domain: {domain}}}"
+            )
+            .unwrap();
+        }
+        if self.spares.is_empty() {
+            text.push_str("    []\n");
+        }
         fs::write(self.folder.join("platform.yaml"), text).unwrap();
     }
 
     fn write_entry(&self, at: usize, peers: &str, metrics: &str) {
         let part = &self.entries[at];
+        let stewards = match self.shape.stewards.as_str() {
+            "" => "stewards: {}\n".into(),
+            lines => format!("stewards:\n{lines}\n"),
+        };
         let text = format!(
-            "instance: {}\ndomain: {}\nregion: praha\ncallers: {}\npeers: {peers}\n\
+            "{stewards}instance: {}\ndomain: {}\nregion: praha\ncallers: {}\npeers: {peers}\n\
              metrics: {metrics}\nstore: {}\ncloud: {}\nweights: {}\n\
              operator_token: {OPERATOR}\npeer_token: peers\nthreads: 2\n\
              times:\n  heartbeat: 250\n  suspect: 1500\n{}",
@@ -253,20 +326,36 @@
     }
 
     pub fn start_engine(&mut self, at: usize) {
-        let (name, address) = (self.engines[at].name.clone(), self.engines[at].address.clone());
+        let name = format!("e{}", at + 1);
+        let process = self.engine(&self.engines[at], &name);
+        self.engines[at].process = Some(process);
+    }
+
+    pub fn start_spare(&mut self, at: usize) {
+        let name = format!("s{}", at + 1);
+        let process = self.engine(&self.spares[at], &name);
+        self.spares[at].process = Some(process);
+    }
+
+    fn engine(&self, part: &Part, name: &str) -> Child {
         let settings = self.folder.join("engine.yaml");
-        let short = format!("e{}", at + 1);
-        let mut arguments = vec!["--listen", &address, "--name", &short, "--model", MODEL];
+        let mut arguments = vec!["--listen", &part.address, "--name", name, "--model", MODEL];
         if !self.shape.engine.is_empty() {
             arguments.extend(["--settings", settings.to_str().unwrap()]);
         }
-        let process = self.spawn("coltsfoothall-engine", &name, &arguments);
-        self.engines[at].process = Some(process);
+        self.spawn("coltsfoothall-engine", &part.name, &arguments)
     }
 
     pub fn start_service(&mut self, at: usize) {
-        let (name, address) = (self.services[at].name.clone(), self.services[at].address.clone());
-        let arguments = ["--listen", &address, "--name", "clerk-desk"];
+        let (name, address) = (
+            self.services[at].name.clone(),
+            self.services[at].address.clone(),
+        );
+        let settings = self.folder.join("service.yaml");
+        let mut arguments = vec!["--listen", &address, "--name", "clerk-desk"];
+        if !self.shape.service.is_empty() {
+            arguments.extend(["--settings", settings.to_str().unwrap()]);
+        }
         let process = self.spawn("coltsfoothall-service", &name, &arguments);
         self.services[at].process = Some(process);
     }
@@ -293,8 +382,16 @@
 
     /// A caller that knows some entry instances to begin with.
     pub fn caller_of(&self, entries: &[usize], seed: u64) -> Caller {
-        let entries = entries.iter().map(|at| self.entries[*at].address.clone()).collect();
-        Caller::new(Settings { entries, token: TOKEN.into(), seed, ..Settings::default() })
+        let entries = entries
+            .iter()
+            .map(|at| self.entries[*at].address.clone())
+            .collect();
+        Caller::new(Settings {
+            entries,
+            token: TOKEN.into(),
+            seed,
+            ..Settings::default()
+        })
     }
 
     /// A call of the operators' interface of one entry instance.
@@ -312,20 +409,25 @@
             .body(http_body_util::Full::new(body.into()))
             .unwrap();
         let answer = self.client.send("operate", request, CALL).await.ok()?;
-        coltsfoothall_wire::http::read_json(answer.into_body(), 16 << 20).await.ok()
+        coltsfoothall_wire::http::read_json(answer.into_body(), 16 << 20)
+            .await
+            .ok()
     }
 
     pub async fn status(&self, at: usize) -> Option<Status> {
-        self.operate(at, Method::GET, "/v1/operator/status", "").await
+        self.operate(at, Method::GET, "/v1/operator/status", "")
+            .await
     }
 
     pub async fn plan(&self, at: usize, intent: &str) -> Option<Plan> {
-        self.operate(at, Method::POST, "/v1/operator/plan", intent.to_owned()).await
+        self.operate(at, Method::POST, "/v1/operator/plan", intent.to_owned())
+            .await
     }
 
     pub async fn settle(&self, at: usize, plan: &Plan) -> Option<Verdict> {
         let body = coltsfoothall_wire::http::json(plan);
-        self.operate(at, Method::POST, "/v1/operator/confirm", body).await
+        self.operate(at, Method::POST, "/v1/operator/confirm", body)
+            .await
     }
 
     /// Plans and confirms an intent, over and over until it is accepted.
@@ -358,9 +460,14 @@
     /// Waits until each slot has an owner and a backup, both running.
     pub async fn until_backed(&self) {
         self.until("slots backed", async |system| {
-            let names: Vec<&str> =
-                system.running().iter().map(|at| system.entries[*at].name.as_str()).collect();
-            let Some(table) = system.table().await else { return false };
+            let names: Vec<&str> = system
+                .running()
+                .iter()
+                .map(|at| system.entries[*at].name.as_str())
+                .collect();
+            let Some(table) = system.table().await else {
+                return false;
+            };
             let runs = |name: &coltsfoothall::id::Instance| names.contains(&name.as_str());
             let alone = names.len() < 2;
             table.iter().all(|(_, entry)| {
@@ -374,14 +481,19 @@
     /// The slot table at the key-value service.
     pub async fn table(&self) -> Option<coltsfoothall::slot::Table> {
         let path = "/v1/kv/slots";
-        let entry: coltsfoothall_wire::store::Entry =
-            self.client.get("table", &self.store, path, CALL).await.ok()?;
+        let entry: coltsfoothall_wire::store::Entry = self
+            .client
+            .get("table", &self.store, path, CALL)
+            .await
+            .ok()?;
         serde_json::from_str(&entry.value).ok()
     }
 
     /// Entry instances that run.
     pub fn running(&self) -> Vec<usize> {
-        (0..self.entries.len()).filter(|at| self.entries[*at].process.is_some()).collect()
+        (0..self.entries.len())
+            .filter(|at| self.entries[*at].process.is_some())
+            .collect()
     }
 
     /// Waits for a state; the test fails if it does not come.
@@ -399,14 +511,18 @@
     /// Sets the faults of a stand-in, as JSON.
     pub async fn fault(&self, address: &str, fault: &str) {
         let body = Bytes::from(fault.to_owned());
-        let call = self.client.call("fault", Method::POST, address, "/fault", body, CALL);
+        let call = self
+            .client
+            .call("fault", Method::POST, address, "/fault", body, CALL);
         call.await.unwrap();
     }
 
     /// Takes instances back after a notice.
     pub async fn reclaim(&self, body: &str) {
         let body = Bytes::from(body.to_owned());
-        let call = self.client.call("reclaim", Method::POST, &self.cloud, "/reclaim", body, CALL);
+        let call = self
+            .client
+            .call("reclaim", Method::POST, &self.cloud, "/reclaim", body, CALL);
         call.await.unwrap();
     }
 
@@ -420,7 +536,10 @@
         path: &str,
         value: &A,
     ) -> T {
-        self.client.exchange("post", Method::POST, address, path, value, CALL).await.unwrap()
+        self.client
+            .exchange("post", Method::POST, address, path, value, CALL)
+            .await
+            .unwrap()
     }
 
     /// No entry instance that runs has found a rule broken.
@@ -430,10 +549,19 @@
                 assert_eq!(status.broken, 0, "{}", self.logs());
             }
         }
-        let broken = self.logs().lines().filter(|line| line.contains("E190")).count();
+        let broken = self
+            .logs()
+            .lines()
+            .filter(|line| line.contains("E190"))
+            .count();
         assert_eq!(broken, 0, "{}", self.logs());
     }
 
+    /// All that a part has logged.
+    pub fn log(&self, part: &str) -> String {
+        fs::read_to_string(self.folder.join(format!("{part}.log"))).unwrap_or_default()
+    }
+
     /// The ends of the entry instances' logs, for the message of a failed test.
     pub fn logs(&self) -> String {
         let mut text = String::new();
@@ -451,7 +579,12 @@
 
 impl Drop for System {
     fn drop(&mut self) {
-        let parts = self.entries.iter_mut().chain(&mut self.engines).chain(&mut self.services);
+        let parts = self
+            .entries
+            .iter_mut()
+            .chain(&mut self.engines)
+            .chain(&mut self.services);
+        let parts = parts.chain(&mut self.spares);
         for part in parts {
             part.kill();
         }
@@ -463,18 +596,30 @@
     }
 }
 
-/// Ports that are free now.
+/// Ports that are free now. They lie below those that connections get, so that no
+/// connection takes one before its part listens.
 fn ports(count: usize) -> Vec<u16> {
-    let held: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    held.iter().map(|listener| listener.local_addr().unwrap().port()).collect()
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Test processes that run side by side begin at different places.
+    let own = std::process::id().wrapping_mul(211);
+    let next = || FIRST + own.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
+    let all = std::iter::repeat_with(|| u16::try_from(next()).unwrap());
+    all.filter(|port| TcpListener::bind(("127.0.0.1", *port)).is_ok())
+        .take(count)
+        .collect()
 }
 
 /// A program of the workspace, beside this test's own.
 fn binary(name: &str) -> PathBuf {
     let own = Path::new(env!("CARGO_BIN_EXE_coltsfoothall-entry"));
     let path = own.parent().unwrap().join(name);
-    assert!(path.exists(), "{} is missing: build the whole workspace first", path.display());
+    assert!(
+        path.exists(),
+        "{} is missing: build the whole workspace first",
+        path.display()
+    );
     path
 }
 
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -62,6 +62,20 @@
     BROKEN = 190 Error "invariant_broken";
     /// Notice was heard that an instance will be taken back.
     NOTICE = 301 Warn "reclaim_notice";
+    /// An endpoint died.
+    ENDPOINT_DIED = 302 Warn "endpoint_died";
+    /// This instance began or ended to order as steward of a service.
+    STEWARD = 311 Info "steward";
+    /// An order goes to an engine.
+    ORDER = 312 Info "order";
+    /// An order was refused or its answer lost.
+    ORDER_FAILED = 313 Warn "order_failed";
+    /// An instance was started.
+    START = 314 Info "instance_started";
+    /// A start or stop was refused or its answer lost.
+    START_FAILED = 315 Warn "instance_start_failed";
+    /// An instance was given back.
+    STOP = 316 Info "instance_stopped";
     /// An entry instance joined, is leaving, died or was doubted.
     MEMBER = 401 Info "member";
     /// A connection to another entry instance failed.
@@ -76,12 +90,16 @@
     YIELDED = 413 Info "slot_yielded";
     /// A request that a lost owner had sent ended as unknown.
     ORPHAN = 414 Warn "orphan_ended";
+    /// An owner that began anew asked its backup to take a slot over.
+    CEDED = 415 Info "slot_ceded";
     /// A configuration is in force.
     ADOPTED = 501 Info "config_adopted";
     /// An older configuration was refused.
     OLDER = 502 Warn "config_older_refused";
     /// A configuration breaks a rule and was refused.
     BAD_CATALOG = 503 Error "config_bad";
+    /// The key-value service had lost the configuration in force and got it back.
+    RESTORED = 504 Warn "config_restored";
     /// A call of the key-value service failed.
     STORE_FAILED = 601 Warn "store_failed";
     /// The instance list or the notices could not be read.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -84,6 +84,7 @@
     requests: Counter<u64>,
     retries: Counter<u64>,
     recomputed: Counter<u64>,
+    dropped: Counter<u64>,
     endpoints: Gauge<u64>,
     members: Gauge<u64>,
     revision: Gauge<u64>,
@@ -139,6 +140,7 @@
             requests: count(&meter, "requests", "Requests ended, by code and outcome"),
             retries: count(&meter, "retries", "Attempts after a request's first"),
             recomputed: count(&meter, "recomputed_tokens", "Tokens computed a second time"),
+            dropped: count(&meter, "dropped_pieces", "Pieces of answers dropped, by reason"),
             endpoints: level(&meter, "endpoints", "Endpoints, by state"),
             members: level(&meter, "members", "Entry instances that are members"),
             revision: level(&meter, "revision", "Revision of the configuration in force"),
@@ -219,6 +221,11 @@
         self.recomputed.add(tokens, &labels.0);
     }
 
+    /// A piece of an endpoint's answer was dropped for `reason`, the name of an enumeration's value.
+    pub fn dropped(&self, reason: &'static str) {
+        self.dropped.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Count of endpoints in `state`, the name of an enumeration's value.
     pub fn endpoints(&self, state: &'static str, count: u64) {
         self.endpoints
