Ended requests leave the ledger by bytes or by time

Cause: the ledger kept ended records whole for 600 s and refused new requests once 24 MB were reached, though nothing was open. A slot with 4,096 changes unacknowledged cancelled accepted requests.

- A record drops its prompt, body and headers at its end and keeps a digest, at owner, backup and in copies.
- At the byte bound the oldest ended records go, an eighth of the bound at a time; non-idempotent ones leave their name.
Open requests, and ends that a copy still lacks, stay; when they alone reach the bound a new request is refused with that message.
- A change that finds its slot's backlog full waits in the relay, in order, and is tried again every 20 ms; meanwhile the relay takes nothing from endpoints.
Weighed: no bound for open requests (memory grows with the outage), cancel (breaks the promise and leaves a record without an end).
- An instance without slots mints in a slot of the published table that somebody has claimed.
Heartbeat 1,000 ms and suspicion 3,000 ms by default.

--- a/coltsfoothall-entry/src/desk.rs
+++ b/coltsfoothall-entry/src/desk.rs
@@ -18,7 +18,7 @@
 use coltsfoothall_wire::fault::{Code, Fault, Outcome};
 use coltsfoothall_wire::peer::Follow;
 
-use crate::control::Message;
+use crate::message::Message;
 use crate::dispatch;
 use crate::feed::{Feed, Follower};
 use crate::node::Node;
@@ -68,8 +68,14 @@
     /// A desk without requests.
     #[must_use]
     pub fn new(me: id::Instance, settings: ledger::Settings) -> Self {
-        let state = State { ledger: Ledger::new(me, settings), live: Vec::new() };
-        Self { state: Mutex::new(state), closed: AtomicBool::new(false) }
+        let state = State {
+            ledger: Ledger::new(me, settings),
+            live: Vec::new(),
+        };
+        Self {
+            state: Mutex::new(state),
+            closed: AtomicBool::new(false),
+        }
     }
 
     /// Turns new requests away from now on; those that are open go on.
@@ -77,16 +83,21 @@
         self.closed.store(true, Ordering::Relaxed);
     }
 
-    /// Mints a key in a slot that is owned here.
+    /// Mints a key in a slot that is owned here, or in another's if none is:
+    /// there may be more instances than slots.
     ///
     /// # Errors
-    /// No slot is owned here now.
-    pub fn mint(&self) -> Result<Key, Fault> {
-        let state = self.state();
-        let count = state.ledger.owned().count();
-        let none = || come_back(Code::Unavailable, "this entry instance owns no slot yet");
-        let at = rand::random_range(0..count.max(1));
-        let (slot, epoch) = state.ledger.owned().nth(at).ok_or_else(none)?;
+    /// No owned slot is known now.
+    pub fn mint(&self, node: &Node) -> Result<Key, Fault> {
+        let owned: Vec<_> = self.state().ledger.owned().collect();
+        let places = if owned.is_empty() {
+            node.view().table.claimed().collect()
+        } else {
+            owned
+        };
+        let none = || come_back(Code::Unavailable, "no slot has an owner yet");
+        let at = rand::random_range(0..places.len().max(1));
+        let (slot, epoch) = places.get(at).copied().ok_or_else(none)?;
         Ok(Key::mint(slot, epoch, rand::random()))
     }
 
@@ -132,7 +143,10 @@
         let state = self.state();
         clear();
         let slots: Vec<Slot> = state.ledger.owned().map(|(slot, _)| slot).collect();
-        slots.iter().flat_map(|slot| state.ledger.resend(*slot, to)).collect()
+        slots
+            .iter()
+            .flat_map(|slot| state.ledger.resend(*slot, to))
+            .collect()
     }
 
     /// Cancels an open request that is owned here.
@@ -175,7 +189,10 @@
         match next {
             Ok(Next::Nothing | Next::Resend) => {}
             Ok(Next::Copy) => {
-                node.control.send(Message::CopyLost { slot, at: from.clone() });
+                node.control.send(Message::CopyLost {
+                    slot,
+                    at: from.clone(),
+                });
             }
             Ok(Next::Table) => node.control.send(Message::ReadTable),
             Err(broken) => node.broken("ledger_ack", &broken),
@@ -183,35 +200,47 @@
     }
 
     /// Records a relay's change. An input for the relay comes back if it is settled at once.
+    ///
+    /// # Errors
+    /// Too many changes of the slot wait for a copy: the change is given back,
+    /// to be recorded later and before any other of its request.
     pub fn record(
         &self,
         node: &Node,
         name: &Name,
         request: u64,
         change: Change,
-    ) -> Option<Input> {
+    ) -> Result<Option<Input>, Change> {
         let now = node.now();
         let mut state = self.state();
-        let at = state.find(name).ok()?;
+        let Ok(at) = state.find(name) else {
+            return Ok(None);
+        };
         let slot = state.live[at].slot;
-        match state.ledger.change(now, slot, name.clone(), change) {
+        if state.ledger.serving(slot) && state.ledger.behind(slot) {
+            return Err(change);
+        }
+        Ok(match state.ledger.change(now, slot, name.clone(), change) {
             Ok(step) => {
                 let released = step.released;
-                state.live[at].pending.push(Pending { request, seq: step.seq });
+                state.live[at].pending.push(Pending {
+                    request,
+                    seq: step.seq,
+                });
                 // Sent under the lock, so that each copy gets the slot's changes in order.
                 node.links.send(&step);
                 drop(state);
                 released.then_some(Input::Acked { seq: request })
             }
-            Err(ledger::Error::NotOwner(_)) => Some(Input::Sealed),
+            // A slot that is full was found above, under the same lock.
+            Err(ledger::Error::NotOwner(_) | ledger::Error::Full(_)) => Some(Input::Sealed),
             Err(ledger::Error::NotSafe(_)) => Some(Input::Alone),
-            Err(ledger::Error::Full(_)) => Some(Input::Cancel),
             Err(ledger::Error::Broken(broken)) => {
                 drop(state);
                 node.broken("ledger_change", &broken);
                 Some(Input::Sealed)
             }
-        }
+        })
     }
 
     /// Forgets a relay that has ended. One that was sealed may end only after
@@ -259,12 +288,18 @@
             return Ok(false);
         }
         if !state.ledger.owned().any(|(owned, _)| owned == slot) {
-            return Err(come_back(Code::Unavailable, "the request is owned elsewhere"));
+            return Err(come_back(
+                Code::Unavailable,
+                "the request is owned elsewhere",
+            ));
         }
         // What cannot be handed over while it runs must not begin at one that leaves.
         let closed = self.closed.load(Ordering::Relaxed);
         if closed || (node.view().leaving && !intake.idempotent) {
-            return Err(come_back(Code::Unavailable, "the request's owner is leaving"));
+            return Err(come_back(
+                Code::Unavailable,
+                "the request's owner is leaving",
+            ));
         }
         Ok(true)
     }
@@ -280,7 +315,10 @@
         let feed = match (state.find(&follow.name), &follow.intake) {
             (Ok(at), intake) => {
                 let live = &state.live[at];
-                if intake.as_ref().is_some_and(|intake| intake.digest() != live.digest) {
+                if intake
+                    .as_ref()
+                    .is_some_and(|intake| intake.digest() != live.digest)
+                {
                     return Err(reused(&follow.name));
                 }
                 Arc::clone(&live.feed)
@@ -324,7 +362,10 @@
         let mut state = self.state();
         let owner = state.ledger.released(slot).is_some();
         let open: Vec<Record> = state.ledger.open(slot).cloned().collect();
-        for record in open.into_iter().filter(|record| owner || record.intake.idempotent) {
+        for record in open
+            .into_iter()
+            .filter(|record| owner || record.intake.idempotent)
+        {
             if state.find(&record.intake.name).is_err() {
                 state.spawn(node, slot, Begun::Resumed(Box::new(record)));
             }
@@ -358,7 +399,10 @@
         let name = &intake.name;
         match self.ledger.begin(node.now(), intake.clone(), slot) {
             Ok(Begin::New(step)) => {
-                let begun = Begun::New { intake: Box::new(intake.clone()), number };
+                let begun = Begun::New {
+                    intake: Box::new(intake.clone()),
+                    number,
+                };
                 Ok(self.accept(node, slot, begun, &step))
             }
             Ok(Begin::Join(_)) => self.known(slot, name),
@@ -371,17 +415,14 @@
         }
     }
 
-    fn accept(
-        &mut self,
-        node: &Arc<Node>,
-        slot: Slot,
-        begun: Begun,
-        step: &Step,
-    ) -> Arc<Feed> {
+    fn accept(&mut self, node: &Arc<Node>, slot: Slot, begun: Begun, step: &Step) -> Arc<Feed> {
         node.links.send(step);
         let feed = self.spawn(node, slot, begun);
         if let Ok(at) = self.find(&step.update.name) {
-            self.live[at].pending.push(Pending { request: 1, seq: step.seq });
+            self.live[at].pending.push(Pending {
+                request: 1,
+                seq: step.seq,
+            });
         }
         if step.released {
             self.flush(slot);
@@ -412,7 +453,10 @@
     /// The answer of a request that is known and has no relay.
     fn known(&self, slot: Slot, name: &Name) -> Result<Arc<Feed>, Fault> {
         if !self.ledger.owned().any(|(owned, _)| owned == slot) {
-            return Err(come_back(Code::Unavailable, "the request is owned elsewhere"));
+            return Err(come_back(
+                Code::Unavailable,
+                "the request is owned elsewhere",
+            ));
         }
         let record = self.ledger.record(slot, name);
         let unknown = || Fault::new(Code::NotFound, format!("no request {} is known", name.key));
@@ -422,7 +466,10 @@
             Some(end) if seq.is_some_and(|seq| self.ledger.may_leave(slot, name, seq)) => {
                 Ok(Feed::ended(record, end))
             }
-            _ => Err(come_back(Code::Unavailable, "the request is changing its owner")),
+            _ => Err(come_back(
+                Code::Unavailable,
+                "the request is changing its owner",
+            )),
         }
     }
 
@@ -459,7 +506,10 @@
         Cause::NoEndpoint => (Code::NoEndpoint, "no endpoint can take the request now"),
         Cause::Deadline => (Code::Deadline, "the deadline cannot be kept"),
         _ if refusal.limited => (Code::Limited, "a limit of the workspace is reached"),
-        _ => (Code::Overloaded, "there is no capacity for the request within its deadline"),
+        _ => (
+            Code::Overloaded,
+            "there is no capacity for the request within its deadline",
+        ),
     };
     Fault {
         outcome: Outcome::NotRun,
@@ -473,11 +523,17 @@
 fn unresumable() -> Fault {
     let message = "must be the id of an event of this answer";
     let fault = Fault::field(coltsfoothall_wire::header::LAST_EVENT, message);
-    Fault { outcome: Outcome::Unknown, ..fault }
+    Fault {
+        outcome: Outcome::Unknown,
+        ..fault
+    }
 }
 
 fn reused(name: &Name) -> Fault {
-    Fault::new(Code::KeyReused, format!("the key {} names another request", name.key))
+    Fault::new(
+        Code::KeyReused,
+        format!("the key {} names another request", name.key),
+    )
 }
 
 fn refusal(refused: &Begin, name: &Name) -> Fault {
@@ -485,21 +541,35 @@
         Begin::Reused => reused(name),
         Begin::Retired => Fault {
             outcome: Outcome::Unknown,
-            ..Fault::new(Code::LedgerLost, "the request ended; its answer is no longer kept")
+            ..Fault::new(
+                Code::LedgerLost,
+                "the request ended; its answer is no longer kept",
+            )
         },
-        Begin::Lost => {
-            Fault::new(Code::LedgerLost, "the key may have been used at an owner that was lost")
-        }
+        Begin::Lost => Fault::new(
+            Code::LedgerLost,
+            "the key may have been used at an owner that was lost",
+        ),
         Begin::NotOwner => come_back(Code::Unavailable, "the request is owned elsewhere"),
         Begin::NotSafe => come_back(Code::NotSafe, "at most once cannot be promised now"),
         Begin::Full => Fault {
             retry_after_ms: Some(FULL),
-            ..Fault::new(Code::Overloaded, "too many requests are open here")
+            ..Fault::new(Code::Overloaded, "open requests alone fill the ledger here")
+        },
+        Begin::Behind => Fault {
+            retry_after_ms: Some(FULL),
+            ..Fault::new(
+                Code::Overloaded,
+                "too many changes wait for the slot's backup",
+            )
         },
         Begin::New(_) | Begin::Join(_) => Fault::new(Code::Internal, "the request was taken"),
     }
 }
 
 fn come_back(code: Code, message: &str) -> Fault {
-    Fault { retry_after_ms: Some(COME_BACK), ..Fault::new(code, message) }
+    Fault {
+        retry_after_ms: Some(COME_BACK),
+        ..Fault::new(code, message)
+    }
 }
--- a/coltsfoothall-entry/src/relay.rs
+++ b/coltsfoothall-entry/src/relay.rs
@@ -1,5 +1,6 @@
 //! One open request at its owner: a task around [`Request`].
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +18,8 @@
 use coltsfoothall::size::Tokens;
 use coltsfoothall::step::{Action, Dropped, Input};
 
-use crate::control::{Message, Pick};
+use crate::message::Message;
+use crate::pick::Pick;
 use crate::endpoint::{Ended, Job};
 use crate::feed::Feed;
 use crate::node::Node;
@@ -32,6 +34,16 @@
 /// Between two looks at whether somebody follows.
 const LOOK: Duration = Duration::from_secs(5);
 
+/// Between two tries of a change that found the ledger full.
+const RETRY: Duration = Duration::from_millis(20);
+
+/// A change that waits for room in the ledger, with its number.
+#[derive(Debug)]
+struct Held {
+    seq: u64,
+    change: Change,
+}
+
 /// How a relay begins.
 #[derive(Debug)]
 pub enum Begun {
@@ -77,6 +89,8 @@
     running: Vec<Running>,
     /// When to look again whether somebody follows.
     look: Instant,
+    /// Changes that found the ledger full, in order.
+    held: VecDeque<Held>,
 }
 
 /// Starts a relay; inputs from control and ledger go to what it returns.
@@ -100,6 +114,7 @@
         number,
         running: Vec::new(),
         look: Instant::now() + LOOK,
+        held: VecDeque::new(),
     };
     traffic.spawn(relay.run(heard, arrived));
     signals
@@ -108,16 +123,23 @@
 impl Relay {
     async fn run(mut self, mut heard: UnboundedReceiver<Input>, mut arrived: Receiver<Input>) {
         self.handle(Input::Begin);
-        while !self.request.over() {
+        while !self.request.over() || !self.held.is_empty() {
             let wake = self.wake();
+            let idle = self.held.is_empty();
             let input = tokio::select! {
                 // News of the copies and of endpoints go before pieces of answers.
                 biased;
                 Some(input) = heard.recv() => input,
-                Some(input) = arrived.recv() => input,
+                // The endpoint waits while changes wait, so these stay few.
+                Some(input) = arrived.recv(), if idle => input,
                 () = sleep_until(wake) => self.tick(),
             };
             self.handle(input);
+            if self.request.over() && self.request.end().is_none() {
+                // Sealed: the records are another owner's now.
+                self.held.clear();
+            }
+            self.retry();
         }
         self.stop_all();
         if let Some(number) = self.number {
@@ -135,7 +157,11 @@
             .request
             .wake()
             .map(|at| self.node.start + at.since(Time::START));
-        due.map_or(self.look, |due| due.min(self.look))
+        let wake = due.map_or(self.look, |due| due.min(self.look));
+        if self.held.is_empty() {
+            return wake;
+        }
+        wake.min(Instant::now() + RETRY)
     }
 
     /// What the passing of time means.
@@ -219,13 +245,36 @@
         None
     }
 
-    fn record(&self, seq: u64, change: Change) -> Option<Input> {
+    fn record(&mut self, seq: u64, change: Change) -> Option<Input> {
         if matches!(change, Change::Accept(_)) {
             // The ledger made this change when it took the request in.
             return None;
         }
+        if !self.held.is_empty() {
+            self.held.push_back(Held { seq, change });
+            return None;
+        }
         let name = &self.request.record().intake.name;
-        self.node.desk.record(&self.node, name, seq, change)
+        let recorded = self.node.desk.record(&self.node, name, seq, change);
+        recorded.unwrap_or_else(|change| {
+            self.held.push_front(Held { seq, change });
+            None
+        })
+    }
+
+    /// Records what waits, in its order, as far as there is room now.
+    fn retry(&mut self) {
+        let mut waiting = std::mem::take(&mut self.held);
+        while let Some(Held { seq, change }) = waiting.pop_front() {
+            let input = self.record(seq, change);
+            if input.is_some_and(|input| self.signals.send(input).is_err()) {
+                return;
+            }
+            if !self.held.is_empty() {
+                break;
+            }
+        }
+        self.held.append(&mut waiting);
     }
 
     fn pick(&mut self, exclude: Vec<id::Endpoint>) {
--- a/coltsfoothall-entry/src/settings.rs
+++ b/coltsfoothall-entry/src/settings.rs
@@ -78,8 +78,8 @@
 impl Default for Times {
     fn default() -> Self {
         Self {
-            heartbeat: Millis(250),
-            suspect: Millis(1500),
+            heartbeat: Millis(1000),
+            suspect: Millis(3000),
             store: Millis(1000),
             backup: Millis(400),
             endpoint: Millis(20_000),
--- a/coltsfoothall/src/ledger.rs
+++ b/coltsfoothall/src/ledger.rs
@@ -11,6 +11,14 @@
 //! - The role that the table gives counts only with a copy of the same epoch;
 //!   an instance that restarted under its old name has none.
 //!
+//! An ended request keeps its answer and a digest of what was asked, not its
+//! prompt or body. Its record stays for [`Settings::retention`] or until the
+//! bytes of all records reach [`Settings::bytes`], whichever comes first; the
+//! oldest ended ones go first. A key older than that is, if idempotent, new
+//! again; if not, its name stays and it is answered [`Begin::Retired`], never
+//! run again. Open requests, and ends that a copy still lacks, are never
+//! dropped: only when they alone reach the bound is a new request refused.
+//!
 //! Times at which a caller's key can run twice are in docs/PROOFS.md.
 
 use std::time::Duration;
@@ -32,12 +40,13 @@
 /// Limits of the ledger.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// How long an ended request is kept. Deadlines have to be under half of
+    /// How long an ended request is kept, if the bytes allow. Deadlines have to be under half of
     /// it, so that no key outlives what is known about it.
     pub retention: Duration,
     /// How long the name of an ended non-idempotent request is kept.
     pub names: Duration,
-    /// Bytes of all records; it stops slow callers from filling the memory.
+    /// Bytes of all records, backup copies included; it stops slow callers and
+    /// long answers from filling the memory. The oldest ended records go first.
     pub bytes: Bytes,
     /// Changes of a slot that wait for a copy; it stops a dead backup from
     /// filling the memory.
@@ -76,8 +85,10 @@
     NotOwner,
     /// At most once could not be kept up now: not run.
     NotSafe,
-    /// The ledger is full: not run.
+    /// Open requests alone fill the ledger: not run.
     Full,
+    /// Too many changes of the slot wait for a copy: not run.
+    Behind,
 }
 
 quick_error! {
@@ -119,6 +130,17 @@
     Table,
 }
 
+/// A copy that lacks changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Owed {
+    /// The slot.
+    pub slot: Slot,
+    /// Who keeps the copy.
+    pub to: id::Instance,
+    /// The first change that it lacks.
+    pub seq: Seq,
+}
+
 /// What this instance keeps.
 #[derive(Debug)]
 pub struct Ledger {
@@ -162,7 +184,7 @@
         };
         if let Ok(at) = replica.find(&intake.name) {
             let item = &replica.items[at];
-            let same = item.record.intake.digest() == intake.digest();
+            let same = item.record.digest == intake.digest();
             return Ok(if same {
                 Begin::Join(item.seq)
             } else {
@@ -174,11 +196,14 @@
         {
             return Ok(refused);
         }
-        if self.full(replica) {
-            return Ok(Begin::Full);
+        if backlog(replica) >= self.settings.unacked {
+            return Ok(Begin::Behind);
         }
         let name = intake.name.clone();
         let unsure = self.lost(now, &intake, replica);
+        if !self.make_room(now) {
+            return Ok(Begin::Full);
+        }
         let step = self.step(now, slot, name.clone(), Change::Accept(Box::new(intake)))?;
         if let Some(replica) = self.replica_mut(slot)
             && let Ok(at) = replica.find(&name)
@@ -218,6 +243,9 @@
     /// # Errors
     /// The change breaks a rule.
     pub fn receive(&mut self, now: Time, update: Update) -> Result<Ack, Broken> {
+        if matches!(update.change, Change::Accept(_)) {
+            self.make_room(now);
+        }
         let Some(replica) = self.replica_mut(update.slot) else {
             return Ok(Ack::Missing);
         };
@@ -245,6 +273,7 @@
         from: &id::Instance,
         ack: Ack,
     ) -> Result<Next, Broken> {
+        let writing = self.noted(slot);
         let Some(replica) = self.replica_mut(slot).filter(|r| r.epoch == epoch) else {
             return Ok(Next::Nothing);
         };
@@ -270,7 +299,13 @@
             Ack::Gap(from) if owner.unacked.first().is_some_and(|u| u.seq <= from) => {
                 Ok(Next::Resend)
             }
-            Ack::Gap(_) | Ack::Missing => Ok(Next::Copy),
+            Ack::Gap(_) | Ack::Missing => {
+                // A copy that the table does not name is made anew, not waited for.
+                if !writing && owner.learner.take_if(|link| link.peer == *from).is_some() {
+                    owner.release(seq);
+                }
+                Ok(Next::Copy)
+            }
         }
     }
 
@@ -309,6 +344,26 @@
         owner.since(link.acked).cloned().collect()
     }
 
+    /// Copies that lack changes, with the first change that each lacks.
+    #[must_use]
+    pub fn owed(&self) -> Vec<Owed> {
+        let mut owed = Vec::new();
+        for replica in self.replicas.iter().filter(|replica| !replica.sealed) {
+            let Role::Owner(owner) = &replica.role else {
+                continue;
+            };
+            for link in owner.backup.iter().chain(&owner.learner) {
+                let first = owner.since(link.acked).next();
+                owed.extend(first.map(|update| Owed {
+                    slot: replica.slot,
+                    to: link.peer.clone(),
+                    seq: update.seq,
+                }));
+            }
+        }
+        owed
+    }
+
     /// Lets idempotent requests go on while the backup is out of reach and the
     /// service is down. Non-idempotent ones wait. It ends once the backup holds
     /// all changes.
@@ -316,16 +371,26 @@
         if let Some(replica) = self.replica_mut(slot)
             && let Role::Owner(owner) = &mut replica.role
         {
-            owner.alone = true;
+            // A backup that dropped its copy is not waited for at all.
+            owner.alone = owner.backup.is_some() || owner.learner.is_some();
         }
     }
 
-    /// Drops requests that ended long ago; names of non-idempotent ones stay.
+    /// Drops requests that ended long ago, or for whose records there is no
+    /// room; names of non-idempotent ones stay.
     pub fn retire(&mut self, now: Time) {
         let settings = self.settings.clone();
         for replica in &mut self.replicas {
             replica.retire(now, settings.retention, settings.names, settings.stubs);
         }
+        self.make_room(now);
+    }
+
+    /// Whether too many changes of a slot wait for a copy: none may be made now.
+    #[must_use]
+    pub fn behind(&self, slot: Slot) -> bool {
+        let replica = self.replica(slot);
+        replica.is_some_and(|replica| backlog(replica) >= self.settings.unacked)
     }
 
     /// Notes that the service answered with the table that this ledger knows to
--- a/coltsfoothall/src/member.rs
+++ b/coltsfoothall/src/member.rs
@@ -367,10 +367,9 @@
         fit.retain(|digest| !digest.leaving);
         fit.sort_by(|a, b| (&a.domain, &a.callers).cmp(&(&b.domain, &b.callers)));
         let weight = |digest: &&Digest| {
-            let near = fit
-                .iter()
-                .filter(|other| other.domain == digest.domain)
-                .count();
+            let first = fit.partition_point(|other| other.domain < digest.domain);
+            let end = fit.partition_point(|other| other.domain <= digest.domain);
+            let near = end - first;
             let free = 100 - digest.load.min(95);
             (free * 10 / u32::try_from(near).unwrap_or(u32::MAX)).max(1)
         };
--- a/coltsfoothall/src/record.rs
+++ b/coltsfoothall/src/record.rs
@@ -260,8 +260,10 @@
 /// The state of one request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// The request.
+    /// The request; its work is empty once an ended record was trimmed.
     pub intake: Intake,
+    /// Digest of the whole request, which tells another one under its key.
+    pub digest: u64,
     /// Attempts that may have begun; those refused before they began are taken out.
     pub sent: Vec<u64>,
     /// Attempts recorded in all.
@@ -283,6 +285,7 @@
     #[must_use]
     pub fn new(intake: Intake) -> Self {
         Self {
+            digest: intake.digest(),
             intake,
             sent: Vec::new(),
             attempts: 0,
@@ -337,6 +340,19 @@
         size_of::<Self>() + work + answer + marks + self.text.len()
     }
 
+    /// Drops what only a running request needs; the answer and the digest stay.
+    pub fn trim(&mut self) {
+        match &mut self.intake.work {
+            Work::Completion { prompt, .. } => *prompt = String::new(),
+            Work::Call { headers, body, .. } => {
+                *headers = Vec::new();
+                *body = Bytes::new();
+            }
+        }
+        self.text.shrink_to_fit();
+        self.marks.shrink_to_fit();
+    }
+
     /// Applies a change.
     ///
     /// # Errors
--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -168,6 +168,9 @@
                 item.record.apply(change)?;
                 item.seq = seq;
                 item.ended = item.record.end.map(|_| now);
+                if item.ended.is_some() {
+                    item.record.trim();
+                }
                 self.bytes = self.bytes - before + item.record.size();
             }
         }
@@ -283,13 +286,48 @@
     pub(crate) fn retire(&mut self, now: Time, keep: Duration, names: Duration, most: usize) {
         let old = |item: &Item| item.ended.is_some_and(|ended| now.since(ended) >= keep);
         let dropped: Vec<_> = self.items.extract_if(.., |item| old(item)).collect();
+        self.bury(now, dropped);
+        self.stubs.retain(|stub| now.since(stub.since) < names);
+        self.cap(most);
+    }
+
+    /// Times and sizes of the records that may be dropped for room: those that
+    /// ended, and whose end the other copies hold.
+    pub(crate) fn settled(&self) -> impl Iterator<Item = (Time, usize)> {
+        let held = self.held();
+        let ended = self.items.iter().filter(move |item| item.seq <= held);
+        ended.filter_map(|item| Some((item.ended?, item.record.size())))
+    }
+
+    /// Drops records that ended by `until` to make room, as [`Self::retire`] does.
+    pub(crate) fn shed(&mut self, now: Time, until: Time, most: usize) {
+        let held = self.held();
+        let old = |item: &Item| item.seq <= held && item.ended.is_some_and(|at| at <= until);
+        let dropped: Vec<_> = self.items.extract_if(.., |item| old(item)).collect();
+        self.bury(now, dropped);
+        self.cap(most);
+    }
+
+    /// The last change that the other copies hold, as far as it matters here.
+    fn held(&self) -> Seq {
+        match &self.role {
+            Role::Owner(owner) => owner.released,
+            Role::Backup { .. } | Role::Learner { .. } => self.seq,
+        }
+    }
+
+    /// Forgets dropped records, but for the names of non-idempotent ones.
+    fn bury(&mut self, now: Time, dropped: Vec<Item>) {
         for item in dropped {
             self.bytes = self.bytes.saturating_sub(item.record.size());
             if !item.record.intake.idempotent {
                 self.remember(name_hash(&item.record.intake.name), now);
             }
         }
-        self.stubs.retain(|stub| now.since(stub.since) < names);
+    }
+
+    /// Keeps the youngest `most` stubs.
+    fn cap(&mut self, most: usize) {
         if self.stubs.len() > most {
             let mut since: Vec<_> = self.stubs.iter().map(|stub| stub.since).collect();
             since.sort_unstable();
--- a/coltsfoothall/src/safety.rs
+++ b/coltsfoothall/src/safety.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::Time;
-use crate::ledger::{Begin, Ledger, backlog};
+use crate::ledger::{Begin, Ledger};
 use crate::record::{Change, End, Intake};
 use crate::replica::{Item, Replica, Role, name_hash};
 
@@ -56,7 +56,30 @@
         }
     }
 
-    pub(crate) fn full(&self, replica: &Replica) -> bool {
-        self.bytes() >= self.settings.bytes || backlog(replica) >= self.settings.unacked
+    /// Whether there is room for one more record, after the oldest ended ones
+    /// have gone if need be. They go an eighth of the bound at a time, so that
+    /// the search for them is rare.
+    pub(crate) fn make_room(&mut self, now: Time) -> bool {
+        let (have, most) = (self.bytes().0, self.settings.bytes.0);
+        if have < most {
+            return true;
+        }
+        let mut ended: Vec<_> = self.replicas.iter().flat_map(Replica::settled).collect();
+        ended.sort_unstable();
+        let mut left = have - (most - most / 8).min(have);
+        let mut until = None;
+        for (at, size) in ended {
+            if left == 0 && until != Some(at) {
+                break;
+            }
+            left = left.saturating_sub(size as u64);
+            until = Some(at);
+        }
+        if let Some(until) = until {
+            let stubs = self.settings.stubs;
+            let replicas = self.replicas.iter_mut();
+            replicas.for_each(|replica| replica.shed(now, until, stubs));
+        }
+        self.bytes().0 < most
     }
 }
--- a/coltsfoothall/src/slot.rs
+++ b/coltsfoothall/src/slot.rs
@@ -132,6 +132,13 @@
         (0..self.count()).map(Slot).zip(&self.entries)
     }
 
+    /// Slots that somebody keeps, with their epochs. At the first epoch nobody
+    /// does yet, and whoever claims the slot takes keys of that epoch for lost.
+    pub fn claimed(&self) -> impl Iterator<Item = (Slot, Epoch)> {
+        let claimed = self.iter().filter(|(_, entry)| entry.epoch > FIRST);
+        claimed.map(|(slot, entry)| (slot, entry.epoch))
+    }
+
     /// Claims a slot whose copies are both lost: older keys are lost with them.
     ///
     /// # Errors
--- a/coltsfoothall/tests/slot.rs
+++ b/coltsfoothall/tests/slot.rs
@@ -78,3 +78,12 @@
     assert!((1..9).all(|at| table.primaries(&name(at)) == 32));
     assert!(serde_json::to_vec(&table).unwrap().len() < 64 << 10);
 }
+
+#[test]
+fn claimed_slots() {
+    let first = Table::first(3, &candidates(2, 2)).unwrap();
+    assert_eq!(first.claimed().count(), 0);
+    let table = first.claim(Slot(1), Epoch(1), &name(1)).unwrap();
+    let claimed: Vec<_> = table.claimed().collect();
+    assert_eq!(claimed, [(Slot(1), Epoch(2))]);
+}
