Entry instance: large modules split, a place of ports for each test system

Tests: steward/mod.rs holds what orders and starts shared; system/part.rs and system/ports.rs.

Ports: each system locks one of 250 places of 80 ports from 12,000 to 31,999, below the ephemeral range, until its parts are down; the lock ends with its process, and ports where something listens are left out. Weighed: a range a process by its id alone, which two ids may share; one bind check at the start, which says nothing of a later restart.

The old collision was not shown failing first.

--- a/coltsfoothall-entry/src/answer.rs
+++ b/coltsfoothall-entry/src/answer.rs
@@ -9,26 +9,23 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
-use tokio::time::Instant;
 
 use coltsfoothall::key::Key;
 use coltsfoothall::prefix;
-use coltsfoothall::record::{Answer, Cause, Class, End, Finish, Intake, Name, Work};
-use coltsfoothall::size::{Millis, Tokens};
-use coltsfoothall_shell::metric::Labels;
+use coltsfoothall::record::{Answer, Class, End, Finish, Intake, Name, Work};
+use coltsfoothall::size::Tokens;
 use coltsfoothall_wire::caller::{Choice, Completion, DONE, Part, Usage};
-use coltsfoothall_wire::fault::{Body as FaultBody, Code, Fault, Outcome};
+use coltsfoothall_wire::fault::{Body as FaultBody, Fault};
 use coltsfoothall_wire::peer::Piece;
 use coltsfoothall_wire::serve::{self, Body};
 use coltsfoothall_wire::sse::Event;
 use coltsfoothall_wire::{header, http};
 
+use crate::ending::fault;
+use crate::meter::Meter;
 use crate::node::Node;
 use crate::source::Source;
 
-/// When to come back after a request was given up on.
-const COME_BACK: Millis = Millis(1000);
-
 /// How an answer is written, and under which labels it is measured.
 #[derive(Debug, Clone)]
 pub struct Shape {
@@ -117,7 +114,7 @@
     mut source: Source,
     shape: &Shape,
 ) -> Result<Response<Body>, Fault> {
-    let meter = Meter::new(Arc::clone(node), shape);
+    let meter = Meter::new(Arc::clone(node), node.labels(&shape.name, shape.class));
     let first = source.next().await;
     let mut response = match first {
         Piece::Text {
@@ -167,65 +164,6 @@
     }
 }
 
-/// What a caller is told when an answer ends without being whole.
-fn fault(piece: Piece, key: &Key) -> Fault {
-    let fault = match piece {
-        Piece::Fault(fault) => *fault,
-        Piece::End {
-            end: End::NotRun(cause),
-            retry_after_ms,
-        } => ended(cause, Outcome::NotRun, retry_after_ms),
-        Piece::End {
-            end: End::Unknown(cause),
-            retry_after_ms,
-        } => ended(cause, Outcome::Unknown, retry_after_ms),
-        Piece::End { end: End::Done, .. }
-        | Piece::Text { .. }
-        | Piece::Answer(_)
-        | Piece::Moved => Fault::new(Code::Internal, "the answer's pieces are out of order"),
-    };
-    Fault {
-        request: Some(key.clone()),
-        ..fault
-    }
-}
-
-/// `after` is when the caller may come back, if the gate said so.
-fn ended(cause: Cause, outcome: Outcome, after: Option<Millis>) -> Fault {
-    let (code, message, again) = match cause {
-        Cause::Cancelled => (Code::Cancelled, "the request was cancelled", false),
-        Cause::Deadline => (Code::Deadline, "the deadline passed", true),
-        Cause::NoEndpoint => (
-            Code::NoEndpoint,
-            "no endpoint can take the request now",
-            true,
-        ),
-        Cause::Overloaded => (Code::Overloaded, "there is no capacity now", true),
-        Cause::Failed => (
-            Code::Failed,
-            "every attempt that could be made has failed",
-            true,
-        ),
-        Cause::Poisonous => (
-            Code::Poisonous,
-            "endpoints died when this request ran",
-            false,
-        ),
-        Cause::OwnerLost => (
-            Code::LedgerLost,
-            "the entry instance that ran it was lost",
-            false,
-        ),
-        Cause::NotSafe => (Code::NotSafe, "at most once cannot be promised now", true),
-    };
-    let retry_after_ms = after.or_else(|| again.then_some(COME_BACK));
-    Fault {
-        outcome,
-        retry_after_ms,
-        ..Fault::new(code, message)
-    }
-}
-
 fn name(response: &mut Response<Body>, key: &Key) {
     let value = HeaderValue::from_str(key.as_str()).expect("keys hold only plain characters");
     response
@@ -412,48 +350,3 @@
     let data = String::from_utf8_lossy(&http::json(&body)).into_owned();
     Event { id: None, data }.encode()
 }
-
-/// Measures one answer.
-struct Meter {
-    node: Arc<Node>,
-    labels: Labels,
-    began: Instant,
-    last: Option<Instant>,
-    have: u64,
-}
-
-impl Meter {
-    fn new(node: Arc<Node>, shape: &Shape) -> Self {
-        let labels = node.labels(&shape.name, shape.class);
-        Self {
-            node,
-            labels,
-            began: Instant::now(),
-            last: None,
-            have: 0,
-        }
-    }
-
-    fn tokens(&mut self, tokens: u64) {
-        let now = Instant::now();
-        match self.last {
-            None => self.node.board.first_token(&self.labels, now - self.began),
-            Some(last) if tokens > self.have => {
-                let gap = (now - last) / u32::try_from(tokens - self.have).unwrap_or(u32::MAX);
-                self.node.board.between_tokens(&self.labels, gap);
-            }
-            Some(_) => {}
-        }
-        self.last = Some(now);
-        self.have = tokens;
-    }
-
-    fn end(&self) {
-        self.node
-            .measure_end(&self.labels, Instant::now() - self.began);
-    }
-
-    fn fault(&self, fault: &Fault) {
-        self.node.count_end(&self.labels, Some(fault));
-    }
-}
--- a/coltsfoothall-entry/src/view.rs
+++ b/coltsfoothall-entry/src/view.rs
@@ -8,6 +8,8 @@
 use coltsfoothall_wire::caller::Addresses;
 use coltsfoothall_wire::cloud::Machine;
 
+use crate::busy::Busy;
+
 /// A bearer token and the workspace that holds it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Token {
@@ -39,17 +41,6 @@
     pub address: String,
 }
 
-/// Requests of a service on this instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Busy {
-    /// The service.
-    pub service: id::Service,
-    /// Open at endpoints.
-    pub open: u64,
-    /// Waiting for an endpoint.
-    pub queued: u64,
-}
-
 /// A snapshot of the control state.
 #[derive(Debug, Clone, Default)]
 pub struct View {
--- a/coltsfoothall-entry/tests/orders.rs
+++ b/coltsfoothall-entry/tests/orders.rs
@@ -2,20 +2,16 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod steward;
 mod system;
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfoothall_standin::report::Counts;
-use coltsfoothall_wire::caller::Prompt;
 use coltsfoothall_wire::engine::{Loaded, Role, State};
 use coltsfoothall_wire::operator::Verdict;
-use coltsfoothall_wire::store::Entry;
-use serde::Deserialize;
+use steward::{Traffic, holder, until_holder};
 use system::{MODEL, Shape, System};
-use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 const STEWARDS: &str = "  lease: 3000\n  flight: 500\n  settle: 1000\n  fall: 600000";
@@ -39,28 +35,6 @@
     }
 }
 
-/// What stands in a steward's key.
-#[derive(Debug, Deserialize)]
-struct Claim {
-    instance: String,
-}
-
-/// The entry instance that holds the key of the engines' service.
-async fn holder(system: &System) -> Option<usize> {
-    let path = "/v1/kv/steward.rights-reader";
-    let within = Duration::from_secs(5);
-    let entry: Entry = system
-        .client
-        .get("claim", &system.store, path, within)
-        .await
-        .ok()?;
-    let claim: Claim = serde_json::from_str(&entry.value).unwrap();
-    system
-        .entries
-        .iter()
-        .position(|part| part.name == claim.instance)
-}
-
 async fn states(system: &System) -> Vec<State> {
     let mut states = Vec::new();
     for engine in &system.engines {
@@ -106,55 +80,6 @@
         .await;
 }
 
-async fn until_holder(system: &System, other: Option<usize>) -> usize {
-    let held = async |system: &System| {
-        let holder = holder(system).await;
-        holder.is_some() && holder != other
-    };
-    system.until("a steward", held).await;
-    holder(system).await.unwrap()
-}
-
-/// A caller that asks until it is told to stop.
-struct Traffic {
-    stop: Arc<AtomicBool>,
-    whole: Arc<AtomicU64>,
-    task: JoinHandle<()>,
-}
-
-impl Traffic {
-    fn start(system: &System, seed: u64) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let whole = Arc::new(AtomicU64::new(0));
-        let caller = system.caller(seed);
-        let (ends, count) = (Arc::clone(&stop), Arc::clone(&whole));
-        let task = tokio::spawn(async move {
-            let mut number = 0;
-            while !ends.load(Ordering::Relaxed) {
-                number += 1;
-                let text = format!("cue {seed} {number}");
-                let prompt = Prompt {
-                    model: MODEL.into(),
-                    prompt: text,
-                    max_tokens: 40,
-                    stream: true,
-                };
-                let outcome = caller.complete(&prompt).await;
-                let outcome = outcome.unwrap_or_else(|error| panic!("seed {seed}: {error}"));
-                assert_eq!(outcome.tokens, 40, "seed {seed}");
-                count.fetch_add(1, Ordering::Relaxed);
-            }
-        });
-        Self { stop, whole, task }
-    }
-
-    async fn end(self) -> u64 {
-        self.stop.store(true, Ordering::Relaxed);
-        self.task.await.unwrap();
-        self.whole.load(Ordering::Relaxed)
-    }
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn version_rolls() {
     let system = System::start(shape("")).await;
--- a/coltsfoothall-entry/tests/starts.rs
+++ b/coltsfoothall-entry/tests/starts.rs
@@ -1,18 +1,13 @@
 //! Stewards and their starts and stops of instances, in separate processes.
 
-#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
-
+mod steward;
 mod system;
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfoothall_wire::caller::Prompt;
 use coltsfoothall_wire::cloud::{Lend, Machine, Machines, Phase};
-use coltsfoothall_wire::store::Entry;
-use serde::Deserialize;
-use system::{MODEL, Shape, System};
+use steward::{Traffic, until_holder};
+use system::{Shape, System};
 use tokio::time::sleep;
 
 /// The load is what the first instances carry and doesn't fall in a test.
@@ -33,27 +28,6 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
-struct Claim {
-    instance: String,
-}
-
-/// The entry instance that holds the key of the engines' service.
-async fn holder(system: &System) -> Option<usize> {
-    let path = "/v1/kv/steward.rights-reader";
-    let within = Duration::from_secs(5);
-    let entry: Entry = system
-        .client
-        .get("claim", &system.store, path, within)
-        .await
-        .ok()?;
-    let claim: Claim = serde_json::from_str(&entry.value).unwrap();
-    system
-        .entries
-        .iter()
-        .position(|part| part.name == claim.instance)
-}
-
 async fn engines(system: &System) -> Vec<Machine> {
     let list: Machines = system.get(&system.cloud, "/v1/instances").await;
     list.machines
@@ -154,25 +128,7 @@
     let system = System::start(shape()).await;
     system.confirm(BUY).await;
     system.until_in_force(2).await;
-    let stop = Arc::new(AtomicBool::new(false));
-    let ends = Arc::clone(&stop);
-    let caller = system.caller(5);
-    let traffic = tokio::spawn(async move {
-        let mut whole = 0;
-        while !ends.load(Ordering::Relaxed) {
-            let prompt = format!("cue {whole}");
-            let prompt = Prompt {
-                model: MODEL.into(),
-                prompt,
-                max_tokens: 40,
-                stream: true,
-            };
-            let outcome = caller.complete(&prompt).await;
-            assert_eq!(outcome.unwrap_or_else(|error| panic!("{error}")).tokens, 40);
-            whole += 1;
-        }
-        whole
-    });
+    let traffic = Traffic::start(&system, 5);
     // Lost answers are asked for again, and start nothing more.
     system.fault(&system.cloud, r#"{"lose_every": 2}"#).await;
     let before = wave(&system, 15_000).await;
@@ -196,8 +152,7 @@
         "{count} starts\n{}",
         system.logs()
     );
-    stop.store(true, Ordering::Relaxed);
-    assert!(traffic.await.unwrap() > 0);
+    assert!(traffic.end().await > 0);
     system.assert_sound().await;
 }
 
@@ -215,10 +170,7 @@
         .confirm(&BUY.replace("min: 2", "fencing: checked, min: 2"))
         .await;
     system.until_in_force(2).await;
-    system
-        .until("a steward", async |system| holder(system).await.is_some())
-        .await;
-    let steward = holder(&system).await.unwrap();
+    let steward = until_holder(&system, None).await;
     let old = engines(&system).await;
     let doomed: Vec<&Machine> = old.iter().take(2).collect();
     system.fault(&system.cloud, r#"{"lose_every": 2}"#).await;
--- a/coltsfoothall-entry/tests/system/mod.rs
+++ b/coltsfoothall-entry/tests/system/mod.rs
@@ -4,9 +4,11 @@
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 #![expect(dead_code, reason = "each test file uses a part of it")]
 
+mod part;
+mod ports;
+
 use std::fmt::Write as _;
 use std::fs;
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -21,6 +23,9 @@
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
+pub use part::Part;
+use ports::Ports;
+
 pub const DOMAINS: [&str; 3] = ["holesovice", "smichov", "karlin"];
 pub const OPERATOR: &str = "operators";
 pub const TOKEN: &str = "token-film";
@@ -67,66 +72,6 @@
     }
 }
 
-/// A part of the system.
-#[derive(Debug)]
-pub struct Part {
-    pub name: String,
-    pub address: String,
-    pub process: Option<Child>,
-}
-
-impl Part {
-    /// SIGKILL.
-    pub fn kill(&mut self) {
-        if let Some(mut process) = self.process.take() {
-            process.kill().unwrap();
-            process.wait().unwrap();
-        }
-    }
-
-    /// SIGSTOP.
-    pub fn pause(&self) {
-        self.signal("-STOP");
-    }
-
-    /// SIGCONT.
-    pub fn wake(&self) {
-        self.signal("-CONT");
-    }
-
-    /// SIGTERM.
-    pub fn stop(&self) {
-        self.signal("-TERM");
-    }
-
-    /// Waits for the process to end after [`Part::stop`]; true if it ended well.
-    pub async fn ended(&mut self) -> bool {
-        let Some(mut process) = self.process.take() else {
-            return false;
-        };
-        for _ in 0..600 {
-            if let Some(status) = process.try_wait().unwrap() {
-                return status.success();
-            }
-            sleep(Duration::from_millis(100)).await;
-        }
-        process.kill().unwrap();
-        process.wait().unwrap();
-        false
-    }
-
-    fn signal(&self, signal: &str) {
-        let id = self.process.as_ref().unwrap().id().to_string();
-        assert!(
-            Command::new("kill")
-                .args([signal, &id])
-                .status()
-                .unwrap()
-                .success()
-        );
-    }
-}
-
 /// A whole system.
 #[derive(Debug)]
 pub struct System {
@@ -141,6 +86,8 @@
     pub services: Vec<Part>,
     pub spares: Vec<Part>,
     pub client: Client,
+    /// Held until all parts are down.
+    ports: Option<Ports>,
 }
 
 impl System {
@@ -164,10 +111,9 @@
         let name = format!("coltsfoothall-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).unwrap();
-        let mut ports =
-            ports(3 + 3 * shape.entries + shape.engines + shape.services + shape.spares)
-                .into_iter();
-        let mut next = || format!("127.0.0.1:{}", ports.next().unwrap());
+        let count = 3 + 3 * shape.entries + shape.engines + shape.services + shape.spares;
+        let mut ports = Ports::take(count);
+        let mut next = || format!("127.0.0.1:{}", ports.next());
         let part = |name: String, address: String| Part {
             name,
             address,
@@ -191,11 +137,13 @@
                 .map(|at| part(format!("spare-{at}"), next()))
                 .collect(),
             client: Client::new(),
+            ports: None,
             folder,
             shape,
         };
         let peers: Vec<String> = system.entries.iter().map(|_| next()).collect();
         let metrics: Vec<String> = system.entries.iter().map(|_| next()).collect();
+        system.ports = Some(ports);
         system.write_platform(&peers);
         for (at, (peers, metrics)) in peers.iter().zip(&metrics).enumerate() {
             system.write_entry(at, peers, metrics);
@@ -596,21 +544,6 @@
     }
 }
 
-/// Ports that are free now. They lie below those that connections get, so that no
-/// connection takes one before its part listens.
-fn ports(count: usize) -> Vec<u16> {
-    const FIRST: u32 = 12_000;
-    const COUNT: u32 = 20_000;
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    // Test processes that run side by side begin at different places.
-    let own = std::process::id().wrapping_mul(211);
-    let next = || FIRST + own.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
-    let all = std::iter::repeat_with(|| u16::try_from(next()).unwrap());
-    all.filter(|port| TcpListener::bind(("127.0.0.1", *port)).is_ok())
-        .take(count)
-        .collect()
-}
-
 /// A program of the workspace, beside this test's own.
 fn binary(name: &str) -> PathBuf {
     let own = Path::new(env!("CARGO_BIN_EXE_coltsfoothall-entry"));
