Slots in an outage and at stops: sources ask the backup, drained slots are yielded

Found from logs of reclaim.rs and stop.rs, cause, mended: - A source that an owner refused asked the same owner again: in an outage the table still names the old owner of a yielded slot first, so its requests hung until that process ended.

--- a/coltsfoothall-entry/src/config.rs
+++ b/coltsfoothall-entry/src/config.rs
@@ -11,7 +11,7 @@
 use coltsfoothall_wire::http;
 use coltsfoothall_wire::store::{Entry, Put};
 
-use crate::control::{Held, Message};
+use crate::message::{Held, Message};
 use crate::node::Node;
 use crate::store::Error;
 
--- a/coltsfoothall-entry/src/front.rs
+++ b/coltsfoothall-entry/src/front.rs
@@ -88,7 +88,7 @@
     Ok(serve::json(
         201,
         &Minted {
-            key: node.desk.mint()?,
+            key: node.desk.mint(node)?,
         },
     ))
 }
@@ -163,7 +163,7 @@
     Ok(Name { workspace, key })
 }
 
-/// The caller's key, or one minted here, so that this instance owns the request.
+/// The caller's key, or one minted here, so that this instance owns the request if it can.
 fn key(node: &Node, brought: Option<Key>) -> Result<Key, Fault> {
     match brought {
         Some(key) => Ok(key),
@@ -171,7 +171,7 @@
             Code::Unavailable,
             "this entry instance is leaving; use another",
         )),
-        None => node.desk.mint(),
+        None => node.desk.mint(node),
     }
 }
 
--- a/coltsfoothall-entry/src/keeper.rs
+++ b/coltsfoothall-entry/src/keeper.rs
@@ -8,6 +8,8 @@
 use coltsfoothall::duty::{Duty, Missing, Sight, duties};
 use coltsfoothall::id;
 use coltsfoothall::key::{Epoch, Slot};
+use coltsfoothall::ledger::Ledger;
+use coltsfoothall::record::Record;
 use coltsfoothall::replica::Taken;
 use coltsfoothall::slot::{Candidate, Refused, SLOTS, Table};
 use coltsfoothall::step::Input;
@@ -16,9 +18,9 @@
 use coltsfoothall_wire::http;
 use coltsfoothall_wire::store::Put;
 
-use crate::control::Message;
 use crate::link;
 use crate::members::Members;
+use crate::message::Message;
 use crate::node::Node;
 use crate::store::Error;
 
@@ -181,6 +183,7 @@
             settled,
             silent: Vec::new(),
             ceded: 0,
+            noted: Vec::new(),
         };
         tokio::spawn(work.run(duties));
     }
@@ -215,6 +218,8 @@
     silent: Vec<id::Instance>,
     /// Slots ceded in this round.
     ceded: usize,
+    /// Slots whose changes were noted in this round for the first time.
+    noted: Vec<Slot>,
 }
 
 impl Work {
@@ -265,7 +270,14 @@
         match &duty {
             Duty::Copy { slot, to } => self.copy(*slot, to).await,
             Duty::Cede { slot, epoch, to } => return self.cede(*slot, *epoch, to).await,
-            Duty::Drain(slot) => desk.with_ledger(|ledger| ledger.drain(*slot)),
+            Duty::Dismiss { slot, epoch, to } => self.dismiss(*slot, *epoch, to).await,
+            Duty::Drain(slot) => desk.with_ledger(|ledger| {
+                // A call that began since the duties were named must not lose its relay.
+                let begun = |r: &Record| !r.intake.idempotent && r.begun();
+                if !ledger.open(*slot).any(begun) {
+                    ledger.drain(*slot);
+                }
+            }),
             Duty::Resume(slot) => {
                 desk.with_ledger(|ledger| ledger.resume(*slot));
                 desk.carry_on(&node, *slot);
@@ -309,8 +321,34 @@
         (held == Some(false) && self.settled).then_some(Duty::Claim(slot))
     }
 
+    /// Asks a leaving backup to drop its copy, and waits for it no longer then.
+    async fn dismiss(&mut self, slot: Slot, epoch: Epoch, to: &id::Instance) {
+        if self.silent.contains(to) {
+            return;
+        }
+        let dropped = match self.node.links.client(to).await {
+            Ok(client) => client
+                .dismiss(link::context(link::CALL), slot, epoch)
+                .await
+                .ok(),
+            Err(_unreached) => None,
+        };
+        log::debug!("dismissed slot={slot} backup={to} dropped={dropped:?}");
+        match dropped {
+            None => self.silent.push(to.clone()),
+            Some(false) => {}
+            Some(true) => {
+                let desk = &self.node.desk;
+                desk.with_ledger(|ledger| ledger.resigned(slot, epoch, to));
+                desk.flush(slot);
+                let at = to.clone();
+                self.node.control.send(Message::CopyLost { slot, at });
+            }
+        }
+    }
+
     /// The table with a duty's change, noted at the ledger before it is written.
-    fn proposal(&self, duty: &Duty) -> Option<Table> {
+    fn proposal(&mut self, duty: &Duty) -> Option<Table> {
         let me = &self.node.settings.instance;
         let (slot, table) = match duty {
             Duty::Claim(slot) => (*slot, self.base.claim(*slot, self.epoch(*slot)?, me)),
@@ -336,14 +374,17 @@
         self.base.entry(slot).map(|entry| entry.epoch)
     }
 
-    fn propose(&self, slot: Slot, table: Result<Table, Refused>) -> Option<Table> {
+    fn propose(&mut self, slot: Slot, table: Result<Table, Refused>) -> Option<Table> {
         let table = table.ok()?;
         let entry = table.entry(slot)?.clone();
         let base = self.base.version;
-        let noted = self
-            .node
-            .desk
-            .with_ledger(|ledger| ledger.propose(slot, base, entry));
+        let (known, noted) = self.node.desk.with_ledger(|ledger| {
+            let known = ledger.noted(slot);
+            (known, ledger.propose(slot, base, entry))
+        });
+        if noted.is_ok() && !known {
+            self.noted.push(slot);
+        }
         noted.is_ok().then_some(table)
     }
 
@@ -373,7 +414,15 @@
 
     /// Writes the changes over the table that they were made on.
     async fn write(&self, changed: &[Table]) -> Result<Option<Arc<Table>>, Error> {
-        let Some(entry) = self.node.store.get(KEY).await? else {
+        let read = self.node.store.get(KEY).await;
+        if read.is_err() {
+            // Nothing was sent: a slot that is to be yielded now must not wait
+            // for the outcome of a write that never was.
+            let slots = &self.noted;
+            let forget = |ledger: &mut Ledger| slots.iter().for_each(|slot| ledger.withdraw(*slot));
+            self.node.desk.with_ledger(forget);
+        }
+        let Some(entry) = read? else {
             return Ok(None);
         };
         let found = parse(&entry.value)?;
--- a/coltsfoothall-entry/src/link.rs
+++ b/coltsfoothall-entry/src/link.rs
@@ -27,7 +27,7 @@
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::peer::{self, PeerClient};
 
-use crate::control::Message;
+use crate::message::Message;
 use crate::node::Node;
 
 /// Time in which a connection has to come up.
--- a/coltsfoothall-entry/src/members.rs
+++ b/coltsfoothall-entry/src/members.rs
@@ -18,8 +18,9 @@
 use coltsfoothall_wire::operator::Member;
 use coltsfoothall_wire::peer;
 
-use crate::control::{LOOK, Message};
+use crate::control::LOOK;
 use crate::link;
+use crate::message::Message;
 use crate::node::Node;
 use crate::view::Peer;
 
@@ -267,17 +268,8 @@
     /// Tells evidence to some peers, which tell it on; with none to tell, asks
     /// a peer for all.
     pub fn tell(&self, evidence: &[Evidence], peers: usize) {
-        let live: Vec<_> = self
-            .table
-            .live()
-            .map(|m| m.digest.instance.clone())
-            .collect();
-        if live.is_empty() {
-            return;
-        }
-        let start = rand::random_range(0..live.len());
-        for peer in live.iter().cycle().skip(start).take(peers.min(live.len())) {
-            let (node, peer, told) = (Arc::clone(&self.node), peer.clone(), evidence.to_vec());
+        for peer in self.some(peers) {
+            let (node, told) = (Arc::clone(&self.node), evidence.to_vec());
             tokio::spawn(async move {
                 let Ok(client) = node.links.client(&peer).await else {
                     return;
@@ -306,24 +298,22 @@
         (before, self.count())
     }
 
+    /// Some of the peers that live, at random.
+    fn some(&self, count: usize) -> Vec<id::Instance> {
+        let live = self.table.live();
+        let mut live: Vec<_> = live.map(|m| m.digest.instance.clone()).collect();
+        if !live.is_empty() {
+            let start = rand::random_range(0..live.len());
+            live.rotate_left(start);
+        }
+        live.truncate(count);
+        live
+    }
+
     /// Passes a notice on to some peers.
     pub fn pass_on(&self, instance: &id::Instance) {
-        let live: Vec<_> = self
-            .table
-            .live()
-            .map(|m| m.digest.instance.clone())
-            .collect();
-        if live.is_empty() {
-            return;
-        }
-        let start = rand::random_range(0..live.len());
-        for peer in live
-            .iter()
-            .cycle()
-            .skip(start)
-            .take(PASS_ON.min(live.len()))
-        {
-            let (node, peer, instance) = (Arc::clone(&self.node), peer.clone(), instance.clone());
+        for peer in self.some(PASS_ON) {
+            let (node, instance) = (Arc::clone(&self.node), instance.clone());
             tokio::spawn(async move {
                 if let Ok(client) = node.links.client(&peer).await {
                     // The platform tells the others as well; this is only faster.
--- a/coltsfoothall-entry/src/node.rs
+++ b/coltsfoothall-entry/src/node.rs
@@ -16,7 +16,7 @@
 use coltsfoothall_wire::client::Client;
 use coltsfoothall_wire::fault::{Code, Fault, Outcome};
 
-use crate::control::Handle;
+use crate::message::Handle;
 use crate::desk::Desk;
 use crate::endpoint::Runner;
 use crate::link::Links;
--- a/coltsfoothall-entry/src/operator.rs
+++ b/coltsfoothall-entry/src/operator.rs
@@ -19,7 +19,7 @@
 use coltsfoothall_wire::{http, limit};
 
 use crate::config::{self, KEY};
-use crate::control::{Held, Message};
+use crate::message::{Held, Message};
 use crate::intake;
 use crate::node::Node;
 use crate::store::Error;
--- a/coltsfoothall-entry/src/peer.rs
+++ b/coltsfoothall-entry/src/peer.rs
@@ -31,7 +31,7 @@
 use coltsfoothall_wire::serve::{self, Answer, Body, Handler};
 use coltsfoothall_wire::{http, limit};
 
-use crate::control::Message;
+use crate::message::Message;
 use crate::feed::Follower;
 use crate::intake;
 use crate::node::Node;
@@ -201,6 +201,11 @@
         sealed
     }
 
+    async fn dismiss(self, _: Context, slot: Slot, epoch: Epoch) -> bool {
+        let desk = &self.node.desk;
+        desk.with_ledger(|ledger| ledger.resign(slot, epoch))
+    }
+
     async fn cancel(self, _: Context, name: Name) -> bool {
         self.node.desk.cancel(&name)
     }
--- a/coltsfoothall-entry/src/platform.rs
+++ b/coltsfoothall-entry/src/platform.rs
@@ -14,7 +14,7 @@
 use coltsfoothall_wire::cloud::{Machines, Notices};
 use coltsfoothall_wire::engine::{Change, Events, Load};
 
-use crate::control::Message;
+use crate::message::Message;
 use crate::node::Node;
 
 /// Longest wait for the instance list or a report.
--- a/coltsfoothall-entry/src/run.rs
+++ b/coltsfoothall-entry/src/run.rs
@@ -20,7 +20,8 @@
 use coltsfoothall_wire::client::Client;
 use coltsfoothall_wire::serve::{self, Answer, Handler};
 
-use crate::control::{self, Handle, Message};
+use crate::control;
+use crate::message::{Handle, Message};
 use crate::desk::Desk;
 use crate::endpoint::Remote;
 use crate::front::Front;
--- a/coltsfoothall-entry/src/source.rs
+++ b/coltsfoothall-entry/src/source.rs
@@ -53,6 +53,11 @@
     node: Arc<Node>,
     follow: Follow,
     stream: Option<Stream>,
+    /// Whom the stream comes from.
+    owner: Option<id::Instance>,
+    /// Who refused last; others are asked first, as a slot that was handed over
+    /// in an outage is still its old owner's in the table.
+    refused: Option<id::Instance>,
     /// The key is known to nobody else, so that it was never sent before.
     fresh: bool,
     /// An owner may have taken the request.
@@ -80,6 +85,8 @@
             node,
             follow,
             stream: None,
+            owner: None,
+            refused: None,
             fresh,
             sent,
             lost: false,
@@ -109,6 +116,7 @@
                 None => self.lose(),
                 Some(Piece::Fault(fault)) if elsewhere(&fault) => {
                     self.stream = None;
+                    self.refused = self.owner.take();
                     if self.expired() {
                         return Piece::Fault(Box::new(self.unreached()));
                     }
@@ -170,6 +178,7 @@
             for owner in self.owners() {
                 if let Some(stream) = self.open(&owner).await? {
                     self.stream = Some(stream);
+                    self.owner = Some(owner);
                     return Ok(());
                 }
             }
@@ -187,10 +196,10 @@
         let Some(entry) = view.table.entry(slot) else {
             return Vec::new();
         };
-        let backup = entry.backup.clone();
-        std::iter::once(entry.primary.clone())
-            .chain(backup)
-            .collect()
+        let mut owners = vec![entry.primary.clone()];
+        owners.extend(entry.backup.clone());
+        owners.sort_by_key(|owner| self.refused.as_ref() == Some(owner));
+        owners
     }
 
     async fn open(&mut self, owner: &id::Instance) -> Result<Option<Stream>, Fault> {
--- a/coltsfoothall-entry/src/start.rs
+++ b/coltsfoothall-entry/src/start.rs
@@ -19,7 +19,7 @@
 use coltsfoothall_wire::client::Error;
 use coltsfoothall_wire::cloud::{Machine, Offers, Phase, Start};
 
-use crate::control::Message;
+use crate::message::Message;
 use crate::steward::Duty;
 use crate::view::View;
 
--- a/coltsfoothall-entry/src/store.rs
+++ b/coltsfoothall-entry/src/store.rs
@@ -92,6 +92,11 @@
             .await
             .map_err(sort)
     }
+
+    async fn delete(&self, step: &str, path: &str) -> Result<(), Error> {
+        let done = self.call(step, Method::DELETE, path, Bytes::new(), self.within);
+        done.await.map(|_body| ())
+    }
 }
 
 /// Tells what surely wrote nothing from what may have.
@@ -143,15 +148,7 @@
     fn remove<'a>(&'a self, key: &'a str, version: Version) -> BoxFuture<'a, Result<(), Error>> {
         Box::pin(async move {
             let path = format!("/v1/kv/{key}?version={version}");
-            self.call(
-                "store_remove",
-                Method::DELETE,
-                &path,
-                Bytes::new(),
-                self.within,
-            )
-            .await?;
-            Ok(())
+            self.delete("store_remove", &path).await
         })
     }
 
@@ -211,15 +208,7 @@
     fn revoke<'a>(&'a self, lease: u64) -> BoxFuture<'a, Result<(), Error>> {
         Box::pin(async move {
             let path = format!("/v1/leases/{lease}");
-            self.call(
-                "store_revoke",
-                Method::DELETE,
-                &path,
-                Bytes::new(),
-                self.within,
-            )
-            .await?;
-            Ok(())
+            self.delete("store_revoke", &path).await
         })
     }
 }
--- a/coltsfoothall-wire/src/peer.rs
+++ b/coltsfoothall-wire/src/peer.rs
@@ -176,6 +176,9 @@
     /// Tells the backup that the slot's owner has lost its records; false if
     /// there is no copy here either.
     async fn cede(slot: Slot, epoch: Epoch) -> bool;
+    /// Asks a leaving backup to drop its copy for good; false if it may still
+    /// take the slot over.
+    async fn dismiss(slot: Slot, epoch: Epoch) -> bool;
     /// Cancels a request; false if it is not open there.
     async fn cancel(name: Name) -> bool;
     /// Tells evidence against requests, at most what a docket holds. Nothing told
--- a/coltsfoothall/src/duty.rs
+++ b/coltsfoothall/src/duty.rs
@@ -55,6 +55,16 @@
         /// The backup.
         to: id::Instance,
     },
+    /// Ask a leaving backup to drop its copy: nobody can be named in its place
+    /// while the service is down, and changes must not wait for it then.
+    Dismiss {
+        /// The slot.
+        slot: Slot,
+        /// Its epoch.
+        epoch: Epoch,
+        /// The backup.
+        to: id::Instance,
+    },
     /// Take changes again.
     Resume(Slot),
     /// Let idempotent requests go on without a backup.
@@ -207,8 +217,7 @@
     fn find_backup(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
         let known = entry.backup.as_ref();
         if !self.service {
-            let lost = |backup: &&id::Instance| !self.backed(slot, entry, backup);
-            return known.filter(lost).map(|_| Duty::Alone(slot));
+            return self.unbacked(slot, entry, known?);
         }
         let backup = self.table.backup_for(slot, self.live)?;
         if self.ledger.ready(slot, &backup) {
@@ -217,6 +226,20 @@
         Some(Duty::Copy { slot, to: backup })
     }
 
+    /// Duties of a primary whose backup is lost or leaving, with the service down.
+    fn unbacked(&self, slot: Slot, entry: &Entry, backup: &id::Instance) -> Option<Duty> {
+        if !self.backed(slot, entry, backup) {
+            return Some(Duty::Alone(slot));
+        }
+        let awaited = self.ledger.awaits(slot, backup);
+        let dismiss = awaited && !self.leaving && !self.staying(backup);
+        dismiss.then(|| Duty::Dismiss {
+            slot,
+            epoch: entry.epoch,
+            to: backup.clone(),
+        })
+    }
+
     /// Duties of a primary that is leaving like its backup: a slot that went to
     /// the backup would only come back. It goes to one that stays, if any does.
     fn stay_on(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -126,6 +126,49 @@
         }
     }
 
+    /// Drops the copy here for good, at its owner's wish. True if no copy is left
+    /// that could take the slot over at `epoch`: whoever claims the slot after
+    /// its owner then takes its keys for lost.
+    pub fn resign(&mut self, slot: Slot, epoch: Epoch) -> bool {
+        let Ok(at) = self.replicas.binary_search_by_key(&slot, |r| r.slot) else {
+            return true;
+        };
+        let replica = &self.replicas[at];
+        let backs = matches!(replica.role, Role::Backup { .. } | Role::Learner { .. });
+        if !backs || replica.sealed || replica.epoch > epoch {
+            return false;
+        }
+        self.replicas.remove(at);
+        true
+    }
+
+    /// Waits for a backup no longer after it dropped its copy at `epoch`.
+    pub fn resigned(&mut self, slot: Slot, epoch: Epoch, backup: &id::Instance) {
+        if self.proposals.iter().any(|proposal| proposal.slot == slot) {
+            return;
+        }
+        if let Some(replica) = self.replica_mut(slot).filter(|r| r.epoch == epoch)
+            && let Role::Owner(owner) = &mut replica.role
+        {
+            owner.backup.take_if(|link| link.peer == *backup);
+            owner.release(replica.seq);
+        }
+    }
+
+    /// Whether changes of the slot wait for this backup.
+    #[must_use]
+    pub fn awaits(&self, slot: Slot, backup: &id::Instance) -> bool {
+        let replica = self.replica(slot).filter(|replica| replica.leads());
+        let Some(Role::Owner(owner)) = replica.map(|replica| &replica.role) else {
+            return false;
+        };
+        !self.noted(slot)
+            && owner
+                .backup
+                .as_ref()
+                .is_some_and(|link| link.peer == *backup)
+    }
+
     /// Notes a change of the table before it is written over version `base`.
     /// The same change may be noted and written again.
     ///
@@ -152,6 +195,23 @@
         Ok(())
     }
 
+    /// Whether a change of the slot's entry is noted that may take effect.
+    #[must_use]
+    pub fn noted(&self, slot: Slot) -> bool {
+        self.proposals.iter().any(|proposal| proposal.slot == slot)
+    }
+
+    /// Forgets a noted change of the slot's entry that was never sent to the
+    /// service; an owner that was to give the slot up goes on.
+    pub fn withdraw(&mut self, slot: Slot) {
+        self.proposals.retain(|proposal| proposal.slot != slot);
+        if let Some(replica) = self.replica_mut(slot)
+            && matches!(replica.role, Role::Owner(_))
+        {
+            replica.sealed = replica.yielded;
+        }
+    }
+
     /// Takes in a table that was read or written. Older ones are passed over.
     pub fn observe(&mut self, now: Time, table: &Table) -> Vec<Event> {
         if table.version < self.version {
