--- a/coltsfoothall/src/choice.rs
+++ b/coltsfoothall/src/choice.rs
@@ -12,13 +12,15 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
+use crate::candidate::{Candidate, add, class_weight, tokens};
 use crate::clock::Time;
 use crate::id;
 use crate::index::{self, Event, Held, Holder, Index, Match};
 use crate::load::{self, Report, Work};
 use crate::pool::{Node, Table};
-use crate::prefix::{BLOCK_TOKENS, Block};
+use crate::prefix::Block;
 use crate::record::Class;
+use crate::room;
 use crate::size::{Millis, Price, Tokens};
 use crate::weight::{Risk, Weights};
 
@@ -36,8 +38,6 @@
     pub holders: usize,
     /// Candidates that the prompt hashes to.
     pub homes: usize,
-    /// Part of the endpoints where batch has its homes, apart from interactive.
-    pub batch_part: f64,
     /// Candidates taken at random.
     pub sample: usize,
     /// Services with at most so many endpoints have all of them weighed.
@@ -66,11 +66,10 @@
             index: index::Settings::default(),
             holders: 8,
             homes: 1,
-            batch_part: 0.0,
             sample: 6,
             all: 32,
             entries: 8,
-            read: 100.0,
+            read: 50.0,
             step: Millis(25),
             slots: 32,
             slot: Tokens(128),
@@ -141,6 +140,7 @@
     held: Held,
     /// Prompt tokens not yet known to be read.
     prefill: Tokens,
+    began: Time,
     alone: bool,
 }
 
@@ -155,15 +155,6 @@
     candidates: Vec<Candidate>,
 }
 
-/// A node that is weighed, and the blocks that it is believed to hold.
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    node: usize,
-    blocks: usize,
-    /// Whether the prompt hashes to it.
-    home: bool,
-}
-
 impl Router {
     /// A router without endpoints.
     #[must_use]
@@ -211,7 +202,10 @@
     pub fn choose(&mut self, now: Time, ask: &Ask<'_>) -> Option<Pick> {
         self.gather(now, ask);
         let mut best: Option<(f64, Candidate)> = None;
-        for candidate in &self.candidates {
+        // Equal costs are common, and all instances must not settle them alike.
+        let from = self.random.random_range(0..self.candidates.len().max(1));
+        let (before, after) = self.candidates.split_at(from);
+        for candidate in after.iter().chain(before) {
             let cost = self.cost(now, ask, *candidate);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *candidate));
@@ -227,6 +221,7 @@
             endpoint: endpoint.clone(),
             held: Held::default(),
             prefill: Tokens(0),
+            began: now,
             alone: ask.alone,
         };
         if let Some(node) = self.table.get_mut(endpoint) {
@@ -235,6 +230,10 @@
             node.load.began(now, run.prefill, &self.settings.load);
             node.alone += u32::from(ask.alone);
             self.index.touch(node.holder, ask.blocks);
+            let pool = node.pool;
+            let slot = self.settings.step.0 as f64 * 1e3 / f64::from(self.settings.slots.max(1));
+            let work = run.prefill.0 as f64 * self.settings.read + ask.max_tokens.0 as f64 * slot;
+            self.table.note_work(pool, ask.class, work);
         }
         run
     }
@@ -258,6 +257,8 @@
             node.load.read(now, run.prefill, &self.settings.load);
             node.load.ended(now, &self.settings.load);
             node.alone = node.alone.saturating_sub(u32::from(run.alone));
+            let pool = node.pool;
+            self.table.note_hold(pool, now.since(run.began));
         }
     }
 
@@ -289,33 +290,7 @@
     /// others, and never less than an equal share.
     #[must_use]
     pub fn room(&self, now: Time, service: &id::Service) -> Tokens {
-        let settings = &self.settings;
-        let each = settings.depth.0 + u64::from(settings.slots) * settings.slot.0;
-        let mut total = 0.0;
-        let mut others = 0.0;
-        let mean = self.table.mean(service);
-        for node in self.table.members(service) {
-            if !node.leaving && node.suspect <= now {
-                let work = node.load.others(now, mean, &settings.load);
-                total += each as f64;
-                others += work.prefill + work.open * settings.slot.0 as f64;
-            }
-        }
-        let equal = total / f64::from(settings.entries.max(1));
-        Tokens((total - others).max(equal) as u64)
-    }
-
-    /// Endpoints of a service that may be chosen.
-    #[must_use]
-    pub fn available(&self, service: &id::Service) -> usize {
-        let members = self.table.members(service);
-        members.filter(|node| !node.leaving).count()
-    }
-
-    /// The settings in force.
-    #[must_use]
-    pub fn settings(&self) -> &Settings {
-        &self.settings
+        room::of(now, service, &self.table, &self.settings)
     }
 
     /// Beliefs that the cache index holds.
@@ -356,7 +331,11 @@
         let known = self.found.first().map_or(0, |found| found.blocks);
         let anchor = ask.blocks.get(known).or(ask.blocks.last());
         if let Some(anchor) = anchor {
-            for node in self.table.homes(ask.service, self.ranks(ask.class), *anchor, self.settings.homes) {
+            let part = self.table.part(ask.service) * self.settings.weights.apart;
+            let len = members.len() as f64;
+            let weight = |rank: f64| class_weight(ask.class, part, rank, len);
+            let homes = self.settings.homes;
+            for node in self.table.homes(ask.service, &weight, *anchor, homes) {
                 add(&mut self.candidates, node, fits(self.table.at(node)));
                 let home = self.candidates.iter_mut().find(|have| have.node == node);
                 if let Some(home) = home {
@@ -385,16 +364,6 @@
         }
     }
 
-    /// Ranks of the endpoints where a class's new prefixes have their homes.
-    fn ranks(&self, class: Class) -> std::ops::Range<f64> {
-        let part = self.settings.batch_part;
-        match class {
-            Class::Interactive => part..2.0,
-            Class::Batch if part > 0.0 => 0.0..part,
-            Class::Batch => 0.0..2.0,
-        }
-    }
-
     /// Expected cost of a candidate in microseconds.
     fn cost(&self, now: Time, ask: &Ask<'_>, candidate: Candidate) -> f64 {
         let weights = &self.settings.weights;
@@ -403,32 +372,16 @@
         let uncached = ask.prompt.minus(tokens(candidate.blocks));
         let hop = f64::from(u8::from(node.endpoint.domain != *ask.domain));
         let home = f64::from(u8::from(candidate.home));
-        let apart = match ask.class {
-            Class::Interactive => 1.0 - node.rank,
-            Class::Batch => node.rank,
-        };
-        let dearer = node.endpoint.price.minus(self.table.cheapest(ask.service));
         weights.queued * work.prefill
             + weights.open * work.open
             + weights.uncached * uncached.0 as f64
             + weights.hop * hop
-            + weights.apart * apart
             - weights.home * home * uncached.0 as f64
-            + weights.price * dearer.0 as f64
-            + weights.reclaim * self.loss(ask, node, uncached)
-    }
-
-    /// Tokens that are expected to be read again because of a reclaim.
-    fn loss(&self, ask: &Ask<'_>, node: &Node, uncached: Tokens) -> f64 {
-        let reading = Duration::from_secs_f64(uncached.0 as f64 * self.settings.read / 1e6);
-        let writing = self.settings.step.duration() * ask.max_tokens.0.min(1 << 20) as u32;
-        let lost = ask.prompt.0 as f64 + ask.max_tokens.0 as f64 / 2.0;
-        node.endpoint.risk.within(reading + writing) * lost
     }
 
     fn work(&self, now: Time, node: &Node) -> Work {
-        let mean = self.table.pool_mean(node.pool);
-        node.load.estimate(now, mean, &self.settings.load)
+        let view = self.table.pool_view(node.pool, &self.settings.load);
+        node.load.estimate(now, &view)
     }
 
     fn pick(&self, now: Time, ask: &Ask<'_>, candidate: Candidate) -> Pick {
@@ -442,17 +395,3 @@
         }
     }
 }
-
-fn add(candidates: &mut Vec<Candidate>, node: usize, fits: bool) {
-    if fits && !candidates.iter().any(|have| have.node == node) {
-        candidates.push(Candidate {
-            node,
-            blocks: 0,
-            home: false,
-        });
-    }
-}
-
-fn tokens(blocks: usize) -> Tokens {
-    Tokens(blocks as u64 * BLOCK_TOKENS.0)
-}
--- a/coltsfoothall/src/index.rs
+++ b/coltsfoothall/src/index.rs
@@ -169,7 +169,9 @@
     pub fn missed(&mut self, holder: Holder, held: Held) {
         let Ok(at) = self.find(holder) else { return };
         let cache = &mut self.caches[at];
-        if cache.stored - held.stamp >= cache.capacity / YOUNG {
+        // A stamp from before the cache was cleared says nothing of it.
+        let age = cache.stored.checked_sub(held.stamp);
+        if age.is_some_and(|age| age >= cache.capacity / YOUNG) {
             cache.floor = cache.floor.max(held.stamp);
         }
     }
--- a/coltsfoothall/src/lane.rs
+++ b/coltsfoothall/src/lane.rs
@@ -9,6 +9,7 @@
 use crate::clock::Time;
 use crate::id;
 use crate::limit::{Number, Settings};
+use crate::meter::Meter;
 use crate::record::Class;
 use crate::size::Tokens;
 
@@ -17,6 +18,11 @@
 const REVIEW: Duration = Duration::from_millis(20);
 /// Time in which a lane is taken to serve its room before that was measured.
 const FIRST_GUESS: Duration = Duration::from_secs(2);
+/// A lane is taken to be at most so many times slower than first guessed.
+const SLOWEST: f64 = 16.0;
+/// A request counts as at most this part of the room when it is let on, so
+/// that a long prompt does not wait for an idle service.
+const LARGEST: u64 = 4;
 /// Scale of the tags, so that shares divide without loss.
 const TAG: u64 = 1 << 16;
 
@@ -36,6 +42,8 @@
     share: u64,
     /// Work open now.
     used: u64,
+    /// Running mean of the work open.
+    mean: f64,
     /// Tags of the classes.
     tags: [u64; 2],
     waiting: [VecDeque<Waiting>; 2],
@@ -56,24 +64,17 @@
     /// Work owed to batch.
     credit: u64,
     waits: usize,
-    rate: Meter,
+    meter: Meter,
     reviewed: Time,
-}
-
-/// Work served a second, measured while requests wait.
-#[derive(Debug)]
-struct Meter {
-    rate: f64,
-    since: Time,
-    work: u64,
-    busy: bool,
+    followed: Time,
 }
 
 /// A request that goes on.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Start {
     pub(crate) number: Number,
-    pub(crate) cost: Tokens,
+    /// Work that it holds.
+    pub(crate) held: Tokens,
 }
 
 impl Lane {
@@ -87,13 +88,9 @@
             clock: [0; 2],
             credit: 0,
             waits: 0,
-            rate: Meter {
-                rate: 0.0,
-                since: Time::START,
-                work: 0,
-                busy: false,
-            },
+            meter: Meter::default(),
             reviewed: Time::START,
+            followed: Time::START,
         }
     }
 
@@ -108,7 +105,16 @@
             .map_or(0, |flow| flow.waiting.iter().map(VecDeque::len).sum())
     }
 
-    /// Sets the shares; a workspace that is gone keeps what it has open.
+    /// Forgets idle workspaces and takes the others' shares away, to set anew;
+    /// what a workspace has open stays.
+    pub(crate) fn clear_shares(&mut self) {
+        self.flows.retain(|flow| flow.used > 0 || !flow.idle());
+        for flow in &mut self.flows {
+            flow.share = 1;
+        }
+    }
+
+    /// Sets a workspace's share.
     pub(crate) fn set_share(&mut self, workspace: &id::Workspace, share: u32) {
         self.flow_mut(workspace).share = u64::from(share.max(1));
     }
@@ -145,29 +151,35 @@
     }
 
     /// Takes back work that was open.
-    pub(crate) fn release(
-        &mut self,
-        now: Time,
-        workspace: &id::Workspace,
-        class: Class,
-        work: Tokens,
-    ) {
+    pub(crate) fn release(&mut self, workspace: &id::Workspace, class: Class, work: Tokens) {
         let flow = self.flow_mut(workspace);
         flow.used = flow.used.saturating_sub(work.0);
         self.used = self.used.saturating_sub(work.0);
         if class == Class::Batch {
             self.batch_used = self.batch_used.saturating_sub(work.0);
         }
-        self.rate.work += work.0;
-        let _ = now;
+        self.meter.served(work);
     }
 
     /// Lets the next requests go on, as many as there is room for.
     pub(crate) fn pump(&mut self, now: Time, settings: &Settings, ready: &mut Vec<Start>) {
+        self.follow(now, settings);
         while let Some(start) = self.next(settings) {
             ready.push(start);
         }
-        self.rate.follow(now, self.waits > 0, settings);
+        let window = settings.window.duration();
+        self.meter.follow(now, self.waits > 0, window);
+    }
+
+    /// Moves the running means on.
+    fn follow(&mut self, now: Time, settings: &Settings) {
+        let span = now.since(self.followed).as_secs_f64();
+        let window = settings.window.duration().as_secs_f64().max(1e-3);
+        let share = 1.0 - (-span / window).exp();
+        for flow in &mut self.flows {
+            flow.mean += (flow.used as f64 - flow.mean) * share;
+        }
+        self.followed = now;
     }
 
     /// Takes out the waiting requests that cannot begin within their deadline.
@@ -227,12 +239,10 @@
     /// Work served a second, as measured or guessed from the room.
     fn speed(&self) -> f64 {
         let guess = self.room as f64 / FIRST_GUESS.as_secs_f64();
-        let speed = if self.rate.rate > 0.0 {
-            self.rate.rate
-        } else {
-            guess
-        };
-        speed.max(1.0)
+        // Never so slow that all who would wait are refused: then none waits,
+        // and that the service works again would not be seen.
+        let rate = self.meter.rate().unwrap_or(guess);
+        rate.max(guess / SLOWEST).max(1.0)
     }
 
     /// The next request, if there is room for one.
@@ -246,10 +256,14 @@
         let (class, at) = order
             .into_iter()
             .find_map(|class| Some((class, self.lowest(class, settings)?)))?;
-        Some(self.start(class, at, settings))
+        let first = self.flows[at].waiting[lane(class)].front()?;
+        // Smaller requests of others do not pass one that does not fit yet, or
+        // a stream of them would keep it out.
+        self.fits(first.cost.0)
+            .then(|| self.start(class, at, settings))
     }
 
-    /// The workspace with the lowest tag among those that may go on.
+    /// The workspace with the lowest tag among those within their part.
     fn lowest(&self, class: Class, settings: &Settings) -> Option<usize> {
         let shares: u64 = self.flows.iter().map(|flow| flow.share).sum();
         let mut best: Option<(u64, usize)> = None;
@@ -259,26 +273,33 @@
             };
             let tag = flow.tags[lane(class)].max(self.clock[lane(class)]);
             let lower = best.is_none_or(|(least, _)| tag < least);
-            if lower && self.fits(flow, shares, class, first.cost.0, settings) {
+            if lower && self.may(flow, shares, class, first.cost.0, settings) {
                 best = Some((tag, at));
             }
         }
         best.map(|(_, at)| at)
     }
 
-    fn fits(&self, flow: &Flow, shares: u64, class: Class, cost: u64, settings: &Settings) -> bool {
-        if self.room == 0 {
-            return false;
-        }
+    /// Whether a request is within its workspace's and its class's part.
+    fn may(&self, flow: &Flow, shares: u64, class: Class, cost: u64, settings: &Settings) -> bool {
+        let cost = cost.min(self.room / LARGEST);
         let free = self.room.saturating_sub(self.used);
-        let whole = cost <= free || self.used == 0;
         let own = self.room * flow.share / shares.max(1);
         let spare = free.saturating_mul(u64::from(settings.greed)) / 100;
-        let fair = flow.used == 0 || flow.used + cost <= own.max(spare);
+        // Who uses little on average may go over once, as for a long prompt.
+        let burst = flow.mean <= own as f64 / 2.0 && flow.used <= own;
+        let fair = burst || flow.used + cost <= own.max(spare);
         let most = self.room * u64::from(settings.batch_room) / 100;
         let class_fits =
             class == Class::Interactive || self.batch_used == 0 || self.batch_used + cost <= most;
-        whole && fair && class_fits
+        fair && class_fits
+    }
+
+    /// Whether there is room for a request. One is never too large for an idle
+    /// service.
+    fn fits(&self, cost: u64) -> bool {
+        let free = self.room.saturating_sub(self.used);
+        self.room > 0 && cost.min(self.room / LARGEST) <= free
     }
 
     fn start(&mut self, class: Class, at: usize, settings: &Settings) -> Start {
@@ -292,22 +313,23 @@
         *clock = tag;
         flow.tags[lane(class)] = tag + cost * TAG / flow.share;
         flow.behind[lane(class)] -= cost;
-        flow.used += cost;
-        self.used += cost;
+        let held = cost.min(self.room / LARGEST);
+        flow.used += held;
+        self.used += held;
         self.waits -= 1;
-        self.settle(class, cost, settings);
+        self.settle(class, cost, held, settings);
         Start {
             number: waiting.number,
-            cost: waiting.cost,
+            held: Tokens(held),
         }
     }
 
     /// Keeps account of the part of the work that is owed to batch.
-    fn settle(&mut self, class: Class, cost: u64, settings: &Settings) {
+    fn settle(&mut self, class: Class, cost: u64, held: u64, settings: &Settings) {
         let batch_waits = self.flows.iter().any(|flow| !flow.waiting[1].is_empty());
         match class {
             Class::Batch => {
-                self.batch_used += cost;
+                self.batch_used += held;
                 self.credit = self.credit.saturating_sub(cost);
             }
             Class::Interactive if batch_waits => {
@@ -337,11 +359,16 @@
 }
 
 impl Flow {
+    fn idle(&self) -> bool {
+        self.waiting.iter().all(VecDeque::is_empty)
+    }
+
     fn new(workspace: id::Workspace) -> Self {
         Self {
             workspace,
             share: 1,
             used: 0,
+            mean: 0.0,
             tags: [0; 2],
             waiting: [VecDeque::new(), VecDeque::new()],
             behind: [0; 2],
@@ -349,29 +376,6 @@
     }
 }
 
-impl Meter {
-    /// Closes a stretch in which requests waited all the time.
-    fn follow(&mut self, now: Time, waits: bool, settings: &Settings) {
-        let span = now.since(self.since).as_secs_f64();
-        let window = settings.window.duration().as_secs_f64().max(1e-3);
-        if !waits || !self.busy {
-            self.busy = waits;
-            self.since = now;
-            self.work = 0;
-        } else if span >= window / 8.0 {
-            let measured = self.work as f64 / span;
-            let share = 1.0 - (-span / window).exp();
-            self.rate = if self.rate > 0.0 {
-                self.rate + (measured - self.rate) * share
-            } else {
-                measured
-            };
-            self.since = now;
-            self.work = 0;
-        }
-    }
-}
-
 /// Place of a class in a lane's pairs.
 fn lane(class: Class) -> usize {
     match class {
--- a/coltsfoothall/src/limit.rs
+++ b/coltsfoothall/src/limit.rs
@@ -19,6 +19,7 @@
 use crate::clock::Time;
 use crate::id;
 use crate::lane::{Lane, Waiting};
+use crate::quota::Quota;
 use crate::record::{Cause, Class};
 use crate::size::{Millis, Tokens};
 
@@ -54,7 +55,7 @@
             queue: 4_096,
             each: 1_024,
             slot: Tokens(128),
-            greed: 400,
+            greed: 100,
             batch: 10,
             batch_room: 60,
             window: Millis(2_000),
@@ -89,6 +90,8 @@
 pub struct Refusal {
     /// Why.
     pub cause: Cause,
+    /// It is the workspace's own limit that is reached.
+    pub limited: bool,
     /// When it is worth coming back.
     pub retry_after: Duration,
 }
@@ -113,20 +116,6 @@
     Refused(Number, Refusal),
 }
 
-/// Limits of one workspace, all services together.
-#[derive(Debug)]
-struct Member {
-    workspace: id::Workspace,
-    share: u32,
-    most_open: u32,
-    rate: f64,
-    /// New requests that may come at once.
-    saved: f64,
-    saved_at: Time,
-    /// Requests that wait or are open.
-    open: u32,
-}
-
 /// A request that waits or is open.
 #[derive(Debug)]
 struct Entry {
@@ -143,7 +132,7 @@
 #[derive(Debug)]
 pub struct Gate {
     settings: Settings,
-    members: Vec<Member>,
+    quotas: Vec<Quota>,
     lanes: Vec<Lane>,
     entries: Vec<Entry>,
     next: u64,
@@ -159,7 +148,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
-            members: Vec::new(),
+            quotas: Vec::new(),
             lanes: Vec::new(),
             entries: Vec::new(),
             next: 0,
@@ -170,15 +159,16 @@
 
     /// Takes the workspaces in force. Requests of one that is gone end as usual.
     pub fn set_workspaces(&mut self, workspaces: &[Workspace]) {
-        let old = std::mem::take(&mut self.members);
+        let old = std::mem::take(&mut self.quotas);
         for workspace in workspaces {
             let had = old.iter().find(|have| have.workspace == workspace.name);
-            self.members.push(Member::new(workspace, had));
+            self.quotas.push(Quota::new(workspace, had));
         }
-        self.members.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+        self.quotas.sort_by(|a, b| a.workspace.cmp(&b.workspace));
         for lane in &mut self.lanes {
-            for member in &self.members {
-                lane.set_share(&member.workspace, member.share);
+            lane.clear_shares();
+            for quota in &self.quotas {
+                lane.set_share(&quota.workspace, quota.share);
             }
         }
     }
@@ -209,13 +199,12 @@
         let slot = self.settings.slot;
         let Ok(place) = self.find(number) else { return };
         let entry = &mut self.entries[place];
-        let Some(held) = entry.held.replace(slot) else {
-            entry.held = None;
-            return;
-        };
+        let Some(held) = entry.held else { return };
+        entry.held = Some(held.min(slot));
         let (workspace, service, class) = entry.key();
         let rest = held.minus(slot);
-        self.lane(&service).release(now, &workspace, class, rest);
+        self.lane(&service).release(&workspace, class, rest);
+        self.pump(now, &service);
     }
 
     /// A request ended, or its caller left while it waited.
@@ -227,7 +216,7 @@
         let lane = self.lane(&service);
         match entry.held {
             Some(held) => {
-                lane.release(now, &workspace, class, held);
+                lane.release(&workspace, class, held);
                 self.hold = (self.hold * 15 + now.since(entry.began)) / 16;
             }
             None => {
@@ -274,6 +263,7 @@
             let longest = settings.longest.duration().max(shortest);
             Err(Refusal {
                 cause,
+                limited: false,
                 retry_after: after.clamp(shortest, longest),
             })
         };
@@ -290,16 +280,22 @@
         if waiting >= settings.queue || mine >= settings.each || now + wait > ticket.deadline {
             return refuse(Cause::Overloaded, wait);
         }
-        let Ok(at) = self.member(&ticket.workspace) else {
+        let Ok(at) = self.quota(&ticket.workspace) else {
             return Ok(());
         };
-        let member = &mut self.members[at];
-        if member.most_open > 0 && member.open >= member.most_open {
-            return refuse(Cause::Overloaded, hold / member.most_open);
+        let limited = |refused: Result<(), Refusal>| {
+            refused.map_err(|refusal| Refusal {
+                limited: true,
+                ..refusal
+            })
+        };
+        let quota = &mut self.quotas[at];
+        if quota.most_open > 0 && quota.open >= quota.most_open {
+            return limited(refuse(Cause::Overloaded, hold / quota.most_open));
         }
-        match member.take(now) {
+        match quota.take(now) {
             Ok(()) => Ok(()),
-            Err(after) => refuse(Cause::Overloaded, after),
+            Err(after) => limited(refuse(Cause::Overloaded, after)),
         }
     }
 
@@ -321,8 +317,8 @@
             held: None,
             began: now,
         });
-        if let Ok(at) = self.member(&ticket.workspace) {
-            self.members[at].open += 1;
+        if let Ok(at) = self.quota(&ticket.workspace) {
+            self.quotas[at].open += 1;
         }
         number
     }
@@ -335,7 +331,7 @@
             let place = self
                 .find(start.number)
                 .expect("a waiting request stays among the entries until it ends");
-            self.entries[place].held = Some(start.cost);
+            self.entries[place].held = Some(start.held);
             self.entries[place].began = now;
             self.ready.push(start.number);
         }
@@ -352,6 +348,7 @@
         let shortest = self.settings.shortest.duration();
         let longest = self.settings.longest.duration().max(shortest);
         let refusal = Refusal {
+            limited: false,
             cause: Cause::Overloaded,
             retry_after: retry_after.clamp(shortest, longest),
         };
@@ -359,15 +356,15 @@
     }
 
     fn leave(&mut self, workspace: &id::Workspace) {
-        if let Ok(at) = self.member(workspace) {
-            let member = &mut self.members[at];
-            member.open = member.open.saturating_sub(1);
+        if let Ok(at) = self.quota(workspace) {
+            let quota = &mut self.quotas[at];
+            quota.open = quota.open.saturating_sub(1);
         }
     }
 
-    fn member(&self, workspace: &id::Workspace) -> Result<usize, usize> {
-        self.members
-            .binary_search_by(|member| member.workspace.cmp(workspace))
+    fn quota(&self, workspace: &id::Workspace) -> Result<usize, usize> {
+        self.quotas
+            .binary_search_by(|quota| quota.workspace.cmp(workspace))
     }
 
     fn find(&self, number: Number) -> Result<usize, usize> {
@@ -381,8 +378,8 @@
             .binary_search_by(|lane| lane.service.cmp(service));
         let place = place.unwrap_or_else(|place| {
             let mut lane = Lane::new(service.clone());
-            for member in &self.members {
-                lane.set_share(&member.workspace, member.share);
+            for quota in &self.quotas {
+                lane.set_share(&quota.workspace, quota.share);
             }
             self.lanes.insert(place, lane);
             place
@@ -396,35 +393,3 @@
         (self.workspace.clone(), self.service.clone(), self.class)
     }
 }
-
-impl Member {
-    fn new(workspace: &Workspace, had: Option<&Self>) -> Self {
-        let rate = workspace.rate.0 as f64;
-        // A rate that is new starts full.
-        let limited = had.filter(|had| had.rate > 0.0);
-        Self {
-            workspace: workspace.name.clone(),
-            share: workspace.share,
-            most_open: workspace.open,
-            rate,
-            saved: limited.map_or(rate, |had| had.saved.min(rate)),
-            saved_at: had.map_or(Time::START, |had| had.saved_at),
-            open: had.map_or(0, |had| had.open),
-        }
-    }
-
-    /// Takes one new request from the rate, which saves up one second.
-    fn take(&mut self, now: Time) -> Result<(), Duration> {
-        if self.rate <= 0.0 {
-            return Ok(());
-        }
-        let gained = now.since(self.saved_at).as_secs_f64() * self.rate;
-        self.saved = (self.saved + gained).min(self.rate.max(1.0));
-        self.saved_at = now;
-        if self.saved < 1.0 {
-            return Err(Duration::from_secs_f64((1.0 - self.saved) / self.rate));
-        }
-        self.saved -= 1.0;
-        Ok(())
-    }
-}
--- a/coltsfoothall/src/load.rs
+++ b/coltsfoothall/src/load.rs
@@ -3,7 +3,7 @@
 //! The requests that this instance has open there are known at once. What
 //! others have open comes from the endpoint's reports, which lag: each report
 //! is compared with what was open here when it was taken, and loses its weight
-//! with age, towards the mean of the service. An endpoint whose reports stop
+//! with age, towards the mean of the service, the sooner the shorter requests are. An endpoint whose reports stop
 //! therefore looks neither idle nor full.
 
 use std::time::Duration;
@@ -38,10 +38,6 @@
     pub fade: Millis,
     /// The same for prompt tokens still to be read, which change faster.
     pub fade_prefill: Millis,
-    /// Requests that others are expected to have sent since the last report
-    /// for each one sent from here; it keeps instances that read the same old
-    /// report from all sending to the same endpoint.
-    pub echo: f64,
 }
 
 impl Default for Settings {
@@ -50,7 +46,6 @@
             lag: Millis(500),
             fade: Millis(4_000),
             fade_prefill: Millis(500),
-            echo: 1.0,
         }
     }
 }
@@ -99,6 +94,30 @@
     }
 }
 
+/// How the reports of one service are seen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct View {
+    /// Work of others at an average endpoint.
+    pub mean: Work,
+    /// Time constant with which reported open requests lose their weight.
+    pub fade: Duration,
+    /// The same for reported prompt tokens.
+    pub fade_prefill: Duration,
+}
+
+impl View {
+    /// The view of a service whose requests are open for `hold` on average:
+    /// what was open longer ago than that has ended.
+    #[must_use]
+    pub fn new(mean: Work, hold: Duration, settings: &Settings) -> Self {
+        Self {
+            mean,
+            fade: settings.fade.duration().min(hold),
+            fade_prefill: settings.fade_prefill.duration().min(hold),
+        }
+    }
+}
+
 /// What is known of one endpoint's load.
 #[derive(Debug, Clone, Default)]
 pub struct State {
@@ -107,8 +126,6 @@
     shown: Work,
     shown_at: Time,
     others: Option<Others>,
-    /// Own work sent since the last report.
-    since: Work,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -132,7 +149,6 @@
             prefill: prefill.0 as f64,
         };
         self.own = self.own.plus(work);
-        self.since = self.since.plus(work);
     }
 
     /// Prompt tokens of a request were read.
@@ -164,42 +180,34 @@
         };
         let work = all.minus(self.shown);
         self.others = Some(Others { work, at: now });
-        self.since = Work::default();
         work
     }
 
-    /// All work that is believed to be at the endpoint, where `mean` is the
-    /// work of others at an average endpoint of the service.
+    /// All work that is believed to be at the endpoint.
     #[must_use]
-    pub fn estimate(&self, now: Time, mean: Work, settings: &Settings) -> Work {
-        let others = self.others(now, mean, settings);
-        let echo = self.since.times(settings.echo);
-        self.own.plus(others).plus(echo)
+    pub fn estimate(&self, now: Time, view: &View) -> Work {
+        self.own.plus(self.others(now, view))
     }
 
     /// Work of others that is believed to be at the endpoint.
     #[must_use]
-    pub fn others(&self, now: Time, mean: Work, settings: &Settings) -> Work {
-        match self.others {
-            None => mean,
-            Some(others) => {
-                let age = now.since(others.at);
-                Work {
-                    open: blend(others.work.open, mean.open, keep(age, settings.fade)),
-                    prefill: blend(
-                        others.work.prefill,
-                        mean.prefill,
-                        keep(age, settings.fade_prefill),
-                    ),
-                }
-            }
+    pub fn others(&self, now: Time, view: &View) -> Work {
+        let Some(others) = self.others else {
+            return view.mean;
+        };
+        let age = now.since(others.at);
+        let open = keep(age, view.fade);
+        let prefill = keep(age, view.fade_prefill);
+        Work {
+            open: blend(others.work.open, view.mean.open, open),
+            prefill: blend(others.work.prefill, view.mean.prefill, prefill),
         }
     }
 
     /// Moves what a report would show towards what is open now.
     fn follow(&mut self, now: Time, settings: &Settings) {
         let age = now.since(self.shown_at);
-        let share = 1.0 - keep(age, settings.lag);
+        let share = 1.0 - keep(age, settings.lag.duration());
         self.shown = self.shown.towards(self.own, share);
         self.shown_at = now;
     }
@@ -211,7 +219,7 @@
 }
 
 /// Weight that is left after `age`, with time constant `span`.
-fn keep(age: Duration, span: Millis) -> f64 {
-    let span = span.duration().as_secs_f64().max(1e-3);
+fn keep(age: Duration, span: Duration) -> f64 {
+    let span = span.as_secs_f64().max(1e-3);
     (-age.as_secs_f64() / span).exp()
 }
--- a/coltsfoothall/src/pool.rs
+++ b/coltsfoothall/src/pool.rs
@@ -3,6 +3,7 @@
 //! Nodes are sorted by service and name, so a service's nodes stand together.
 
 use std::ops::Range;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -10,13 +11,18 @@
 use crate::clock::Time;
 use crate::id;
 use crate::index::{Holder, Index};
-use crate::load::{self, Work};
+use crate::load::{self, View, Work};
 use crate::prefix::Block;
-use crate::size::Price;
+use crate::record::Class;
 
-/// Share of a report in the running mean of a service.
+/// Share of one report or request in the running means of a service.
 const MEAN_SHARE: f64 = 0.05;
 
+/// Time that requests are taken to be open before any has ended.
+const FIRST_HOLD: Duration = Duration::from_secs(5);
+/// Weight that a request's work keeps with each further request.
+const WORK_KEPT: f64 = 0.998;
+
 /// An endpoint and its state.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -59,7 +65,10 @@
     nodes: Range<usize>,
     /// Running mean of others' work at one endpoint.
     mean: Work,
-    cheapest: Price,
+    /// Running mean of the time that a request is open.
+    hold: Duration,
+    /// Work sent from here, older work counting less: all, and batch.
+    sent: [f64; 2],
 }
 
 /// Which node a holder is.
@@ -135,37 +144,49 @@
         place.ok().map(|place| self.seats[place].node)
     }
 
-    /// The nodes of a service that a block hashes to, by rendezvous hashing
-    /// among those whose rank is within `ranks`.
+    /// The nodes of a service that a block hashes to, by weighted rendezvous
+    /// hashing; `weight` says how much of a node may be used, by its rank.
     pub(crate) fn homes(
         &self,
         service: &id::Service,
-        ranks: Range<f64>,
+        weight: &dyn Fn(f64) -> f64,
         block: Block,
         count: usize,
     ) -> Vec<usize> {
-        let mut homes: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
-        for node in self.range(service) {
-            if self.nodes[node].leaving || !ranks.contains(&self.nodes[node].rank) {
+        let mut homes: Vec<(f64, usize)> = Vec::with_capacity(count + 1);
+        for at in self.range(service) {
+            let node = &self.nodes[at];
+            let weight = weight(node.rank);
+            if node.leaving || weight <= 0.0 {
                 continue;
             }
-            let rank = mix(self.nodes[node].hash, block);
-            let place = homes.partition_point(|(have, _)| *have > rank);
+            let score = score(node.hash, block, weight);
+            let place = homes.partition_point(|(have, _)| *have > score);
             if place < count {
-                homes.insert(place, (rank, node));
+                homes.insert(place, (score, at));
                 homes.truncate(count);
             }
         }
         homes.into_iter().map(|(_, node)| node).collect()
     }
 
-    /// Others' work at an average endpoint of a service.
-    pub(crate) fn mean(&self, service: &id::Service) -> Work {
-        self.pool(service).map_or(Work::default(), |pool| pool.mean)
+    /// How the reports of a service are seen.
+    pub(crate) fn view(&self, service: &id::Service, settings: &load::Settings) -> View {
+        match self.pool(service) {
+            Some(pool) => View::new(pool.mean, pool.hold, settings),
+            None => View::new(Work::default(), FIRST_HOLD, settings),
+        }
+    }
+
+    pub(crate) fn pool_view(&self, pool: usize, settings: &load::Settings) -> View {
+        let pool = &self.pools[pool];
+        View::new(pool.mean, pool.hold, settings)
     }
 
-    pub(crate) fn pool_mean(&self, pool: usize) -> Work {
-        self.pools[pool].mean
+    /// Takes the time that a request was open into the mean of its service.
+    pub(crate) fn note_hold(&mut self, pool: usize, hold: Duration) {
+        let mean = &mut self.pools[pool].hold;
+        *mean = mean.mul_f64(1.0 - MEAN_SHARE) + hold.mul_f64(MEAN_SHARE);
     }
 
     /// Takes a report's view of others' work into the mean of its service.
@@ -174,10 +195,20 @@
         *mean = mean.towards(work, MEAN_SHARE);
     }
 
-    /// Lowest price of an endpoint of a service.
-    pub(crate) fn cheapest(&self, service: &id::Service) -> Price {
-        self.pool(service)
-            .map_or(Price::default(), |pool| pool.cheapest)
+    /// Notes work that was sent, in microseconds of an endpoint.
+    pub(crate) fn note_work(&mut self, pool: usize, class: Class, work: f64) {
+        let [all, batch] = &mut self.pools[pool].sent;
+        *all = *all * WORK_KEPT + work;
+        *batch *= WORK_KEPT;
+        if class == Class::Batch {
+            *batch += work;
+        }
+    }
+
+    /// Part of a service's work that is batch.
+    pub(crate) fn part(&self, service: &id::Service) -> f64 {
+        let [all, batch] = self.pool(service).map_or([0.0; 2], |pool| pool.sent);
+        if all > 0.0 { batch / all } else { 0.0 }
     }
 
     /// Sorts the holders anew.
@@ -237,14 +268,14 @@
             let same = |pool: &&mut Pool| pool.service == endpoint.service;
             if let Some(pool) = self.pools.last_mut().filter(same) {
                 pool.nodes.end = at + 1;
-                pool.cheapest = pool.cheapest.min(endpoint.price);
             } else {
-                let mean = old.iter().find(|pool| pool.service == endpoint.service);
+                let known = old.iter().find(|pool| pool.service == endpoint.service);
                 self.pools.push(Pool {
                     service: endpoint.service.clone(),
                     nodes: at..at + 1,
-                    mean: mean.map_or(Work::default(), |pool| pool.mean),
-                    cheapest: endpoint.price,
+                    mean: known.map_or(Work::default(), |pool| pool.mean),
+                    hold: known.map_or(FIRST_HOLD, |pool| pool.hold),
+                    sent: known.map_or([0.0; 2], |pool| pool.sent),
                 });
             }
             self.nodes[at].pool = self.pools.len() - 1;
@@ -266,7 +297,13 @@
     }
 }
 
-/// Rank of an endpoint for a block.
-fn mix(hash: u64, block: Block) -> u64 {
-    xxh3_64_with_seed(&block.0.to_le_bytes(), hash)
+/// Score of an endpoint for a block: the highest is the block's home.
+fn score(hash: u64, block: Block, weight: f64) -> f64 {
+    let drawn = xxh3_64_with_seed(&block.0.to_le_bytes(), hash);
+    let part = drawn as f64 / u64::MAX as f64;
+    if weight >= 1.0 {
+        part
+    } else {
+        part.powf(1.0 / weight)
+    }
 }
--- a/coltsfoothall/src/weight.rs
+++ b/coltsfoothall/src/weight.rs
@@ -10,14 +10,6 @@
 #[serde(transparent)]
 pub struct Risk(pub u64);
 
-impl Risk {
-    /// Expected reclaims within a span.
-    #[must_use]
-    pub fn within(self, span: std::time::Duration) -> f64 {
-        self.0 as f64 * span.as_secs_f64() / 3_600_000.0
-    }
-}
-
 /// The weights of a choice.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -35,16 +27,10 @@
     pub open: f64,
     /// Microseconds for a hop to another failure domain.
     pub hop: f64,
-    /// Microseconds for each millionth of the currency that an hour costs
-    /// above the cheapest endpoint.
-    pub price: f64,
-    /// Microseconds between the first and the last endpoint in an order that
-    /// all entry instances share: batch prefers the one end, interactive the
-    /// other, so long prompts are read where few callers wait.
+    /// Endpoints where batch has its homes, as a multiple of its part of the
+    /// work; it keeps long prompts from being read where callers wait. At 0
+    /// both classes have homes everywhere.
     pub apart: f64,
-    /// Microseconds for each token that is expected to be read again because
-    /// the instance is reclaimed.
-    pub reclaim: f64,
 }
 
 impl Default for Weights {
@@ -55,9 +41,7 @@
             home: 200.0,
             open: 2_000.0,
             hop: 2_000.0,
-            price: 0.0,
-            reclaim: 100.0,
-            apart: 0.0,
+            apart: 1.0,
         }
     }
 }
