--- a/coltsfoothall-entry/src/death.rs
+++ b/coltsfoothall-entry/src/death.rs
@@ -136,9 +136,17 @@
         print: Print,
         alone: bool,
     ) {
-        self.docket.started(now, attempt, endpoint.clone(), print, alone);
+        self.docket
+            .started(now, attempt, endpoint.clone(), print, alone);
         if let Err(at) = self.find(attempt) {
-            self.runs.insert(at, Run { attempt, endpoint: endpoint.clone(), print });
+            self.runs.insert(
+                at,
+                Run {
+                    attempt,
+                    endpoint: endpoint.clone(),
+                    print,
+                },
+            );
         }
     }
 
@@ -153,14 +161,23 @@
     /// Puts an endpoint on trial, for the attempt that broke there if one did.
     /// True if it was not on trial.
     pub fn accuse(&mut self, endpoint: &id::Endpoint, broken: Option<u64>) -> bool {
-        match self.trials.binary_search_by(|trial| trial.endpoint.cmp(endpoint)) {
+        match self
+            .trials
+            .binary_search_by(|trial| trial.endpoint.cmp(endpoint))
+        {
             Ok(at) => {
                 self.trials[at].broken.extend(broken);
                 false
             }
             Err(at) => {
                 let broken = broken.into_iter().collect();
-                self.trials.insert(at, Trial { endpoint: endpoint.clone(), broken });
+                self.trials.insert(
+                    at,
+                    Trial {
+                        endpoint: endpoint.clone(),
+                        broken,
+                    },
+                );
                 true
             }
         }
@@ -174,8 +191,12 @@
         found: Found,
         open: usize,
     ) -> Ruling {
-        let place = self.trials.binary_search_by(|trial| trial.endpoint.cmp(endpoint));
-        let broken = place.map(|at| self.trials.remove(at).broken).unwrap_or_default();
+        let place = self
+            .trials
+            .binary_search_by(|trial| trial.endpoint.cmp(endpoint));
+        let broken = place
+            .map(|at| self.trials.remove(at).broken)
+            .unwrap_or_default();
         let together = broken.len() >= TOGETHER && open == 0;
         match found {
             Found::Dead { .. } => return Ruling::Dead,
@@ -193,8 +214,17 @@
 
     /// An endpoint is dead. Returns the marks to tell peers of.
     pub fn died(&mut self, now: Time, endpoint: &id::Endpoint, announced: bool) -> Vec<Mark> {
-        if let Err(at) = self.dead.binary_search_by(|dead| dead.endpoint.cmp(endpoint)) {
-            self.dead.insert(at, Dead { endpoint: endpoint.clone(), next: now + AGAIN });
+        if let Err(at) = self
+            .dead
+            .binary_search_by(|dead| dead.endpoint.cmp(endpoint))
+        {
+            self.dead.insert(
+                at,
+                Dead {
+                    endpoint: endpoint.clone(),
+                    next: now + AGAIN,
+                },
+            );
         }
         self.runs.retain(|run| run.endpoint != *endpoint);
         let marks = self.docket.died(now, endpoint, announced);
@@ -207,7 +237,9 @@
     /// Whether an endpoint is known to be dead.
     #[must_use]
     pub fn is_dead(&self, endpoint: &id::Endpoint) -> bool {
-        self.dead.binary_search_by(|dead| dead.endpoint.cmp(endpoint)).is_ok()
+        self.dead
+            .binary_search_by(|dead| dead.endpoint.cmp(endpoint))
+            .is_ok()
     }
 
     /// Endpoints known to be dead, sorted.
@@ -282,7 +314,9 @@
     }
 
     fn tries(&self, endpoint: &id::Endpoint) -> bool {
-        self.trials.binary_search_by(|trial| trial.endpoint.cmp(endpoint)).is_ok()
+        self.trials
+            .binary_search_by(|trial| trial.endpoint.cmp(endpoint))
+            .is_ok()
     }
 
     fn find(&self, attempt: u64) -> Result<usize, usize> {
@@ -317,7 +351,9 @@
     }
     let mates = join_all(mates.iter().take(MATES).map(|mate| connect(mate))).await;
     let lost = mates.iter().filter(|mate| **mate != Found::Alive).count();
-    Found::Dead { domain: lost == mates.len() && lost >= DOMAIN }
+    Found::Dead {
+        domain: lost == mates.len() && lost >= DOMAIN,
+    }
 }
 
 async fn connect(address: &str) -> Found {
--- a/coltsfoothall-entry/src/desk.rs
+++ b/coltsfoothall-entry/src/desk.rs
@@ -18,9 +18,9 @@
 use coltsfoothall_wire::fault::{Code, Fault, Outcome};
 use coltsfoothall_wire::peer::Follow;
 
-use crate::message::Message;
 use crate::dispatch;
 use crate::feed::{Feed, Follower};
+use crate::message::Message;
 use crate::node::Node;
 use crate::relay::{self, Begun};
 
--- a/coltsfoothall-entry/src/link.rs
+++ b/coltsfoothall-entry/src/link.rs
@@ -101,7 +101,10 @@
     /// Cancels a request at its owner; false if that does not work.
     pub async fn cancel(&self, owner: &id::Instance, name: &Name) -> bool {
         match self.client(owner).await {
-            Ok(client) => client.cancel(context(CALL), name.clone()).await.unwrap_or(false),
+            Ok(client) => client
+                .cancel(context(CALL), name.clone())
+                .await
+                .unwrap_or(false),
             Err(_unreached) => false,
         }
     }
@@ -112,7 +115,11 @@
     /// The peer is unknown or cannot be reached.
     pub async fn client(&self, to: &id::Instance) -> Result<PeerClient, Error> {
         let unknown = || Error::Connect(to.to_string(), "it is no member".into());
-        let node = self.node.get().and_then(Weak::upgrade).ok_or_else(unknown)?;
+        let node = self
+            .node
+            .get()
+            .and_then(Weak::upgrade)
+            .ok_or_else(unknown)?;
         let slot = self.with(to, |link| Arc::clone(&link.client));
         open(&node, to, &slot).await
     }
@@ -133,9 +140,10 @@
             Some(peer) => self.client(&peer.instance).await?,
             None => connect(node, address).await?,
         };
-        let answer = client.beat(context(CALL), heartbeat).await.map_err(|error| {
-            Error::Call("beat", address.into(), error.to_string())
-        });
+        let answer = client
+            .beat(context(CALL), heartbeat)
+            .await
+            .map_err(|error| Error::Call("beat", address.into(), error.to_string()));
         if let (Some(peer), Err(_)) = (known, &answer) {
             self.with(&peer.instance, |link| *lock(&link.client) = None);
         }
@@ -159,10 +167,19 @@
         let client = Arc::new(Mutex::new(None));
         if let Some(node) = self.node.get().and_then(Weak::upgrade) {
             let traffic = node.traffic.clone();
-            let pump = Pump { node, to: to.clone(), client: Arc::clone(&client), since: None };
+            let pump = Pump {
+                node,
+                to: to.clone(),
+                client: Arc::clone(&client),
+                since: None,
+            };
             traffic.spawn(pump.run(queue));
         }
-        Link { instance: to.clone(), changes, client }
+        Link {
+            instance: to.clone(),
+            changes,
+            client,
+        }
     }
 }
 
@@ -189,7 +206,10 @@
     }
     let view = node.view();
     let unknown = || Error::Connect(to.to_string(), "it is no member".into());
-    let address = view.peer(to).map(|peer| peer.address.clone()).ok_or_else(unknown)?;
+    let address = view
+        .peer(to)
+        .map(|peer| peer.address.clone())
+        .ok_or_else(unknown)?;
     let client = connect(node, &address).await?;
     *lock(slot) = Some(client.clone());
     Ok(client)
@@ -208,8 +228,12 @@
 }
 
 async fn handshake(node: &Node, address: &str) -> Result<PeerClient, String> {
-    let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
-    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| error.to_string())?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| error.to_string())?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
@@ -221,11 +245,16 @@
         .header(AUTHORIZATION, node.peer_bearer())
         .body(Empty::<bytes::Bytes>::new())
         .map_err(|error| error.to_string())?;
-    let answer = sender.send_request(request).await.map_err(|error| error.to_string())?;
+    let answer = sender
+        .send_request(request)
+        .await
+        .map_err(|error| error.to_string())?;
     if answer.status() != StatusCode::SWITCHING_PROTOCOLS {
         return Err(format!("it answered {}", answer.status()));
     }
-    let upgraded = hyper::upgrade::on(answer).await.map_err(|error| error.to_string())?;
+    let upgraded = hyper::upgrade::on(answer)
+        .await
+        .map_err(|error| error.to_string())?;
     let framed = Framed::new(TokioIo::new(upgraded), peer::codec());
     let transport = serde_transport::new(framed, MessagePack::default());
     Ok(PeerClient::new(client::Config::default(), transport).spawn())
@@ -273,9 +302,9 @@
         let client = open(&self.node, &self.to, &self.client).await?;
         let within = self.node.settings.times.backup.duration();
         let call = client.update(context(within), batch.to_vec());
-        let acks = call.await.map_err(|error| {
-            Error::Call("update", self.to.to_string(), error.to_string())
-        })?;
+        let acks = call
+            .await
+            .map_err(|error| Error::Call("update", self.to.to_string(), error.to_string()))?;
         if acks.len() == batch.len() {
             return Ok(acks);
         }
@@ -289,10 +318,15 @@
         for (update, ack) in batch.iter().zip(acks) {
             lacks |= matches!(ack, Ack::Gap(_));
             if *ack == Ack::Missing {
-                let message = Message::CopyLost { slot: update.slot, at: self.to.clone() };
+                let message = Message::CopyLost {
+                    slot: update.slot,
+                    at: self.to.clone(),
+                };
                 self.node.control.send(message);
             }
-            self.node.desk.acked(&self.node, &self.to, update.slot, update.epoch, *ack);
+            self.node
+                .desk
+                .acked(&self.node, &self.to, update.slot, update.epoch, *ack);
         }
         lacks
     }
@@ -311,7 +345,9 @@
 
     /// What the peer lacks according to the ledger, in place of what is queued.
     fn missing(&self, queue: &mut UnboundedReceiver<Update>) -> Vec<Update> {
-        self.node.desk.missing(&self.to, || while queue.try_recv().is_ok() {})
+        self.node
+            .desk
+            .missing(&self.to, || while queue.try_recv().is_ok() {})
     }
 }
 
--- a/coltsfoothall-entry/src/main.rs
+++ b/coltsfoothall-entry/src/main.rs
@@ -23,13 +23,14 @@
         println!("{}", text.map_err(|error| error.to_string())?);
         return Ok(());
     }
-    let settings: Settings =
-        settings::load(&flags.settings).map_err(|error| error.to_string())?;
+    let settings: Settings = settings::load(&flags.settings).map_err(|error| error.to_string())?;
     journal::start(&settings.log).map_err(|error| error.to_string())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.threads)
         .enable_all()
         .build()
         .map_err(|error| format!("cannot start threads: {error}"))?;
-    runtime.block_on(run::run(settings)).map_err(|error| error.to_string())
+    runtime
+        .block_on(run::run(settings))
+        .map_err(|error| error.to_string())
 }
--- a/coltsfoothall-entry/src/node.rs
+++ b/coltsfoothall-entry/src/node.rs
@@ -16,10 +16,10 @@
 use coltsfoothall_wire::client::Client;
 use coltsfoothall_wire::fault::{Code, Fault, Outcome};
 
-use crate::message::Handle;
 use crate::desk::Desk;
 use crate::endpoint::Runner;
 use crate::link::Links;
+use crate::message::Handle;
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::view::View;
@@ -111,8 +111,14 @@
     /// Counts a request's end.
     pub fn count_end(&self, labels: &Labels, fault: Option<&Fault>) {
         let end = match fault {
-            None => metric::End { code: "ok", outcome: "done" },
-            Some(fault) => metric::End { code: code(fault.code), outcome: outcome(fault.outcome) },
+            None => metric::End {
+                code: "ok",
+                outcome: "done",
+            },
+            Some(fault) => metric::End {
+                code: code(fault.code),
+                outcome: outcome(fault.outcome),
+            },
         };
         self.board.ended(labels, end);
     }
--- a/coltsfoothall-entry/src/operator.rs
+++ b/coltsfoothall-entry/src/operator.rs
@@ -19,8 +19,8 @@
 use coltsfoothall_wire::{http, limit};
 
 use crate::config::{self, KEY};
-use crate::message::{Held, Message};
 use crate::intake;
+use crate::message::{Held, Message};
 use crate::node::Node;
 use crate::store::Error;
 
--- a/coltsfoothall-entry/src/peer.rs
+++ b/coltsfoothall-entry/src/peer.rs
@@ -31,9 +31,9 @@
 use coltsfoothall_wire::serve::{self, Answer, Body, Handler};
 use coltsfoothall_wire::{http, limit};
 
-use crate::message::Message;
 use crate::feed::Follower;
 use crate::intake;
+use crate::message::Message;
 use crate::node::Node;
 
 /// Answers other entry instances.
--- a/coltsfoothall-entry/src/platform.rs
+++ b/coltsfoothall-entry/src/platform.rs
@@ -33,7 +33,10 @@
     let cloud = node.settings.cloud.to_string();
     loop {
         turn.tick().await;
-        let read = node.client.get::<Machines>("list", &cloud, "/v1/instances", WITHIN).await;
+        let read = node
+            .client
+            .get::<Machines>("list", &cloud, "/v1/instances", WITHIN)
+            .await;
         match read {
             Ok(list) => node.control.send(Message::Machines(list.machines)),
             Err(error) => event::LIST_FAILED.emit(format_args!("error=\"{error}\"")),
@@ -48,7 +51,11 @@
     loop {
         let path = format!("/v1/notices?after={after}&wait_ms={}", WATCH.as_millis());
         let within = WATCH + WITHIN;
-        match node.client.get::<Notices>("notices", &cloud, &path, within).await {
+        match node
+            .client
+            .get::<Notices>("notices", &cloud, &path, within)
+            .await
+        {
             Ok(notices) => {
                 after = notices.newest;
                 for notice in notices.notices {
@@ -96,7 +103,10 @@
 
 fn renew(node: &Node, readers: &mut Vec<Reader>) {
     let view = node.view();
-    readers.retain(|reader| view.place(&reader.endpoint).is_some_and(|place| place.engine));
+    readers.retain(|reader| {
+        view.place(&reader.endpoint)
+            .is_some_and(|place| place.engine)
+    });
     for place in view.places.iter().filter(|place| place.engine) {
         if let Err(at) = readers.binary_search_by(|have| have.endpoint.cmp(&place.endpoint)) {
             let reader = Reader {
@@ -110,7 +120,10 @@
 }
 
 async fn read(node: &Node, reader: &mut Reader) -> Result<(), Error> {
-    let load = node.client.get::<Load>("load", &reader.address, "/v1/load", WITHIN).await?;
+    let load = node
+        .client
+        .get::<Load>("load", &reader.address, "/v1/load", WITHIN)
+        .await?;
     let report = Report {
         running: load.running,
         waiting: load.waiting,
@@ -118,9 +131,13 @@
         cached: load.cached,
         capacity: load.capacity,
     };
-    node.control.send(Message::Load(reader.endpoint.clone(), report));
+    node.control
+        .send(Message::Load(reader.endpoint.clone(), report));
     let path = format!("/v1/cache/events?after={}", reader.after);
-    let events = node.client.get::<Events>("cache", &reader.address, &path, WITHIN).await?;
+    let events = node
+        .client
+        .get::<Events>("cache", &reader.address, &path, WITHIN)
+        .await?;
     reader.after = events.newest;
     if !events.events.is_empty() {
         let events = events.events.into_iter().map(|event| index::Event {
--- a/coltsfoothall-entry/src/relay.rs
+++ b/coltsfoothall-entry/src/relay.rs
@@ -18,11 +18,11 @@
 use coltsfoothall::size::Tokens;
 use coltsfoothall::step::{Action, Dropped, Input};
 
-use crate::message::Message;
-use crate::pick::Pick;
 use crate::endpoint::{Ended, Job};
 use crate::feed::Feed;
+use crate::message::Message;
 use crate::node::Node;
+use crate::pick::Pick;
 
 /// Pieces of answers that wait for the relay; an endpoint that is faster waits.
 const PIECES: usize = 256;
--- a/coltsfoothall-entry/src/resend.rs
+++ b/coltsfoothall-entry/src/resend.rs
@@ -19,7 +19,9 @@
     pub fn look(&mut self, node: &Node) {
         let owed = node.desk.with_ledger(|ledger| ledger.owed());
         for old in owed.iter().filter(|owed| self.last.contains(owed)) {
-            let missing = node.desk.with_ledger(|ledger| ledger.resend(old.slot, &old.to));
+            let missing = node
+                .desk
+                .with_ledger(|ledger| ledger.resend(old.slot, &old.to));
             node.links.send_all(&old.to, missing);
         }
         self.last = owed;
--- a/coltsfoothall-entry/src/room.rs
+++ b/coltsfoothall-entry/src/room.rs
@@ -61,7 +61,8 @@
                 others: had.map_or(0, |room| room.others),
             });
         }
-        self.rooms.sort_by(|a, b| (&a.service, &a.endpoint).cmp(&(&b.service, &b.endpoint)));
+        self.rooms
+            .sort_by(|a, b| (&a.service, &a.endpoint).cmp(&(&b.service, &b.endpoint)));
     }
 
     /// Sets this instance's place among all entry instances, and their number.
@@ -85,7 +86,10 @@
 
     /// Others have so many requests at an endpoint.
     pub fn note(&mut self, _now: Time, endpoint: &id::Endpoint, others: usize) {
-        let room = self.rooms.iter_mut().find(|room| room.endpoint == *endpoint);
+        let room = self
+            .rooms
+            .iter_mut()
+            .find(|room| room.endpoint == *endpoint);
         if let Some(room) = room {
             room.others = others;
         }
@@ -115,7 +119,9 @@
         let mut free = false;
         let rooms = self.rooms.iter().filter(|room| room.service == *service);
         // Numbered before any is left out, so that instances agree on the parts.
-        let rooms = rooms.enumerate().filter(|(_, room)| !exclude.contains(&room.endpoint));
+        let rooms = rooms
+            .enumerate()
+            .filter(|(_, room)| !exclude.contains(&room.endpoint));
         let rooms: Vec<(usize, Room)> = rooms.map(|(at, room)| (at, room.clone())).collect();
         let (place, count) = (self.place, self.count.max(1));
         let mine = |at: usize| at % count == place;
@@ -129,7 +135,11 @@
                 continue;
             }
             // The one that is kept free already comes first.
-            let rank = if kept.as_ref() == Some(&room.endpoint) { 0 } else { own + 1 };
+            let rank = if kept.as_ref() == Some(&room.endpoint) {
+                0
+            } else {
+                own + 1
+            };
             if mine && spare.as_ref().is_none_or(|(least, _)| rank < *least) {
                 spare = Some((rank, room.endpoint.clone()));
             }
@@ -144,7 +154,10 @@
     /// Whether a request has waited long enough for this instance's part. Until
     /// then the others' parts may run the request that is to blame.
     fn stranded(&mut self, now: Time) -> bool {
-        let since = self.none.filter(|since| now.since(*since) < FORGET).unwrap_or(now);
+        let since = self
+            .none
+            .filter(|since| now.since(*since) < FORGET)
+            .unwrap_or(now);
         self.none = Some(since);
         now.since(since) >= PATIENCE
     }
@@ -156,7 +169,13 @@
             Some(reserve) if now < reserve.until && reserve.endpoint == endpoint => {
                 reserve.until = until;
             }
-            _ => self.reserve = Some(Reserve { endpoint, since: now, until }),
+            _ => {
+                self.reserve = Some(Reserve {
+                    endpoint,
+                    since: now,
+                    until,
+                })
+            }
         }
     }
 }
--- a/coltsfoothall-entry/src/run.rs
+++ b/coltsfoothall-entry/src/run.rs
@@ -21,11 +21,11 @@
 use coltsfoothall_wire::serve::{self, Answer, Handler};
 
 use crate::control;
-use crate::message::{Handle, Message};
 use crate::desk::Desk;
 use crate::endpoint::Remote;
 use crate::front::Front;
 use crate::link::Links;
+use crate::message::{Handle, Message};
 use crate::node::Node;
 use crate::peer::Back;
 use crate::settings::Settings;
--- a/coltsfoothall-entry/src/settings.rs
+++ b/coltsfoothall-entry/src/settings.rs
@@ -124,7 +124,10 @@
         check_token("operator_token", &self.operator_token)?;
         check_token("peer_token", &self.peer_token)?;
         if self.threads == 0 || self.threads > THREADS {
-            return Err(Fault::new("threads", format!("must be from 1 to {THREADS}")));
+            return Err(Fault::new(
+                "threads",
+                format!("must be from 1 to {THREADS}"),
+            ));
         }
         self.stewards.check()?;
         self.times.check()
@@ -163,10 +166,16 @@
             }
         }
         if self.suspect.0 < 2 * self.heartbeat.0 {
-            return Err(Fault::new("times.suspect", "must be at least two heartbeats"));
+            return Err(Fault::new(
+                "times.suspect",
+                "must be at least two heartbeats",
+            ));
         }
         if self.lease.0 < 2 * self.store.0 {
-            return Err(Fault::new("times.lease", "must be at least two store waits"));
+            return Err(Fault::new(
+                "times.lease",
+                "must be at least two store waits",
+            ));
         }
         Ok(())
     }
--- a/coltsfoothall-entry/src/source.rs
+++ b/coltsfoothall-entry/src/source.rs
@@ -109,11 +109,12 @@
                 Stream::Remote { body, frames } => remote(body, frames).await,
             };
             match piece {
-                Some(Piece::Moved) => {
-                    self.stream = None;
-                    self.sent = true;
+                Some(Piece::Moved) | None => {
+                    self.lose(piece.is_none());
+                    if self.expired() {
+                        return Piece::Fault(Box::new(self.unreached()));
+                    }
                 }
-                None => self.lose(),
                 Some(Piece::Fault(fault)) if elsewhere(&fault) => {
                     self.stream = None;
                     self.refused = self.owner.take();
@@ -139,11 +140,13 @@
         }
     }
 
-    /// The owner's stream broke off.
-    fn lose(&mut self) {
+    /// The owner's stream ended without an end of the answer: it handed the
+    /// request over, or was lost. It is asked again only after the others.
+    fn lose(&mut self, lost: bool) {
         self.stream = None;
+        self.refused = self.owner.take();
         self.sent = true;
-        self.lost = true;
+        self.lost |= lost;
     }
 
     /// Whether the search for an owner is to be given up. A request that may
--- a/coltsfoothall-entry/tests/crash.rs
+++ b/coltsfoothall-entry/tests/crash.rs
@@ -21,11 +21,21 @@
 const SENDS: u64 = 24;
 
 fn prompt(text: &str, tokens: u64) -> Prompt {
-    Prompt { model: MODEL.into(), prompt: text.into(), max_tokens: tokens, stream: true }
+    Prompt {
+        model: MODEL.into(),
+        prompt: text.into(),
+        max_tokens: tokens,
+        stream: true,
+    }
 }
 
 fn shape() -> Shape {
-    Shape { entries: ENTRIES, engines: 7, services: 1, ..Shape::default() }
+    Shape {
+        entries: ENTRIES,
+        engines: 7,
+        services: 1,
+        ..Shape::default()
+    }
 }
 
 /// Callers whose requests run in the same batches; each answer is checked whole.
@@ -98,16 +108,24 @@
     let (stop, stopped) = watch::channel(false);
     let others = neighbors(&system, &stopped);
     sleep(Duration::from_secs(1)).await;
-    let callers = (0..ENTRIES).map(|at| system.caller_of(&[at], 7 + at as u64)).collect();
+    let callers = (0..ENTRIES)
+        .map(|at| system.caller_of(&[at], 7 + at as u64))
+        .collect();
     let send = tokio::spawn(send_over(callers, "crash-engine please", SENDS));
     let dead = watch_sends(&mut system, vec![send]).await;
     stop.send_replace(true);
     for other in others {
-        let whole = other.await.unwrap_or_else(|error| panic!("{error}\n{}", system.logs()));
+        let whole = other
+            .await
+            .unwrap_or_else(|error| panic!("{error}\n{}", system.logs()));
         assert!(whole > 0);
     }
     println!("engines lost: {dead}");
-    assert!((1..=SERIAL).contains(&dead), "{dead} engines lost\n{}", system.logs());
+    assert!(
+        (1..=SERIAL).contains(&dead),
+        "{dead} engines lost\n{}",
+        system.logs()
+    );
     system.assert_sound().await;
 }
 
@@ -125,12 +143,18 @@
     let dead = watch_sends(&mut system, sends).await;
     stop.send_replace(true);
     for other in others {
-        let whole = other.await.unwrap_or_else(|error| panic!("{error}\n{}", system.logs()));
+        let whole = other
+            .await
+            .unwrap_or_else(|error| panic!("{error}\n{}", system.logs()));
         assert!(whole > 0);
     }
     println!("engines lost: {dead}");
     // So many copies run when the first death is known, and one more alone for
     // each entry instance.
-    assert!((1..=2 * ENTRIES).contains(&dead), "{dead} engines lost\n{}", system.logs());
+    assert!(
+        (1..=2 * ENTRIES).contains(&dead),
+        "{dead} engines lost\n{}",
+        system.logs()
+    );
     system.assert_sound().await;
 }
--- a/coltsfoothall-entry/tests/dispatch.rs
+++ b/coltsfoothall-entry/tests/dispatch.rs
@@ -55,8 +55,10 @@
 }
 
 fn workspace(name: &str) -> Workspace {
-    serde_json::from_str(&format!(r#"{{"name": "{name}", "tokens": ["{name}"], "open": 40}}"#))
-        .unwrap()
+    serde_json::from_str(&format!(
+        r#"{{"name": "{name}", "tokens": ["{name}"], "open": 40}}"#
+    ))
+    .unwrap()
 }
 
 impl World {
@@ -75,7 +77,11 @@
     }
 
     fn intake(&mut self) -> Intake {
-        let workspace = if self.random.random_bool(0.7) { "film" } else { "theatre" };
+        let workspace = if self.random.random_bool(0.7) {
+            "film"
+        } else {
+            "theatre"
+        };
         let content = self.random.random_range(0..12);
         self.next += 1;
         Intake {
@@ -84,7 +90,11 @@
                 key: format!("key-{:08}", self.next).parse().unwrap(),
             },
             service: "reader".parse().unwrap(),
-            class: if self.random.random_bool(0.2) { Class::Batch } else { Class::Interactive },
+            class: if self.random.random_bool(0.2) {
+                Class::Batch
+            } else {
+                Class::Interactive
+            },
             idempotent: true,
             deadline: Millis(20_000),
             work: Work::Completion {
@@ -109,15 +119,23 @@
             10 => {
                 let at = self.random.random_range(0..ENDPOINTS);
                 let running = self.random.random_range(0..40);
-                let report = Report { running, ..Report::default() };
+                let report = Report {
+                    running,
+                    ..Report::default()
+                };
                 self.dispatch.report(self.now, &endpoint(at).id, &report);
             }
             11 => {
                 let found = self.random.random_range(0..ENDPOINTS);
-                let list = (0..ENDPOINTS).filter(|at| *at != found).map(endpoint).collect();
+                let list = (0..ENDPOINTS)
+                    .filter(|at| *at != found)
+                    .map(endpoint)
+                    .collect();
                 self.dispatch.set_endpoints(list);
             }
-            12 => self.dispatch.set_endpoints((0..ENDPOINTS).map(endpoint).collect()),
+            12 => self
+                .dispatch
+                .set_endpoints((0..ENDPOINTS).map(endpoint).collect()),
             _ => self.dispatch.poll(self.now),
         }
         for endpoint in self.dispatch.judge().due(self.now) {
@@ -129,7 +147,9 @@
     fn arrive(&mut self) {
         let intake = self.intake();
         let deadline = self.now + Duration::from_secs(20);
-        let Ok(number) = self.dispatch.admit(self.now, &ticket(&intake, deadline)) else { return };
+        let Ok(number) = self.dispatch.admit(self.now, &ticket(&intake, deadline)) else {
+            return;
+        };
         if self.random.random_bool(0.05) {
             // Its caller left before the request was begun, and nobody knows.
             return;
@@ -195,20 +215,30 @@
     }
 
     fn end_attempt(&mut self) {
-        let open: Vec<usize> =
-            (0..self.callers.len()).filter(|at| !self.callers[*at].running.is_empty()).collect();
+        let open: Vec<usize> = (0..self.callers.len())
+            .filter(|at| !self.callers[*at].running.is_empty())
+            .collect();
         if open.is_empty() {
             return;
         }
         let at = open[self.random.random_range(0..open.len())];
         let attempt = self.callers[at].running.pop().unwrap();
-        let ended = [Ended::Whole, Ended::Whole, Ended::Refused, Ended::Unsent, Ended::Broke]
-            [self.random.random_range(0..5)];
+        let ended = [
+            Ended::Whole,
+            Ended::Whole,
+            Ended::Refused,
+            Ended::Unsent,
+            Ended::Broke,
+        ][self.random.random_range(0..5)];
         self.dispatch.first(self.now, attempt, Tokens(0));
         let tried = self.dispatch.ended(self.now, attempt, ended);
         if let Some(endpoint) = tried {
-            let found = [Found::Alive, Found::Silent, Found::Dead { domain: false }, Found::Alive]
-                [self.random.random_range(0..4)];
+            let found = [
+                Found::Alive,
+                Found::Silent,
+                Found::Dead { domain: false },
+                Found::Alive,
+            ][self.random.random_range(0..4)];
             self.settle(&endpoint, found);
         }
         match ended {
@@ -245,7 +275,11 @@
         if std::mem::replace(&mut caller.over, true) {
             return;
         }
-        let attempts: Vec<u64> = caller.running.drain(..).chain(caller.asked.drain(..)).collect();
+        let attempts: Vec<u64> = caller
+            .running
+            .drain(..)
+            .chain(caller.asked.drain(..))
+            .collect();
         let number = caller.number;
         for attempt in attempts {
             self.dispatch.ended(self.now, attempt, Ended::Unheard);
@@ -272,7 +306,11 @@
             world.dispatch.poll(world.now);
             world.hear();
         }
-        let left = (world.dispatch.held(), world.dispatch.waiting(), world.dispatch.running());
+        let left = (
+            world.dispatch.held(),
+            world.dispatch.waiting(),
+            world.dispatch.running(),
+        );
         assert_eq!(left, (0, 0, 0), "seed {seed}: places, picks, attempts");
         assert_eq!(world.dispatch.queued(), 0, "seed {seed}");
         assert_eq!(world.dispatch.judge().running(), 0, "seed {seed}");
--- a/coltsfoothall-entry/tests/leaving.rs
+++ b/coltsfoothall-entry/tests/leaving.rs
@@ -18,7 +18,12 @@
 const SECONDS: Duration = Duration::from_secs(3);
 
 fn prompt(text: &str, tokens: u64) -> Prompt {
-    Prompt { model: MODEL.into(), prompt: text.into(), max_tokens: tokens, stream: true }
+    Prompt {
+        model: MODEL.into(),
+        prompt: text.into(),
+        max_tokens: tokens,
+        stream: true,
+    }
 }
 
 async fn taken(system: &System, engine: usize) -> u64 {
@@ -28,7 +33,12 @@
 
 #[tokio::test]
 async fn one_hears() {
-    let shape = Shape { entries: ENTRIES, engines: 4, services: 1, ..Shape::default() };
+    let shape = Shape {
+        entries: ENTRIES,
+        engines: 4,
+        services: 1,
+        ..Shape::default()
+    };
     let system = System::start(shape).await;
     let (stop, stopped) = watch::channel(false);
     let callers: Vec<_> = (0..10)
@@ -48,8 +58,14 @@
         })
         .collect();
     let leaving = 1;
-    system.until("work at the engine", async |system| taken(system, leaving).await > 5).await;
-    system.fault(&system.cloud, r#"{"hearers": 1, "list_lag_ms": 20000}"#).await;
+    system
+        .until("work at the engine", async |system| {
+            taken(system, leaving).await > 5
+        })
+        .await;
+    system
+        .fault(&system.cloud, r#"{"hearers": 1, "list_lag_ms": 20000}"#)
+        .await;
     system
         .reclaim(
             r#"{"instances": ["engine-2"], "domains": [], "domain": null, "notice_ms": 60000}"#,
@@ -69,16 +85,33 @@
     let later = taken(&system, leaving).await;
     stop.send_replace(true);
     for caller in callers {
-        caller.await.unwrap_or_else(|error| panic!("{error}\n{}", system.logs()));
+        caller
+            .await
+            .unwrap_or_else(|error| panic!("{error}\n{}", system.logs()));
     }
-    assert_eq!(then, later, "new attempts at a leaving endpoint\n{}", system.logs());
-    let heard: Vec<usize> = (0..ENTRIES).map(|at| platform_notices(&system, at)).collect();
-    assert_eq!(heard.iter().sum::<usize>(), 1, "heard from the platform: {heard:?}");
+    assert_eq!(
+        then,
+        later,
+        "new attempts at a leaving endpoint\n{}",
+        system.logs()
+    );
+    let heard: Vec<usize> = (0..ENTRIES)
+        .map(|at| platform_notices(&system, at))
+        .collect();
+    assert_eq!(
+        heard.iter().sum::<usize>(),
+        1,
+        "heard from the platform: {heard:?}"
+    );
     system.assert_sound().await;
 }
 
 fn platform_notices(system: &System, entry: usize) -> usize {
-    let log = system.folder.join(format!("{}.log", system.entries[entry].name));
+    let log = system
+        .folder
+        .join(format!("{}.log", system.entries[entry].name));
     let log = std::fs::read_to_string(log).unwrap();
-    log.lines().filter(|line| line.contains("E301") && line.contains("heard=platform")).count()
+    log.lines()
+        .filter(|line| line.contains("E301") && line.contains("heard=platform"))
+        .count()
 }
--- a/coltsfoothall-entry/tests/load.rs
+++ b/coltsfoothall-entry/tests/load.rs
@@ -27,13 +27,24 @@
 const FLOOD: u64 = 160;
 
 fn prompt(text: &str, tokens: u64) -> Prompt {
-    Prompt { model: MODEL.into(), prompt: text.into(), max_tokens: tokens, stream: true }
+    Prompt {
+        model: MODEL.into(),
+        prompt: text.into(),
+        max_tokens: tokens,
+        stream: true,
+    }
 }
 
 /// Few engines, so that a test's callers are a flood.
 fn shape() -> Shape {
     let engine = "batch: {step_us: 20000}\n".into();
-    Shape { entries: 2, engines: 2, services: 1, engine, ..Shape::default() }
+    Shape {
+        entries: 2,
+        engines: 2,
+        services: 1,
+        engine,
+        ..Shape::default()
+    }
 }
 
 /// How a flood fared.
@@ -50,17 +61,27 @@
 /// Sends one request without any patience of a caller's own.
 async fn send(system: Arc<System>, nth: usize, count: Arc<Count>) {
     let text = format!("{nth} ").repeat(1500);
-    let body = http::json(&Prompt { stream: false, ..prompt(&text, 8) });
+    let body = http::json(&Prompt {
+        stream: false,
+        ..prompt(&text, 8)
+    });
     let request = Request::builder()
         .method("POST")
-        .uri(format!("http://{}/v1/completions", system.entries[nth % 2].address))
+        .uri(format!(
+            "http://{}/v1/completions",
+            system.entries[nth % 2].address
+        ))
         .header("authorization", format!("Bearer {TOKEN}"))
         .header("content-type", "application/json")
         .header(header::KEY, format!("flood-{nth:06}"))
         .header(header::DEADLINE, DEADLINE_MS)
         .body(Full::<Bytes>::new(body))
         .unwrap();
-    let answer = system.client.send("flood", request, Duration::from_secs(60)).await.unwrap();
+    let answer = system
+        .client
+        .send("flood", request, Duration::from_secs(60))
+        .await
+        .unwrap();
     if answer.status().is_success() {
         let whole = http::read(answer.into_body(), 1 << 20).await;
         assert!(whole.is_ok(), "request {nth}");
@@ -95,12 +116,25 @@
         request.await.unwrap();
     }
     println!("{count:?}");
-    assert!(count.whole.load(Ordering::Relaxed) > 10, "{count:?}\n{}", system.logs());
-    assert!(count.refused.load(Ordering::Relaxed) > 100, "{count:?}\n{}", system.logs());
+    assert!(
+        count.whole.load(Ordering::Relaxed) > 10,
+        "{count:?}\n{}",
+        system.logs()
+    );
+    assert!(
+        count.refused.load(Ordering::Relaxed) > 100,
+        "{count:?}\n{}",
+        system.logs()
+    );
     // An engine that is starved of processor time may make some late.
     let [whole, late] = [&count.whole, &count.late].map(|c| c.load(Ordering::Relaxed));
     assert!(late * 4 < whole, "{count:?}\n{}", system.logs());
-    assert_eq!(count.wrong.load(Ordering::Relaxed), 0, "{count:?}\n{}", system.logs());
+    assert_eq!(
+        count.wrong.load(Ordering::Relaxed),
+        0,
+        "{count:?}\n{}",
+        system.logs()
+    );
     system
         .until("nothing open", async |system| {
             for at in 0..2 {
@@ -142,9 +176,19 @@
 }
 
 fn of(system: &System, token: &str, seed: u64) -> Caller {
-    let entries = system.entries.iter().map(|entry| entry.address.clone()).collect();
+    let entries = system
+        .entries
+        .iter()
+        .map(|entry| entry.address.clone())
+        .collect();
     let patience = Duration::from_secs(20);
-    Caller::new(Settings { entries, token: token.into(), seed, patience, ..Settings::default() })
+    Caller::new(Settings {
+        entries,
+        token: token.into(),
+        seed,
+        patience,
+        ..Settings::default()
+    })
 }
 
 #[tokio::test]
@@ -156,18 +200,40 @@
     for seed in 0..FLOOD {
         let caller = of(&system, TOKEN, seed);
         let (stop, whole) = (stopped.clone(), Arc::clone(&large));
-        callers.push(keep_asking(caller, Class::Interactive, seed as usize, stop, whole));
+        callers.push(keep_asking(
+            caller,
+            Class::Interactive,
+            seed as usize,
+            stop,
+            whole,
+        ));
     }
-    system.until("the flood is served", async |_| large.load(Ordering::Relaxed) > 40).await;
+    system
+        .until("the flood is served", async |_| {
+            large.load(Ordering::Relaxed) > 40
+        })
+        .await;
     for seed in 1000..1002 {
         let caller = of(&system, "token-theatre", seed);
         let (stop, whole) = (stopped.clone(), Arc::clone(&small));
-        callers.push(keep_asking(caller, Class::Interactive, seed as usize, stop, whole));
+        callers.push(keep_asking(
+            caller,
+            Class::Interactive,
+            seed as usize,
+            stop,
+            whole,
+        ));
     }
     for seed in 2000..2004 {
         let caller = of(&system, TOKEN, seed);
         let (stop, whole) = (stopped.clone(), Arc::clone(&batch));
-        callers.push(keep_asking(caller, Class::Batch, seed as usize, stop, whole));
+        callers.push(keep_asking(
+            caller,
+            Class::Batch,
+            seed as usize,
+            stop,
+            whole,
+        ));
     }
     let [large_then, small_then, batch_then] =
         [&large, &small, &batch].map(|count| count.load(Ordering::Relaxed));
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -140,7 +140,11 @@
             requests: count(&meter, "requests", "Requests ended, by code and outcome"),
             retries: count(&meter, "retries", "Attempts after a request's first"),
             recomputed: count(&meter, "recomputed_tokens", "Tokens computed a second time"),
-            dropped: count(&meter, "dropped_pieces", "Pieces of answers dropped, by reason"),
+            dropped: count(
+                &meter,
+                "dropped_pieces",
+                "Pieces of answers dropped, by reason",
+            ),
             endpoints: level(&meter, "endpoints", "Endpoints, by state"),
             members: level(&meter, "members", "Entry instances that are members"),
             revision: level(&meter, "revision", "Revision of the configuration in force"),
--- a/coltsfoothall-wire/src/peer.rs
+++ b/coltsfoothall-wire/src/peer.rs
@@ -87,13 +87,17 @@
 /// The framing of all messages between entry instances.
 #[must_use]
 pub fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(limit::FRAME).new_codec()
+    LengthDelimitedCodec::builder()
+        .max_frame_length(limit::FRAME)
+        .new_codec()
 }
 
 /// A message as MessagePack, without a frame.
 #[must_use]
 pub fn encode<T: Serialize>(message: &T) -> Bytes {
-    rmp_serde::to_vec(message).expect("messages have no shape that MessagePack refuses").into()
+    rmp_serde::to_vec(message)
+        .expect("messages have no shape that MessagePack refuses")
+        .into()
 }
 
 /// A message from MessagePack.
@@ -110,8 +114,13 @@
 /// The message is longer than a frame may be.
 pub fn frame<T: Serialize>(message: &T) -> Result<Bytes, Error> {
     let mut framed = BytesMut::new();
-    let body = encode(message);
-    codec().encode(body, &mut framed).map_err(|error| Error::Length(error.to_string()))?;
+    // Named fields: a fault leaves out those that it does not have.
+    let body = rmp_serde::to_vec_named(message)
+        .map(Bytes::from)
+        .expect("messages have no shape that MessagePack refuses");
+    codec()
+        .encode(body, &mut framed)
+        .map_err(|error| Error::Length(error.to_string()))?;
     Ok(framed.freeze())
 }
 
@@ -124,7 +133,10 @@
 
 impl Default for Frames {
     fn default() -> Self {
-        Self { codec: codec(), rest: BytesMut::new() }
+        Self {
+            codec: codec(),
+            rest: BytesMut::new(),
+        }
     }
 }
 
