Field that nobody reads dropped; handlers answer faults in one line

The control thread was told of resumed tokens with each first piece and did not read them; they are counted where they arise.

--- a/coltsfoothall-entry/src/control.rs
+++ b/coltsfoothall-entry/src/control.rs
@@ -203,9 +203,7 @@
                 attempts,
                 reply,
             } => self.retry(&service, attempts, reply),
-            Message::First {
-                attempt, cached, ..
-            } => self.dispatch.first(now, attempt, cached),
+            Message::First { attempt, cached } => self.dispatch.first(now, attempt, cached),
             Message::Ended { attempt, ended } => {
                 if let Some(endpoint) = self.dispatch.ended(now, attempt, ended) {
                     self.try_endpoint(endpoint);
--- a/coltsfoothall-entry/src/message.rs
+++ b/coltsfoothall-entry/src/message.rs
@@ -59,8 +59,6 @@
         attempt: u64,
         /// Tokens that came from the endpoint's cache.
         cached: Tokens,
-        /// Tokens that were resumed.
-        resumed: u64,
     },
     /// An attempt ended.
     Ended {
--- a/coltsfoothall-entry/src/peer.rs
+++ b/coltsfoothall-entry/src/peer.rs
@@ -54,10 +54,8 @@
     fn call(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> Answer {
         let node = Arc::clone(&self.node);
         Box::pin(async move {
-            match route(&node, request).await {
-                Ok(answer) => answer,
-                Err(fault) => serve::fault(&fault),
-            }
+            let answer = route(&node, request).await;
+            answer.unwrap_or_else(|fault| serve::fault(&fault))
         })
     }
 }
--- a/coltsfoothall-entry/src/relay.rs
+++ b/coltsfoothall-entry/src/relay.rs
@@ -234,11 +234,7 @@
                 resumed,
             } => {
                 self.count_recomputed(cached, resumed);
-                self.node.control.send(Message::First {
-                    attempt,
-                    cached,
-                    resumed,
-                });
+                self.node.control.send(Message::First { attempt, cached });
             }
             Action::Count(dropped) => self.node.board.dropped(name(dropped)),
         }
