A stop's log shows what it took, when it closed connections and what it cut

Cause of the change: a proposal was cut by a planned stop, and the log had one line for it, the number of requests that were open at the end. It could not tell whether that request had come on an open or a fresh connection, how long after the signal, or whether the stop's own clock was late.

E108 says when idle connections are closed, E209 lists what is read after the signal, and each request that a stop cuts has its own line with its id (E204, or E201 with 502 where the answer had not begun; such callers saw a closed connection before). No decision changes.

--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -44,6 +44,8 @@
 const POISONOUS: Duration = Duration::from_secs(30);
 /// When to come back with a request that fits in no engine: only other engines would help.
 const NEVER_FITS: Duration = Duration::from_secs(30);
+/// Why an answer ends early when this instance does.
+pub const STOPS: &str = "this instance stops";
 /// Wait of a caller that names none.
 const WAIT: Duration = Duration::from_secs(30);
 
@@ -104,6 +106,7 @@
             let open = Open::new(&state);
             let stopping = state.stopping.is_cancelled();
             let ambiguous = connection.is_ambiguous();
+            note_in_stop(&state, &request, &connection);
             let mut answer = serve(&state, request, ambiguous).await;
             if stopping || ambiguous || state.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
@@ -114,6 +117,25 @@
     }
 }
 
+/// Logs a request that was read after the signal to stop.
+fn note_in_stop(state: &State, request: &Request<Incoming>, connection: &Connection) {
+    let Some(signalled) = state.signalled.get() else {
+        return;
+    };
+    event::IN_STOP.emit(format_args!(
+        "request={} after_ms={} connection_ms={} before={}",
+        state
+            .border
+            .call(request.headers())
+            .id
+            .as_deref()
+            .unwrap_or("-"),
+        state.now().since(signalled).as_millis(),
+        connection.age().as_millis(),
+        connection.requests().saturating_sub(1),
+    ));
+}
+
 async fn serve(
     state: &Rc<State>,
     request: Request<Incoming>,
@@ -304,8 +326,15 @@
     pub runs: u32,
 }
 
-/// Sends a request until it has its final answer.
+/// Sends a request until it has its final answer, at the latest when a stop ends.
 async fn run(state: &Rc<State>, job: Rc<Job>) -> Result<Response<Outgoing>, Refusal> {
+    tokio::select! {
+        answer = send(state, job) => answer,
+        () = state.cutting.cancelled() => Err(broken(STOPS)),
+    }
+}
+
+async fn send(state: &Rc<State>, job: Rc<Job>) -> Result<Response<Outgoing>, Refusal> {
     let mut trail = Trail::default();
     let due = state.clock.instant(job.due);
     loop {
--- a/coltsfoothall-forward/src/listen.rs
+++ b/coltsfoothall-forward/src/listen.rs
@@ -55,9 +55,34 @@
     phase: Cell<Phase>,
     since: Cell<Instant>,
     ambiguous: Cell<bool>,
+    accepted: Instant,
+    requests: Cell<u32>,
 }
 
 impl Connection {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(now),
+            ambiguous: Cell::new(false),
+            accepted: now,
+            requests: Cell::new(0),
+        }
+    }
+
+    /// Time since it was accepted.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.accepted.elapsed()
+    }
+
+    /// Requests that it carried, the one under way included.
+    #[must_use]
+    pub fn requests(&self) -> u32 {
+        self.requests.get()
+    }
+
     /// Whether the head of the request under way names its length in two ways.
     #[must_use]
     pub fn is_ambiguous(&self) -> bool {
@@ -77,6 +102,7 @@
 impl Busy {
     fn new(connection: &Rc<Connection>) -> Self {
         connection.enter(Phase::Busy);
+        connection.requests.set(connection.requests.get() + 1);
         Self(Rc::clone(connection))
     }
 }
@@ -128,11 +154,7 @@
         return;
     }
     let limits = handler.limits();
-    let connection = Rc::new(Connection {
-        phase: Cell::new(Phase::Idle),
-        since: Cell::new(Instant::now()),
-        ambiguous: Cell::new(false),
-    });
+    let connection = Rc::new(Connection::new());
     let watched = Watched {
         stream,
         connection: Rc::clone(&connection),
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -190,7 +190,7 @@
     let rest = stream::unfold((relay, first), |(mut relay, first)| async move {
         let piece = match first {
             Some(bytes) => Ok(bytes),
-            None => relay.advance().await?,
+            None => relay.piece().await?,
         };
         Some((piece, (relay, None)))
     });
@@ -223,6 +223,15 @@
         }
     }
 
+    /// The next events for the caller, unless this instance ends before them.
+    async fn piece(&mut self) -> Option<Result<Bytes, io::Error>> {
+        let cutting = self.state.cutting.clone();
+        tokio::select! {
+            piece = self.advance() => piece,
+            () = cutting.cancelled() => Some(Err(self.give_up(intake::STOPS))),
+        }
+    }
+
     /// The next events for the caller; none when the stream is complete.
     async fn advance(&mut self) -> Option<Result<Bytes, io::Error>> {
         if self.ended {
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -40,6 +40,8 @@
 const SPARE: Duration = Duration::from_millis(250);
 /// Time between looks at the requests under way during a stop.
 const LOOK: Duration = Duration::from_millis(50);
+/// Time for the last answers and log lines of requests that a stop cuts off.
+const LAST_WORDS: Duration = Duration::from_millis(50);
 /// Time between two log lines that count what went well.
 const SUM: Duration = Duration::from_secs(10);
 /// Time between readings of the settings file without a signal.
@@ -195,6 +197,8 @@
     leaving: &CancellationToken,
     closing: &CancellationToken,
 ) {
+    let signalled = state.now();
+    state.signalled.set(Some(signalled));
     event::STOPPING.emit(format_args!("open={}", state.open.get()));
     state.leader.borrow_mut().stop();
     gossip::announce(state, socket).await;
@@ -203,6 +207,11 @@
     let grace = bounds.grace.duration();
     let quiet = (bounds.addresses.duration() * KEPT_TIMES).min(grace / 2);
     tokio::time::sleep_until(began + quiet).await;
+    event::CLOSES_IDLE.emit(format_args!(
+        "after_ms={} open={}",
+        state.now().since(signalled).as_millis(),
+        state.open.get()
+    ));
     leaving.cancel();
     let limit = began + grace.saturating_sub(SPARE);
     while state.open.get() > 0 && tokio::time::Instant::now() < limit {
@@ -212,6 +221,8 @@
     let open = state.open.get();
     if open > 0 {
         event::CUT_OFF.emit(format_args!("open={open}"));
+        state.cutting.cancel();
+        tokio::time::sleep(LAST_WORDS).await;
     } else {
         event::STOPPED.emit(format_args!("ms={}", began.elapsed().as_millis()));
     }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -89,6 +89,10 @@
     pub boot: u64,
     /// Set at the first signal to stop.
     pub stopping: CancellationToken,
+    /// When that signal was seen.
+    pub signalled: Cell<Option<Time>>,
+    /// Set when a planned stop waits no longer for what is under way.
+    pub cutting: CancellationToken,
     /// Endpoints.
     pub roster: RefCell<Roster>,
     /// Connections to endpoints.
@@ -169,6 +173,8 @@
             border,
             boot,
             stopping,
+            signalled: Cell::new(None),
+            cutting: CancellationToken::new(),
         }
     }
 
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -64,6 +64,8 @@
     RELOAD_FAILED = 106 Warn "settings_reload_failed";
     /// The log's output stalled and lines were dropped.
     LOG_DROPPED = 107 Warn "log_dropped";
+    /// A planned stop closes connections that carry no request.
+    CLOSES_IDLE = 108 Info "stop_closes_idle";
     /// A rule of the system was found broken; always a bug.
     BROKEN = 190 Error "invariant_broken";
     /// A request got an answer of this program's own.
@@ -82,6 +84,8 @@
     LATE = 207 Info "late_answer";
     /// A request goes to an endpoint; first ones are sampled.
     CHOSEN = 208 Info "endpoint_chosen";
+    /// A request was read after the signal to stop.
+    IN_STOP = 209 Info "read_in_stop";
     /// Notice was heard that an instance will be taken back.
     NOTICE = 301 Warn "reclaim_notice";
     /// An endpoint died.
