A stop takes only what it expects to end, and its clock starts with the signal

Cause: a request read during a planned stop was taken like any other, whatever time it needs and however little was left. Its class: a promise made next to a known end without comparing the two. Beside it, the stop's limits counted from when its announcement had been sent (3.063 to 3.074 s instead of 3 s with 60 instances), fresh connections were accepted and, by the luck of a select, read after connections were closed, and the stop ended when answers were handed over, not when they were written.

Ruled out by the new lines: an instance that stood still (timers within 11 ms of each other).

Change: a stop has its moments from the signal (forward::stop). A request that it reads is refused at once, with Retry-After 0 and Connection: close, unless its longest expected time ends before the cut; that time is learned by route, per token for engines (forward::duration), and is the route's limit until an answer was seen. It is refused before its tokens are granted. Callers' listener ends when connections are closed; the stop waits for connections, so for written answers.

Before: no_promise_broken and slow_reader red.

--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -25,6 +25,7 @@
 use crate::outgoing::{Outgoing, answer};
 use crate::relay;
 use crate::state::{Open, State};
+use crate::stop;
 
 /// Most sendings of one request, turned away ones included.
 const SENDINGS: usize = 5;
@@ -106,7 +107,7 @@
             let open = Open::new(&state);
             let stopping = state.stopping.is_cancelled();
             let ambiguous = connection.is_ambiguous();
-            note_in_stop(&state, &request, &connection);
+            stop::note(&state, &request, &connection);
             let mut answer = serve(&state, request, ambiguous).await;
             if stopping || ambiguous || state.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
@@ -117,25 +118,6 @@
     }
 }
 
-/// Logs a request that was read after the signal to stop.
-fn note_in_stop(state: &State, request: &Request<Incoming>, connection: &Connection) {
-    let Some(signalled) = state.signalled.get() else {
-        return;
-    };
-    event::IN_STOP.emit(format_args!(
-        "request={} after_ms={} connection_ms={} before={}",
-        state
-            .border
-            .call(request.headers())
-            .id
-            .as_deref()
-            .unwrap_or("-"),
-        state.now().since(signalled).as_millis(),
-        connection.age().as_millis(),
-        connection.requests().saturating_sub(1),
-    ));
-}
-
 async fn serve(
     state: &Rc<State>,
     request: Request<Incoming>,
@@ -246,32 +228,10 @@
     let Some(service) = route.target(draw).cloned() else {
         return Err(full("the route has no service", AGAIN_LATER));
     };
-    if let Some(workspace) = &workspace {
-        let tokens = call.tokens.map(|(prompt, most)| prompt.plus(most));
-        let reach = state.reach();
-        let mut allowance = state.allowance.borrow_mut();
-        if let Err(short) = allowance.take(state.now(), workspace, tokens, reach) {
-            event::OVER_RATE.emit(format_args!(
-                "request={} workspace={workspace} units={} level={:.0} rate={} members={} heard={}",
-                call.id.as_deref().unwrap_or("-"),
-                short.units,
-                short.level,
-                short.rate,
-                reach.members,
-                reach.heard
-            ));
-            let status = StatusCode::TOO_MANY_REQUESTS;
-            return Err(Refusal::NotRun(
-                status,
-                "over the workspace's rate",
-                short.again,
-            ));
-        }
-    }
     let engine = table
         .service(&service)
         .and_then(|service| service.engine.as_ref());
-    Ok(Job {
+    let job = Job {
         route: std::sync::Arc::clone(route),
         memory: engine.map(|engine| engine.memory),
         service,
@@ -283,7 +243,38 @@
         print,
         begun,
         due,
-    })
+    };
+    // Before its tokens are granted, which the instance that takes it grants too.
+    stop::check(state, &job)?;
+    grant(state, &job)?;
+    Ok(job)
+}
+
+/// Takes a request's tokens from its workspace's rate.
+fn grant(state: &State, job: &Job) -> Result<(), Refusal> {
+    let Some(workspace) = &job.workspace else {
+        return Ok(());
+    };
+    let tokens = job.call.tokens.map(|(prompt, most)| prompt.plus(most));
+    let reach = state.reach();
+    let mut allowance = state.allowance.borrow_mut();
+    let Err(short) = allowance.take(state.now(), workspace, tokens, reach) else {
+        return Ok(());
+    };
+    event::OVER_RATE.emit(format_args!(
+        "request={} workspace={workspace} units={} level={:.0} rate={} members={} heard={}",
+        job.id(),
+        short.units,
+        short.level,
+        short.rate,
+        reach.members,
+        reach.heard
+    ));
+    Err(Refusal::NotRun(
+        StatusCode::TOO_MANY_REQUESTS,
+        "over the workspace's rate",
+        short.again,
+    ))
 }
 
 fn find<'a>(
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod settings;
 pub mod socket;
 pub mod state;
+pub mod stop;
 pub mod time;
 pub mod watch;
--- a/coltsfoothall-forward/src/listen.rs
+++ b/coltsfoothall-forward/src/listen.rs
@@ -21,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, Sleep};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::outgoing::Outgoing;
 use crate::socket;
@@ -126,13 +127,29 @@
     ) -> LocalBoxFuture<'static, Response<Outgoing>>;
 }
 
-/// Accepts until `closing`; connections end by themselves once `leaving` says so.
-pub async fn run(
-    listener: TcpListener,
-    handler: Rc<dyn Handler>,
-    leaving: CancellationToken,
+/// All connections of a listener.
+#[derive(Debug, Clone, Default)]
+pub struct Connections {
     closing: CancellationToken,
-) {
+    open: TaskTracker,
+}
+
+impl Connections {
+    /// Takes no new ones, closes those without a request, and the others after their answer.
+    pub fn close(&self) {
+        self.closing.cancel();
+        self.open.close();
+    }
+
+    /// Waits until all are closed, their answers written.
+    pub async fn closed(&self) {
+        self.open.wait().await;
+    }
+}
+
+/// Accepts until the connections are to be closed.
+pub async fn run(listener: TcpListener, handler: Rc<dyn Handler>, connections: Connections) {
+    let closing = &connections.closing;
     loop {
         let accepted = tokio::select! {
             () = closing.cancelled() => return,
@@ -140,15 +157,15 @@
         };
         match accepted {
             Ok((stream, _peer)) => {
-                let handler = Rc::clone(&handler);
-                tokio::task::spawn_local(serve(stream, handler, leaving.clone()));
+                let serving = serve(stream, Rc::clone(&handler), closing.clone());
+                connections.open.spawn_local(serving);
             }
             Err(_transient) => tokio::time::sleep(PAUSE).await,
         }
     }
 }
 
-async fn serve(stream: TcpStream, handler: Rc<dyn Handler>, leaving: CancellationToken) {
+async fn serve(stream: TcpStream, handler: Rc<dyn Handler>, closing: CancellationToken) {
     if socket::tune(&stream).is_err() {
         // The peer is gone already.
         return;
@@ -181,7 +198,7 @@
         tokio::select! {
             // How a connection ends concerns that caller alone.
             _ended = serving.as_mut() => return,
-            () = leaving.cancelled(), if !told => {
+            () = closing.cancelled(), if !told => {
                 told = true;
                 serving.as_mut().graceful_shutdown();
             }
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfoothall::clock::Time;
 use coltsfoothall::forward::roster::End;
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
@@ -84,6 +85,9 @@
             let answer = outgoing::answer(status, headers, Outgoing::whole(bytes));
             if !failed {
                 note_late(state, job, &endpoint);
+                if status.is_success() {
+                    note_length(state, job, job.begun);
+                }
                 return Ok(answer);
             }
             trail.exclude.push(endpoint);
@@ -120,6 +124,13 @@
     }
 }
 
+/// Learns from an answer that began at some time and has come to its end.
+fn note_length(state: &State, job: &Job, began: Time) {
+    let took = state.now().since(began);
+    let mut estimates = state.estimates.borrow_mut();
+    estimates.saw(&job.route.name, job.units(), took);
+}
+
 /// A stream under way.
 struct Relay {
     state: Rc<State>,
@@ -129,6 +140,8 @@
     share: Option<Share>,
     tail: Option<Tail>,
     splitter: Splitter,
+    /// When its first events were there.
+    began: Time,
     /// Events that are counted as work of their endpoint.
     counted: u64,
     ended: bool,
@@ -158,6 +171,7 @@
         share: Some(share),
         tail: Some(tail),
         splitter: Splitter::default(),
+        began: state.now(),
         counted: 0,
         ended: false,
     };
@@ -177,6 +191,7 @@
             ));
         }
     };
+    relay.began = state.now();
     state.count_run(job.workspace.as_ref());
     note_late(state, job, &endpoint);
     if let Some(share) = &mut relay.share {
@@ -310,6 +325,7 @@
     fn close(&mut self) {
         self.ended = true;
         self.finish(End::Whole);
+        note_length(&self.state, &self.job, self.began);
         if let Some(tail) = self.tail.take() {
             tail.keep(&self.state);
         }
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use coltsfoothall::id;
 use coltsfoothall_shell::metric::Board;
-use coltsfoothall_shell::{event, settings, stop};
+use coltsfoothall_shell::{event, settings, stop as signals};
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -17,15 +17,14 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
-use tokio_util::sync::CancellationToken;
 
 use crate::border::{Border, Realm};
 use crate::intake::Front;
-use crate::listen::{self, Connection, Handler, Limits};
+use crate::listen::{self, Connection, Connections, Handler, Limits};
 use crate::outgoing::{Outgoing, answer, plain};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{duty, gossip, watch};
+use crate::{duty, gossip, stop, watch};
 
 /// Rest between two readings of endpoints' registrations: a sixth of the time in which
 /// leaving endpoints must get no more work, to save calls while heartbeats change them.
@@ -34,14 +33,6 @@
 const CONFIGURATION_REST: Duration = Duration::from_millis(50);
 /// Rest after a change of the members.
 const LIVE_REST: Duration = Duration::from_millis(200);
-/// How many times their time callers may keep addresses.
-const KEPT_TIMES: u32 = 3;
-/// Time before the grace ends by which the process is gone by itself.
-const SPARE: Duration = Duration::from_millis(250);
-/// Time between looks at the requests under way during a stop.
-const LOOK: Duration = Duration::from_millis(50);
-/// Time for the last answers and log lines of requests that a stop cuts off.
-const LAST_WORDS: Duration = Duration::from_millis(50);
 /// Time between two log lines that count what went well.
 const SUM: Duration = Duration::from_secs(10);
 /// Time between readings of the settings file without a signal.
@@ -89,7 +80,7 @@
         .clone()
         .ok_or(Error::Missing("instance"))?;
     let domain = settings.domain.clone().ok_or(Error::Missing("domain"))?;
-    let stopping = stop::token().map_err(|error| Error::Signal(error.to_string()))?;
+    let stopping = signals::token().map_err(|error| Error::Signal(error.to_string()))?;
     let hangup = signal(SignalKind::hangup()).map_err(|error| Error::Signal(error.to_string()))?;
     let board = Board::new().map_err(|error| Error::Board(error.to_string()))?;
     let state = Rc::new(State::new(
@@ -100,9 +91,8 @@
         stopping.clone(),
         board,
     ));
-    let closing = CancellationToken::new();
-    let leaving = CancellationToken::new();
-    serve(&state, &leaving, &closing).await?;
+    let callers = Connections::default();
+    serve(&state, &callers).await?;
     let peer = SocketAddr::new(state.front().ip(), state.settings().peer_port);
     let socket = UdpSocket::bind(peer)
         .await
@@ -116,7 +106,7 @@
         state.name, state.boot
     ));
     stopping.cancelled().await;
-    end(&state, &socket, &leaving, &closing).await;
+    stop::run(&state, &socket, &callers).await;
     Ok(())
 }
 
@@ -161,73 +151,31 @@
     }
 }
 
-/// Binds and serves all listeners of the settings.
-async fn serve(
-    state: &Rc<State>,
-    leaving: &CancellationToken,
-    closing: &CancellationToken,
-) -> Result<(), Error> {
+/// Binds and serves all listeners of the settings. What is not for callers is served
+/// until the process ends.
+async fn serve(state: &Rc<State>, callers: &Connections) -> Result<(), Error> {
     let listen = state.settings().listen.clone();
     let aside: Rc<dyn Handler> = Rc::new(Aside(Rc::clone(state)));
     let front: Rc<dyn Handler> = Rc::new(Front(Rc::clone(state)));
+    let others = Connections::default();
     let parts = [
-        ("callers", listen.front, &front),
-        ("readiness", listen.readiness, &aside),
-        ("addresses", listen.directory, &aside),
-        ("control", listen.control, &aside),
+        ("callers", listen.front, &front, callers),
+        ("readiness", listen.readiness, &aside, &others),
+        ("addresses", listen.directory, &aside, &others),
+        ("control", listen.control, &aside, &others),
     ];
-    for (what, address, handler) in parts {
+    for (what, address, handler, connections) in parts {
         let Some(address) = address else {
             continue;
         };
         let bind = |error: io::Error| Error::Bind(what, address, error.to_string());
         let listener = TcpListener::bind(address).await.map_err(bind)?;
-        let handler = Rc::clone(handler);
-        let serving = listen::run(listener, handler, leaving.clone(), closing.clone());
+        let serving = listen::run(listener, Rc::clone(handler), connections.clone());
         tokio::task::spawn_local(serving);
     }
     Ok(())
 }
 
-/// Stops: out of the addresses at once, then on with what is open, until nobody can still
-/// hold an answer that names this instance and nothing is under way.
-async fn end(
-    state: &Rc<State>,
-    socket: &Rc<UdpSocket>,
-    leaving: &CancellationToken,
-    closing: &CancellationToken,
-) {
-    let signalled = state.now();
-    state.signalled.set(Some(signalled));
-    event::STOPPING.emit(format_args!("open={}", state.open.get()));
-    state.leader.borrow_mut().stop();
-    gossip::announce(state, socket).await;
-    let began = tokio::time::Instant::now();
-    let bounds = state.settings().bounds.clone();
-    let grace = bounds.grace.duration();
-    let quiet = (bounds.addresses.duration() * KEPT_TIMES).min(grace / 2);
-    tokio::time::sleep_until(began + quiet).await;
-    event::CLOSES_IDLE.emit(format_args!(
-        "after_ms={} open={}",
-        state.now().since(signalled).as_millis(),
-        state.open.get()
-    ));
-    leaving.cancel();
-    let limit = began + grace.saturating_sub(SPARE);
-    while state.open.get() > 0 && tokio::time::Instant::now() < limit {
-        tokio::time::sleep(LOOK).await;
-    }
-    closing.cancel();
-    let open = state.open.get();
-    if open > 0 {
-        event::CUT_OFF.emit(format_args!("open={open}"));
-        state.cutting.cancel();
-        tokio::time::sleep(LAST_WORDS).await;
-    } else {
-        event::STOPPED.emit(format_args!("ms={}", began.elapsed().as_millis()));
-    }
-}
-
 /// Readiness, addresses, and what other instances and operators ask.
 #[derive(Debug)]
 struct Aside(Rc<State>);
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -11,10 +11,12 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::allowance::{self, Reach};
 use coltsfoothall::forward::choice;
+use coltsfoothall::forward::duration::Estimates;
 use coltsfoothall::forward::leader::Leader;
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::roster::{End, Ended, Event, Roster};
+use coltsfoothall::forward::stop::Stop;
 use coltsfoothall::forward::table::Table;
 use coltsfoothall::forward::usage;
 use coltsfoothall::id;
@@ -89,8 +91,8 @@
     pub boot: u64,
     /// Set at the first signal to stop.
     pub stopping: CancellationToken,
-    /// When that signal was seen.
-    pub signalled: Cell<Option<Time>>,
+    /// The moments of the stop that is under way.
+    pub stop: Cell<Option<Stop>>,
     /// Set when a planned stop waits no longer for what is under way.
     pub cutting: CancellationToken,
     /// Endpoints.
@@ -99,6 +101,8 @@
     pub pool: RefCell<Pool>,
     /// Rates of workspaces.
     pub allowance: RefCell<allowance::Book>,
+    /// How long answers take.
+    pub estimates: RefCell<Estimates>,
     /// Requests that began to run.
     pub usage: RefCell<usage::Book>,
     /// Other instances.
@@ -173,7 +177,8 @@
             border,
             boot,
             stopping,
-            signalled: Cell::new(None),
+            stop: Cell::new(None),
+            estimates: RefCell::default(),
             cutting: CancellationToken::new(),
         }
     }
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod allowance;
 pub mod choice;
+pub mod duration;
 pub mod gossip;
 pub mod leader;
 pub mod node;
@@ -13,5 +14,6 @@
 pub mod pace;
 pub mod peer;
 pub mod roster;
+pub mod stop;
 pub mod table;
 pub mod usage;
