A caller who reads a long answer slowly is not idle

Cause: the limit on idle connections ran from when an answer was handed over, not from when it was written, so an answer that took its caller longer to read was broken off in the middle.

Change: bytes of an answer that go out begin the limit anew. Before: slow_reader_served red ('error reading a body from connection', idle limit 2 s); after: green, with the other tests of the path.

--- a/coltsfoothall-forward/src/listen.rs
+++ b/coltsfoothall-forward/src/listen.rs
@@ -276,6 +276,14 @@
         sleep.as_mut().poll(context)
     }
 
+    /// Bytes of an answer went out. The answer is handed over before all of it is written,
+    /// and a caller who goes on reading it is not idle.
+    fn wrote(&self) {
+        if self.connection.phase.get() == Phase::Idle {
+            self.connection.enter(Phase::Idle);
+        }
+    }
+
     fn note(&mut self, bytes: &[u8]) {
         if self.connection.phase.get() == Phase::Idle {
             self.connection.enter(Phase::Head);
@@ -314,7 +322,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let wrote = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        self.wrote();
+        Poll::Ready(wrote)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -330,7 +340,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let wrote = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs));
+        self.wrote();
+        Poll::Ready(wrote)
     }
 
     fn is_write_vectored(&self) -> bool {
