Refusals, dispatch and connections in modules of their own

The check of a stop needed refusals, which intake held, and intake needs the check. No behaviour changes: refusal.rs has the answers of this program's own, dispatch.rs sends a request until an endpoint has run it, connection.rs is what limits and requests see of a connection. With that the import circles intake / relay and listen / outgoing are gone.

--- /dev/null
+++ b/coltsfoothall-forward/src/connection.rs
@@ -0,0 +1,85 @@
+//! A caller's connection, as its limits and its requests see it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Between two requests.
+    Idle,
+    /// Within the head of a request.
+    Head,
+    /// A request is being answered.
+    Busy,
+}
+
+/// A connection as its requests see it.
+#[derive(Debug)]
+pub struct Connection {
+    pub(crate) phase: Cell<Phase>,
+    pub(crate) since: Cell<Instant>,
+    pub(crate) ambiguous: Cell<bool>,
+    accepted: Instant,
+    requests: Cell<u32>,
+}
+
+impl Connection {
+    /// One that was accepted now.
+    pub(crate) fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(now),
+            ambiguous: Cell::new(false),
+            accepted: now,
+            requests: Cell::new(0),
+        }
+    }
+
+    /// Time since it was accepted.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.accepted.elapsed()
+    }
+
+    /// Requests that it carried, the one under way included.
+    #[must_use]
+    pub fn requests(&self) -> u32 {
+        self.requests.get()
+    }
+
+    /// Whether the head of the request under way names its length in two ways.
+    #[must_use]
+    pub fn is_ambiguous(&self) -> bool {
+        self.ambiguous.get()
+    }
+
+    /// Another phase begins now.
+    pub(crate) fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+}
+
+/// Marks a connection as busy until it is dropped.
+#[derive(Debug)]
+pub struct Busy(Rc<Connection>);
+
+impl Busy {
+    pub(crate) fn new(connection: &Rc<Connection>) -> Self {
+        connection.enter(Phase::Busy);
+        connection.requests.set(connection.requests.get() + 1);
+        Self(Rc::clone(connection))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.ambiguous.set(false);
+        self.0.enter(Phase::Idle);
+    }
+}
--- /dev/null
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -0,0 +1,183 @@
+//! Sends a request to one endpoint after another until one has run it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use coltsfoothall::forward::choice::{Nobody, Pick};
+use coltsfoothall::forward::roster::End;
+use coltsfoothall::id;
+use coltsfoothall_shell::event;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::attempt::{self, Job, Sent};
+use crate::kept::Fault;
+use crate::refusal::{Refusal, broken, full};
+use crate::state::State;
+
+/// Most sendings of one request, turned away ones included.
+const SENDINGS: usize = 5;
+/// One request in so many has a log line of its own for its first endpoint: at 120 requests
+/// a second that is two lines.
+const SAMPLE: u64 = 64;
+/// When to come back if there is no room: about one batch of short answers.
+const AGAIN: Duration = Duration::from_millis(300);
+/// When to come back if no endpoint is there.
+const ABSENT: Duration = Duration::from_millis(600);
+/// Times the route's aim, or the expected wait, after which an endpoint counts as silent:
+/// a lost answer then still comes within the time of most callers.
+pub const PATIENCE: u32 = 2;
+/// Times the route's aim that a first event may be expected to take.
+const LATE: f64 = 1.5;
+/// When to come back with a request that fits in no engine: only other engines would help.
+const NEVER_FITS: Duration = Duration::from_secs(30);
+/// Patience with an endpoint where no other could answer.
+const WAIT: Duration = Duration::from_secs(30);
+
+/// What is known of a request's sendings so far.
+#[derive(Debug, Default)]
+pub struct Trail {
+    /// Endpoints that failed it or turned it away.
+    pub exclude: Vec<id::Endpoint>,
+    /// Sendings.
+    pub sendings: usize,
+    /// Sendings that may have run.
+    pub runs: u32,
+}
+
+/// How long to wait for the head of an answer that another endpoint could give too. One
+/// that may run only once, or has no attempt left, waits until it is due.
+fn patience(job: &Job, trail: &Trail, pick: &Pick) -> Duration {
+    let last = trail.runs + 1 >= job.route.attempts;
+    if last || !job.route.kind.repeats() {
+        return WAIT;
+    }
+    job.route.aim.duration().max(pick.wait) * PATIENCE
+}
+
+/// Whether an engine is so far behind that the first event would be worth little.
+fn is_late(job: &Job, pick: &Pick) -> bool {
+    job.memory.is_some() && pick.wait > job.route.aim.duration().mul_f64(LATE)
+}
+
+/// Whether a request that may have run can go to one more endpoint.
+pub fn may_repeat(state: &State, job: &Job, trail: &Trail) -> bool {
+    job.route.kind.repeats() && trail.runs < job.route.attempts && state.may_retry(&job.service)
+}
+
+/// Logs where a request goes: each second sending, and the first of one request in
+/// [`SAMPLE`], the same ones at all instances.
+fn tell_choice(state: &State, job: &Job, trail: &Trail, pick: &Pick) {
+    if trail.sendings == 1 && !xxh3_64(job.id().as_bytes()).is_multiple_of(SAMPLE) {
+        return;
+    }
+    event::CHOSEN.emit(format_args!(
+        "request={} endpoint={} service={} among={} wait_ms={} unread={} sending={} excluded={} pace={}",
+        job.id(),
+        pick.endpoint,
+        job.service,
+        pick.among,
+        pick.wait.as_millis(),
+        pick.unread.0,
+        trail.sendings,
+        trail.exclude.len(),
+        state.roster.borrow().pace(&job.service),
+    ));
+}
+
+/// The head of an answer of an endpoint that ran the request; a stream goes on behind the
+/// event `after`, if there is one.
+///
+/// # Errors
+/// No endpoint took it, or the last one broke it off.
+pub async fn next(
+    state: &Rc<State>,
+    job: &Job,
+    trail: &mut Trail,
+    after: Option<&str>,
+) -> Result<Sent, Refusal> {
+    loop {
+        let pick = {
+            let ask = job.ask(&state.domain, &trail.exclude);
+            state.roster.borrow().choose(state.now(), &ask)
+        };
+        let pick = match pick {
+            // An answer that comes late anyway makes others late too; this one has not run.
+            Ok(pick) if trail.sendings == 0 && is_late(job, &pick) => {
+                let again = pick.wait.saturating_sub(job.route.aim.duration() / 2);
+                return Err(full("all endpoints are behind", again.max(AGAIN)));
+            }
+            Ok(pick) => pick,
+            Err(_) if trail.runs > 0 => return Err(broken("no other endpoint")),
+            Err(Nobody::Full) => return Err(full("all endpoints are full", AGAIN)),
+            Err(Nobody::Absent) => return Err(full("no endpoint", ABSENT)),
+            Err(Nobody::Large) => return Err(full("larger than an engine's memory", NEVER_FITS)),
+        };
+        if trail.sendings == 0 {
+            state.count_sent(&job.service);
+        }
+        trail.sendings += 1;
+        tell_choice(state, job, trail, &pick);
+        let sending = attempt::send(state, job, &pick, &trail.exclude, after);
+        let Ok(outcome) = tokio::time::timeout(patience(job, trail, &pick), sending).await else {
+            trail.runs += 1;
+            trail.exclude.push(pick.endpoint.clone());
+            event::BROKE_OFF.emit(format_args!(
+                "request={} endpoint={} reason=silent expected_ms={}",
+                job.id(),
+                pick.endpoint,
+                pick.wait.as_millis(),
+            ));
+            if may_repeat(state, job, trail) {
+                continue;
+            }
+            return Err(broken("the endpoint stays silent"));
+        };
+        let reason = match outcome {
+            Ok(sent) if sent.reply.stranger => {
+                sent.share.end(End::Unreachable);
+                "another endpoint has the address"
+            }
+            Ok(sent) if sent.reply.not_run => {
+                let (_response, _reply, share, _tail) = sent.split();
+                share.end(End::Refused);
+                "turned away"
+            }
+            Ok(sent) => {
+                trail.runs += 1;
+                return Ok(sent);
+            }
+            Err((Fault::Unsent(_reason), share)) => {
+                share.end(End::Unreachable);
+                if trail.sendings < SENDINGS {
+                    trail.exclude.push(pick.endpoint);
+                    continue;
+                }
+                "cannot be reached"
+            }
+            Err((Fault::Broken(reason), share)) => {
+                share.end(End::Failed);
+                trail.runs += 1;
+                trail.exclude.push(pick.endpoint.clone());
+                event::BROKE_OFF.emit(format_args!(
+                    "request={} endpoint={} reason={reason:?} after_ms={}",
+                    job.id(),
+                    pick.endpoint,
+                    state.now().since(job.begun).as_millis(),
+                ));
+                if may_repeat(state, job, trail) {
+                    continue;
+                }
+                state.count_run(job.workspace.as_ref());
+                return Err(broken("the endpoint broke off"));
+            }
+        };
+        trail.exclude.push(pick.endpoint);
+        if trail.sendings >= SENDINGS || !state.may_retry(&job.service) {
+            return Err(if trail.runs > 0 {
+                broken(reason)
+            } else {
+                full(reason, AGAIN)
+            });
+        }
+    }
+}
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -5,8 +5,6 @@
 
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
-use coltsfoothall::forward::choice::{Nobody, Pick};
-use coltsfoothall::forward::roster::End;
 use coltsfoothall::forward::table::{Route, Table};
 use coltsfoothall::id;
 use coltsfoothall::suspicion::{Print, Verdict};
@@ -18,70 +16,24 @@
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::attempt::{self, Job, Sent};
+use crate::attempt::Job;
 use crate::border::Call;
-use crate::kept::Fault;
-use crate::listen::{Connection, Handler, Limits};
+use crate::connection::Connection;
+use crate::dispatch::{self, Trail};
+use crate::listen::{Handler, Limits};
 use crate::outgoing::{Outgoing, answer};
+use crate::refusal::{self, Refusal, broken, full, late};
 use crate::relay;
 use crate::state::{Open, State};
 use crate::stop;
 
-/// Most sendings of one request, turned away ones included.
-const SENDINGS: usize = 5;
-/// One request in so many has a log line of its own for its first endpoint: at 120 requests
-/// a second that is two lines.
-const SAMPLE: u64 = 64;
-/// When to come back if there is no room: about one batch of short answers.
-const AGAIN: Duration = Duration::from_millis(300);
-/// When to come back if nothing is known yet or no endpoint is there.
-const AGAIN_LATER: Duration = Duration::from_millis(600);
-/// Times the route's aim, or the expected wait, after which an endpoint counts as silent:
-/// a lost answer then still comes within the time of most callers.
-const PATIENCE: u32 = 2;
-/// Times the route's aim that a first event may be expected to take.
-const LATE: f64 = 1.5;
+/// When to come back if nothing is known yet.
+const UNREADY: Duration = Duration::from_millis(600);
 /// When to come back with a request whose like crashed endpoints.
 const POISONOUS: Duration = Duration::from_secs(30);
-/// When to come back with a request that fits in no engine: only other engines would help.
-const NEVER_FITS: Duration = Duration::from_secs(30);
-/// Why an answer ends early when this instance does.
-pub const STOPS: &str = "this instance stops";
 /// Wait of a caller that names none.
 const WAIT: Duration = Duration::from_secs(30);
 
-/// Why a request gets an answer of this program's own.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Refusal {
-    /// The request itself is wrong.
-    Bad(StatusCode, &'static str),
-    /// It did not run and will not; come back after this time.
-    NotRun(StatusCode, &'static str, Duration),
-    /// It may have run.
-    Unknown(StatusCode, &'static str),
-}
-
-impl Refusal {
-    fn parts(&self) -> (StatusCode, &'static str, Option<Duration>) {
-        match self {
-            Self::Bad(status, reason) | Self::Unknown(status, reason) => (*status, reason, None),
-            Self::NotRun(status, reason, again) => (*status, reason, Some(*again)),
-        }
-    }
-}
-
-/// A refusal: nothing ran, and there is no room.
-#[must_use]
-pub fn full(reason: &'static str, again: Duration) -> Refusal {
-    Refusal::NotRun(StatusCode::SERVICE_UNAVAILABLE, reason, again)
-}
-
-/// An endpoint broke off a request that may have run.
-#[must_use]
-pub fn broken(reason: &'static str) -> Refusal {
-    Refusal::Unknown(StatusCode::BAD_GATEWAY, reason)
-}
-
 /// Callers' requests.
 #[derive(Debug)]
 pub struct Front(pub Rc<State>);
@@ -194,7 +146,7 @@
     begun: Time,
 ) -> Result<Job, Refusal> {
     let Some(configuration) = state.configuration() else {
-        return Err(full("no configuration yet", AGAIN_LATER));
+        return Err(full("no configuration yet", UNREADY));
     };
     let table = configuration.table;
     let route = find(&table, &head)?;
@@ -226,7 +178,7 @@
     }
     let draw = xxh3_64(call.id.as_deref().unwrap_or_default().as_bytes());
     let Some(service) = route.target(draw).cloned() else {
-        return Err(full("the route has no service", AGAIN_LATER));
+        return Err(full("the route has no service", UNREADY));
     };
     let engine = table
         .service(&service)
@@ -306,22 +258,11 @@
     }
 }
 
-/// What is known of a request's sendings so far.
-#[derive(Debug, Default)]
-pub struct Trail {
-    /// Endpoints that failed it or turned it away.
-    pub exclude: Vec<id::Endpoint>,
-    /// Sendings.
-    pub sendings: usize,
-    /// Sendings that may have run.
-    pub runs: u32,
-}
-
 /// Sends a request until it has its final answer, at the latest when a stop ends.
 async fn run(state: &Rc<State>, job: Rc<Job>) -> Result<Response<Outgoing>, Refusal> {
     tokio::select! {
         answer = send(state, job) => answer,
-        () = state.cutting.cancelled() => Err(broken(STOPS)),
+        () = state.cutting.cancelled() => Err(broken(refusal::STOPS)),
     }
 }
 
@@ -329,7 +270,9 @@
     let mut trail = Trail::default();
     let due = state.clock.instant(job.due);
     loop {
-        let sent = match tokio::time::timeout_at(due, next(state, &job, &mut trail, None)).await {
+        let sent = match tokio::time::timeout_at(due, dispatch::next(state, &job, &mut trail, None))
+            .await
+        {
             Ok(sent) => sent?,
             Err(_elapsed) => return Err(late()),
         };
@@ -337,7 +280,7 @@
         match end {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(failure)) => {
-                if !may_repeat(state, &job, &trail) {
+                if !dispatch::may_repeat(state, &job, &trail) {
                     return failure.answer.ok_or(failure.refusal);
                 }
             }
@@ -345,145 +288,3 @@
         }
     }
 }
-
-/// How long to wait for the head of an answer that another endpoint could give too. One
-/// that may run only once, or has no attempt left, waits until it is due.
-fn patience(job: &Job, trail: &Trail, pick: &Pick) -> Duration {
-    let last = trail.runs + 1 >= job.route.attempts;
-    if last || !job.route.kind.repeats() {
-        return WAIT;
-    }
-    job.route.aim.duration().max(pick.wait) * PATIENCE
-}
-
-/// Whether an engine is so far behind that the first event would be worth little.
-fn is_late(job: &Job, pick: &Pick) -> bool {
-    job.memory.is_some() && pick.wait > job.route.aim.duration().mul_f64(LATE)
-}
-
-fn late() -> Refusal {
-    Refusal::Unknown(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-}
-
-/// Whether a request that may have run can go to one more endpoint.
-pub fn may_repeat(state: &State, job: &Job, trail: &Trail) -> bool {
-    job.route.kind.repeats() && trail.runs < job.route.attempts && state.may_retry(&job.service)
-}
-
-/// Logs where a request goes: each second sending, and the first of one request in
-/// [`SAMPLE`], the same ones at all instances.
-fn tell_choice(state: &State, job: &Job, trail: &Trail, pick: &Pick) {
-    if trail.sendings == 1 && !xxh3_64(job.id().as_bytes()).is_multiple_of(SAMPLE) {
-        return;
-    }
-    event::CHOSEN.emit(format_args!(
-        "request={} endpoint={} service={} among={} wait_ms={} unread={} sending={} excluded={} pace={}",
-        job.id(),
-        pick.endpoint,
-        job.service,
-        pick.among,
-        pick.wait.as_millis(),
-        pick.unread.0,
-        trail.sendings,
-        trail.exclude.len(),
-        state.roster.borrow().pace(&job.service),
-    ));
-}
-
-/// The head of an answer of an endpoint that ran the request; a stream goes on behind the
-/// event `after`, if there is one.
-///
-/// # Errors
-/// No endpoint took it, or the last one broke it off.
-pub async fn next(
-    state: &Rc<State>,
-    job: &Job,
-    trail: &mut Trail,
-    after: Option<&str>,
-) -> Result<Sent, Refusal> {
-    loop {
-        let pick = {
-            let ask = job.ask(&state.domain, &trail.exclude);
-            state.roster.borrow().choose(state.now(), &ask)
-        };
-        let pick = match pick {
-            // An answer that comes late anyway makes others late too; this one has not run.
-            Ok(pick) if trail.sendings == 0 && is_late(job, &pick) => {
-                let again = pick.wait.saturating_sub(job.route.aim.duration() / 2);
-                return Err(full("all endpoints are behind", again.max(AGAIN)));
-            }
-            Ok(pick) => pick,
-            Err(_) if trail.runs > 0 => return Err(broken("no other endpoint")),
-            Err(Nobody::Full) => return Err(full("all endpoints are full", AGAIN)),
-            Err(Nobody::Absent) => return Err(full("no endpoint", AGAIN_LATER)),
-            Err(Nobody::Large) => return Err(full("larger than an engine's memory", NEVER_FITS)),
-        };
-        if trail.sendings == 0 {
-            state.count_sent(&job.service);
-        }
-        trail.sendings += 1;
-        tell_choice(state, job, trail, &pick);
-        let sending = attempt::send(state, job, &pick, &trail.exclude, after);
-        let Ok(outcome) = tokio::time::timeout(patience(job, trail, &pick), sending).await else {
-            trail.runs += 1;
-            trail.exclude.push(pick.endpoint.clone());
-            event::BROKE_OFF.emit(format_args!(
-                "request={} endpoint={} reason=silent expected_ms={}",
-                job.id(),
-                pick.endpoint,
-                pick.wait.as_millis(),
-            ));
-            if may_repeat(state, job, trail) {
-                continue;
-            }
-            return Err(broken("the endpoint stays silent"));
-        };
-        let reason = match outcome {
-            Ok(sent) if sent.reply.stranger => {
-                sent.share.end(End::Unreachable);
-                "another endpoint has the address"
-            }
-            Ok(sent) if sent.reply.not_run => {
-                let (_response, _reply, share, _tail) = sent.split();
-                share.end(End::Refused);
-                "turned away"
-            }
-            Ok(sent) => {
-                trail.runs += 1;
-                return Ok(sent);
-            }
-            Err((Fault::Unsent(_reason), share)) => {
-                share.end(End::Unreachable);
-                if trail.sendings < SENDINGS {
-                    trail.exclude.push(pick.endpoint);
-                    continue;
-                }
-                "cannot be reached"
-            }
-            Err((Fault::Broken(reason), share)) => {
-                share.end(End::Failed);
-                trail.runs += 1;
-                trail.exclude.push(pick.endpoint.clone());
-                event::BROKE_OFF.emit(format_args!(
-                    "request={} endpoint={} reason={reason:?} after_ms={}",
-                    job.id(),
-                    pick.endpoint,
-                    state.now().since(job.begun).as_millis(),
-                ));
-                if may_repeat(state, job, trail) {
-                    continue;
-                }
-                state.count_run(job.workspace.as_ref());
-                return Err(broken("the endpoint broke off"));
-            }
-        };
-        trail.exclude.push(pick.endpoint);
-        if trail.sendings >= SENDINGS || !state.may_retry(&job.service) {
-            return Err(if trail.runs > 0 {
-                broken(reason)
-            } else {
-                full(reason, AGAIN)
-            });
-        }
-    }
-}
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -4,11 +4,14 @@
 //! written by a [`border::Border`], so that nothing here knows the names on the wire.
 //!
 //! Data flows one way: [`listen`] accepts, [`intake`] reads and admits a request,
-//! [`attempt`] sends it to an endpoint that the decision library chose, [`relay`] passes
-//! the answer back. [`watch`], [`gossip`] and [`duty`] keep [`state`] up to date beside it.
+//! [`dispatch`] sends it, each [`attempt`] to an endpoint that the decision library chose, and
+//! [`relay`] passes the answer back. [`watch`], [`gossip`] and [`duty`] keep [`state`] up to
+//! date beside it; [`stop`] ends it all.
 
 pub mod attempt;
 pub mod border;
+pub mod connection;
+pub mod dispatch;
 pub mod duty;
 pub mod gossip;
 pub mod intake;
@@ -16,6 +19,7 @@
 pub mod listen;
 pub mod orders;
 pub mod outgoing;
+pub mod refusal;
 pub mod relay;
 pub mod report;
 pub mod retries;
--- a/coltsfoothall-forward/src/listen.rs
+++ b/coltsfoothall-forward/src/listen.rs
@@ -4,7 +4,6 @@
 //! first two are kept at the socket, since they must not count against the third. There
 //! too a head is looked through for lengths that contradict each other.
 
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -23,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::connection::{Busy, Connection, Phase};
 use crate::outgoing::Outgoing;
 use crate::socket;
 
@@ -42,79 +42,6 @@
     pub idle: Duration,
 }
 
-/// What a connection is doing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Idle,
-    Head,
-    Busy,
-}
-
-/// A connection as its requests see it.
-#[derive(Debug)]
-pub struct Connection {
-    phase: Cell<Phase>,
-    since: Cell<Instant>,
-    ambiguous: Cell<bool>,
-    accepted: Instant,
-    requests: Cell<u32>,
-}
-
-impl Connection {
-    fn new() -> Self {
-        let now = Instant::now();
-        Self {
-            phase: Cell::new(Phase::Idle),
-            since: Cell::new(now),
-            ambiguous: Cell::new(false),
-            accepted: now,
-            requests: Cell::new(0),
-        }
-    }
-
-    /// Time since it was accepted.
-    #[must_use]
-    pub fn age(&self) -> Duration {
-        self.accepted.elapsed()
-    }
-
-    /// Requests that it carried, the one under way included.
-    #[must_use]
-    pub fn requests(&self) -> u32 {
-        self.requests.get()
-    }
-
-    /// Whether the head of the request under way names its length in two ways.
-    #[must_use]
-    pub fn is_ambiguous(&self) -> bool {
-        self.ambiguous.get()
-    }
-
-    fn enter(&self, phase: Phase) {
-        self.phase.set(phase);
-        self.since.set(Instant::now());
-    }
-}
-
-/// Marks a connection as busy until it is dropped.
-#[derive(Debug)]
-pub struct Busy(Rc<Connection>);
-
-impl Busy {
-    fn new(connection: &Rc<Connection>) -> Self {
-        connection.enter(Phase::Busy);
-        connection.requests.set(connection.requests.get() + 1);
-        Self(Rc::clone(connection))
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.ambiguous.set(false);
-        self.0.enter(Phase::Idle);
-    }
-}
-
 /// What answers the requests of a listener.
 pub trait Handler {
     /// Limits of a new connection.
--- a/coltsfoothall-forward/src/outgoing.rs
+++ b/coltsfoothall-forward/src/outgoing.rs
@@ -12,7 +12,7 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 
-use crate::listen::Busy;
+use crate::connection::Busy;
 use crate::state::Open;
 
 /// What is passed on as it comes.
--- /dev/null
+++ b/coltsfoothall-forward/src/refusal.rs
@@ -0,0 +1,48 @@
+//! Answers of this program's own to requests that get none of an endpoint's.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+/// Why an answer ends early when this instance does.
+pub const STOPS: &str = "this instance stops";
+
+/// Why a request gets an answer of this program's own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refusal {
+    /// The request itself is wrong.
+    Bad(StatusCode, &'static str),
+    /// It did not run and will not; come back after this time.
+    NotRun(StatusCode, &'static str, Duration),
+    /// It may have run.
+    Unknown(StatusCode, &'static str),
+}
+
+impl Refusal {
+    /// Its status, its reason and when to come back.
+    #[must_use]
+    pub fn parts(&self) -> (StatusCode, &'static str, Option<Duration>) {
+        match self {
+            Self::Bad(status, reason) | Self::Unknown(status, reason) => (*status, reason, None),
+            Self::NotRun(status, reason, again) => (*status, reason, Some(*again)),
+        }
+    }
+}
+
+/// A refusal: nothing ran, and there is no room.
+#[must_use]
+pub fn full(reason: &'static str, again: Duration) -> Refusal {
+    Refusal::NotRun(StatusCode::SERVICE_UNAVAILABLE, reason, again)
+}
+
+/// An endpoint broke off a request that may have run.
+#[must_use]
+pub fn broken(reason: &'static str) -> Refusal {
+    Refusal::Unknown(StatusCode::BAD_GATEWAY, reason)
+}
+
+/// No answer came by when it was due; the request may have run.
+#[must_use]
+pub fn late() -> Refusal {
+    Refusal::Unknown(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+}
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -21,8 +21,9 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{Job, Sent, Share, Tail};
-use crate::intake::{self, Refusal, Trail};
+use crate::dispatch::{self, Trail};
 use crate::outgoing::{self, Outgoing};
+use crate::refusal::{self, Refusal};
 use crate::state::State;
 
 /// Largest answer that is read whole before it is passed on.
@@ -48,7 +49,7 @@
 impl Failure {
     fn broken(reason: &'static str) -> Self {
         Self {
-            refusal: intake::broken(reason),
+            refusal: refusal::broken(reason),
             answer: None,
         }
     }
@@ -98,7 +99,7 @@
             }
             trail.exclude.push(endpoint);
             Err(Failure {
-                refusal: intake::broken("the endpoint failed"),
+                refusal: refusal::broken("the endpoint failed"),
                 answer: Some(answer),
             })
         }
@@ -246,7 +247,7 @@
         let cutting = self.state.cutting.clone();
         tokio::select! {
             piece = self.advance() => piece,
-            () = cutting.cancelled() => Some(Err(self.give_up(intake::STOPS))),
+            () = cutting.cancelled() => Some(Err(self.give_up(refusal::STOPS))),
         }
     }
 
@@ -325,14 +326,14 @@
     /// Goes on behind the last event at another endpoint.
     async fn resume(&mut self) -> Result<(), Refusal> {
         self.splitter.discard();
-        if !intake::may_repeat(&self.state, &self.job, &self.trail) {
-            return Err(intake::broken("may not be repeated"));
+        if !dispatch::may_repeat(&self.state, &self.job, &self.trail) {
+            return Err(refusal::broken("may not be repeated"));
         }
         let after = self.splitter.last().map(ToOwned::to_owned);
         let state = Rc::clone(&self.state);
-        let sent = intake::next(&state, &self.job, &mut self.trail, after.as_deref()).await?;
+        let sent = dispatch::next(&state, &self.job, &mut self.trail, after.as_deref()).await?;
         if !sent.response.status().is_success() || !sent.reply.signed {
-            return Err(intake::broken("the next endpoint failed"));
+            return Err(refusal::broken("the next endpoint failed"));
         }
         event::RESUMED.emit(format_args!(
             "request={} endpoint={} after={}",
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -19,8 +19,9 @@
 use tokio::task::LocalSet;
 
 use crate::border::{Border, Realm};
+use crate::connection::Connection;
 use crate::intake::Front;
-use crate::listen::{self, Connection, Connections, Handler, Limits};
+use crate::listen::{self, Connections, Handler, Limits};
 use crate::outgoing::{Outgoing, answer, plain};
 use crate::settings::Settings;
 use crate::state::State;
--- a/coltsfoothall-forward/src/stop.rs
+++ b/coltsfoothall-forward/src/stop.rs
@@ -9,14 +9,13 @@
 use tokio::time::timeout;
 
 use crate::attempt::Job;
+use crate::connection::Connection;
+use crate::dispatch::PATIENCE;
 use crate::gossip;
-use crate::intake::{Refusal, full};
-use crate::listen::{Connection, Connections};
+use crate::listen::Connections;
+use crate::refusal::{Refusal, full};
 use crate::state::State;
 
-/// Times the expected wait for an answer's beginning that it may take: as long as a request
-/// waits that another endpoint could answer too.
-const PATIENCE: u32 = 2;
 /// Time for the last answers and log lines of requests that are cut.
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
