A stop takes a request only if its own limit ends in time, unless nobody else can take it

Cause: the longest time of an answer, as it was estimated (mean and deviation of whole answers from their first event on), is no promise.

Change: while another instance takes requests, a request needs its own time limit to end before the cut, so what is taken has its final answer in time whatever it takes. With nobody else it is taken if the longest of the last 64 answers on its route, from the request to the end, fits (forward::duration). Refused with Retry-After 0 if somebody else is ready, else 0.6 s. Estimates of events under way are gone.

Also: what ran last before a process ends is told to the others after connections are closed.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -63,14 +63,6 @@
         }
     }
 
-    /// What the time of its answer goes by: the most tokens that an engine may write, or one
-    /// for the whole.
-    #[must_use]
-    pub fn units(&self) -> u64 {
-        let tokens = self.memory.and(self.call.tokens);
-        tokens.map_or(1, |(_prompt, most)| most.0)
-    }
-
     /// The caller's name of it, for logs.
     #[must_use]
     pub fn id(&self) -> &str {
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -25,7 +25,7 @@
 const ABSENT: Duration = Duration::from_millis(600);
 /// Times the route's aim, or the expected wait, after which an endpoint counts as silent:
 /// a lost answer then still comes within the time of most callers.
-pub const PATIENCE: u32 = 2;
+const PATIENCE: u32 = 2;
 /// Times the route's aim that a first event may be expected to take.
 const LATE: f64 = 1.5;
 /// When to come back with a request that fits in no engine: only other engines would help.
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -196,7 +196,7 @@
         begun,
         due,
     };
-    // Before its tokens are granted, which the instance that takes it grants too.
+    // Before its tokens are granted, as the instance that takes it grants them too.
     stop::check(state, &job, connection)?;
     grant(state, &job)?;
     Ok(job)
@@ -274,7 +274,7 @@
             .await
         {
             Ok(sent) => sent?,
-            Err(_elapsed) => return Err(late()),
+            Err(_elapsed) => return Err(give_up(state, &job)),
         };
         let end = tokio::time::timeout_at(due, relay::answer(state, &job, sent, &mut trail)).await;
         match end {
@@ -284,7 +284,13 @@
                     return failure.answer.ok_or(failure.refusal);
                 }
             }
-            Err(_elapsed) => return Err(late()),
+            Err(_elapsed) => return Err(give_up(state, &job)),
         }
     }
 }
+
+/// No answer came in time: it takes longer than that.
+fn give_up(state: &State, job: &Job) -> Refusal {
+    state.note_duration(&job.route, job.begun);
+    late()
+}
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfoothall::clock::Time;
 use coltsfoothall::forward::roster::End;
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
@@ -33,10 +32,6 @@
 /// 0.8 s, and batches with long prompts come close to that.
 const STALL: Duration = Duration::from_millis(1_000);
 
-/// Events of a stream after which its progress is measured: about half a second, over which
-/// the pauses for others' prompts even out.
-const MEASURED: u64 = 8;
-
 /// An answer that another endpoint may better.
 #[derive(Debug)]
 pub struct Failure {
@@ -91,9 +86,7 @@
             if !failed {
                 note_late(state, job, &endpoint);
                 if status.is_success() {
-                    let mut estimates = state.estimates.borrow_mut();
-                    let took = state.now().since(job.begun);
-                    estimates.ended(&job.route.name, 1, 1, took);
+                    state.note_duration(&job.route, job.begun);
                 }
                 return Ok(answer);
             }
@@ -140,10 +133,6 @@
     share: Option<Share>,
     tail: Option<Tail>,
     splitter: Splitter,
-    /// When its first events were there.
-    began: Time,
-    /// Events after which its progress was last measured, and when.
-    measured: (u64, Time),
     /// Events that are counted as work of their endpoint.
     counted: u64,
     ended: bool,
@@ -173,8 +162,6 @@
         share: Some(share),
         tail: Some(tail),
         splitter: Splitter::default(),
-        began: state.now(),
-        measured: (0, state.now()),
         counted: 0,
         ended: false,
     };
@@ -194,8 +181,6 @@
             ));
         }
     };
-    relay.began = state.now();
-    relay.measured = (relay.splitter.events(), relay.began);
     state.count_run(job.workspace.as_ref());
     note_late(state, job, &endpoint);
     if let Some(share) = &mut relay.share {
@@ -261,10 +246,7 @@
             let stall = self.stall_limit();
             let endpoint = self.share.as_ref().map(|share| share.endpoint.clone());
             let reason = match tokio::time::timeout_at(stall.min(due), self.read()).await {
-                Ok(Next::Events(bytes)) => {
-                    self.measure();
-                    return Some(Ok(bytes));
-                }
+                Ok(Next::Events(bytes)) => return Some(Ok(bytes)),
                 Ok(Next::End) => {
                     self.close();
                     return None;
@@ -293,26 +275,6 @@
         }
     }
 
-    /// Learns what the events since the last measure took, once they are enough.
-    fn measure(&mut self) {
-        let ((before, since), now) = (self.measured, self.state.now());
-        let events = self.splitter.events();
-        if events < before + MEASURED {
-            return;
-        }
-        self.measured = (events, now);
-        let mut estimates = self.state.estimates.borrow_mut();
-        estimates.progressed(&self.job.route.name, events - before, now.since(since));
-    }
-
-    /// Learns how long a whole stream took.
-    fn learn(&self) {
-        let took = self.state.now().since(self.began);
-        let (units, events) = (self.job.units(), self.splitter.events());
-        let mut estimates = self.state.estimates.borrow_mut();
-        estimates.ended(&self.job.route.name, units, events, took);
-    }
-
     /// Until when the next event is awaited here, where another endpoint could go on.
     fn stall_limit(&self) -> tokio::time::Instant {
         let now = tokio::time::Instant::now();
@@ -352,7 +314,7 @@
     fn close(&mut self) {
         self.ended = true;
         self.finish(End::Whole);
-        self.learn();
+        self.state.note_duration(&self.job.route, self.job.begun);
         if let Some(tail) = self.tail.take() {
             tail.keep(&self.state);
         }
@@ -362,6 +324,7 @@
     fn give_up(&mut self, reason: &'static str) -> io::Error {
         self.ended = true;
         self.finish(End::Abandoned);
+        self.state.note_duration(&self.job.route, self.job.begun);
         event::CUT.emit(format_args!(
             "request={} reason={reason:?} events={} ms={}",
             self.job.id(),
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -11,13 +11,13 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::allowance::{self, Reach};
 use coltsfoothall::forward::choice;
-use coltsfoothall::forward::duration::Estimates;
+use coltsfoothall::forward::duration;
 use coltsfoothall::forward::leader::Leader;
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::roster::{End, Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
-use coltsfoothall::forward::table::Table;
+use coltsfoothall::forward::table::{Route, Table};
 use coltsfoothall::forward::usage;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::{self, Docket, Print};
@@ -102,7 +102,7 @@
     /// Rates of workspaces.
     pub allowance: RefCell<allowance::Book>,
     /// How long answers take.
-    pub estimates: RefCell<Estimates>,
+    pub durations: RefCell<duration::Table>,
     /// Requests that began to run.
     pub usage: RefCell<usage::Book>,
     /// Other instances.
@@ -178,7 +178,7 @@
             boot,
             stopping,
             stop: Cell::new(None),
-            estimates: RefCell::default(),
+            durations: RefCell::default(),
             cutting: CancellationToken::new(),
         }
     }
@@ -382,6 +382,12 @@
             .and_then(|place| meters[place].1.load(self.now()))
     }
 
+    /// A request on a route took this time until its answer was whole or given up.
+    pub fn note_duration(&self, route: &Route, begun: Time) {
+        let took = self.now().since(begun);
+        self.durations.borrow_mut().saw(&route.name, took);
+    }
+
     /// Acts on a change in the list of endpoints.
     pub fn note(&self, event: Option<Event>, revision: u64, source: &str) {
         match event {
--- a/coltsfoothall-forward/src/stop.rs
+++ b/coltsfoothall-forward/src/stop.rs
@@ -3,24 +3,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coltsfoothall::forward::stop::Stop;
+use coltsfoothall::forward::stop::{Need, Stop};
 use coltsfoothall_shell::event;
 use tokio::net::UdpSocket;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 use crate::attempt::Job;
 use crate::connection::Connection;
-use crate::dispatch::PATIENCE;
 use crate::gossip;
 use crate::listen::Connections;
 use crate::refusal::{Refusal, full};
 use crate::state::State;
 
-/// Time for the last answers and log lines of requests that are cut.
-const LAST_WORDS: Duration = Duration::from_millis(100);
+/// Time for the answers and log lines of requests that are cut.
+const AFTER_CUT: Duration = Duration::from_millis(50);
+/// When to come back while no other instance takes requests: about when callers get new
+/// addresses.
+const ALONE: Duration = Duration::from_millis(600);
 
-/// Stops: out of the addresses at once, then on with what is open, until nobody can still
-/// hold an answer that names this instance and all answers are written.
+/// Stops: out of the addresses at once, then on with what is open, until callers were to drop
+/// this instance's address and all answers are written.
 pub async fn run(state: &Rc<State>, socket: &Rc<UdpSocket>, callers: &Connections) {
     let bounds = state.settings().bounds.clone();
     let stop = Stop::new(
@@ -43,17 +45,17 @@
         state.open.get()
     ));
     callers.close();
-    let closed = tokio::time::timeout_at(state.clock.instant(stop.cuts), callers.closed());
+    let closed = timeout_at(state.clock.instant(stop.cuts), callers.closed());
     if closed.await.is_ok() {
         event::STOPPED.emit(format_args!("ms={}", after(state, stop)));
-        return;
-    }
-    event::CUT_OFF.emit(format_args!("open={}", state.open.get()));
-    state.cutting.cancel();
-    if timeout(LAST_WORDS, callers.closed()).await.is_err() {
-        // Callers who do not read; the process ends all the same.
+    } else {
         event::CUT_OFF.emit(format_args!("open={}", state.open.get()));
+        state.cutting.cancel();
     }
+    // Callers who do not read hold nobody up.
+    let _closed = timeout(AFTER_CUT, callers.closed()).await;
+    // What ran last is in no heartbeat yet; with 60 others this takes some 0.07 s.
+    gossip::announce(state, socket).await;
 }
 
 /// Milliseconds since the signal.
@@ -71,32 +73,35 @@
         return Ok(());
     };
     let now = state.now();
-    let longest = longest(state, job);
+    let need = Need {
+        limit: job.due.since(now),
+        longest: state.durations.borrow().longest(&job.route.name),
+        elsewhere: is_elsewhere(state),
+    };
     event::IN_STOP.emit(format_args!(
-        "request={} after_ms={} left_ms={} longest_ms={} connection_ms={} before={}",
+        "request={} after_ms={} left_ms={} needs_ms={} elsewhere={} connection_ms={} before={}",
         job.id(),
         after(state, stop),
         stop.cuts.since(now).as_millis(),
-        longest.as_millis(),
+        need.time().as_millis(),
+        need.elsewhere,
         connection.age().as_millis(),
         connection.requests().saturating_sub(1),
     ));
-    if stop.allows(now, longest) {
+    if stop.allows(now, need) {
         return Ok(());
     }
-    Err(full("this instance stops; use another", Duration::ZERO))
+    let again = if need.elsewhere {
+        Duration::ZERO
+    } else {
+        ALONE
+    };
+    Err(full("this instance stops; use another", again))
 }
 
-/// The longest that a request is expected to take, which is never longer than it may.
-fn longest(state: &State, job: &Job) -> Duration {
-    let now = state.now();
-    let left = job.due.since(now);
-    let roster = state.roster.borrow();
-    let Ok(pick) = roster.choose(now, &job.ask(&state.domain, &[])) else {
-        // It will be refused for that.
-        return Duration::ZERO;
-    };
-    let estimates = state.estimates.borrow();
-    let answer = estimates.longest(&job.route.name, job.units());
-    answer.map_or(left, |answer| left.min(pick.wait * PATIENCE + answer))
+/// Whether another instance takes requests.
+fn is_elsewhere(state: &State) -> bool {
+    let peers = state.peers.borrow();
+    let heard = peers.profiles(state.now());
+    heard.iter().any(|profile| profile.ready)
 }
--- a/coltsfoothall/src/forward/duration.rs
+++ b/coltsfoothall/src/forward/duration.rs
@@ -1,113 +1,60 @@
-//! How long answers take, learned by route from those seen here.
+//! How long answers take, from those seen here lately, by route.
 //!
-//! The longest time to expect is what TCP waits for an acknowledgement (RFC 6298): the mean
-//! and four times the mean distance to it, both running. An answer's time is its events, by
-//! the units that bound its length, times the time of an event. Answers that ended show how far
-//! they lie apart, and those under way what an event takes by now: when load rises, the ones that
-//! end first are the short ones from before, and by them alone a fleet of 60 took 2 of 286
-//! requests in its stops that it then cut.
+//! The longest to expect is the longest seen. Of answers that are alike, the next is longer
+//! than all of the last 64 once in 65 times; a mean and its deviation, which were tried
+//! first, forget a rare long answer after some twenty short ones.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Weight of the newest answer in the running mean (RFC 6298).
-const NEWEST: f64 = 1.0 / 8.0;
-/// Its weight in the running mean of the distance to that mean (RFC 6298).
-const NEWEST_DISTANCE: f64 = 1.0 / 4.0;
-/// Distances above the mean of the longest time to expect (RFC 6298).
-const DISTANCES: f64 = 4.0;
-/// Most routes that are measured, at some 100 bytes each.
-const MOST: usize = 1024;
+/// Answers remembered on one route.
+const WINDOW: usize = 64;
+/// Most routes remembered, at up to 1 kB each.
+const MOST: usize = 256;
 
-/// A running mean and the distance to it.
-#[derive(Debug, Clone, Copy)]
-struct Estimate {
-    mean: f64,
-    distance: f64,
-}
-
-impl Estimate {
-    fn new(first: f64) -> Self {
-        Self {
-            mean: first,
-            distance: first / 2.0,
-        }
-    }
-
-    fn add(&mut self, newest: f64) {
-        let distance = (newest - self.mean).abs();
-        self.distance += NEWEST_DISTANCE * (distance - self.distance);
-        self.mean += NEWEST * (newest - self.mean);
-    }
-
-    fn longest(self) -> f64 {
-        self.mean + DISTANCES * self.distance
-    }
-}
-
-/// What was measured on one route.
+/// The answers of one route.
 #[derive(Debug, Clone)]
 struct Row {
     route: String,
-    /// Seconds for an event of answers under way.
-    lately: Option<Estimate>,
-    /// Seconds for an event of whole answers.
-    event: Option<Estimate>,
-    /// Events for a unit.
-    events: Option<Estimate>,
+    /// The oldest first.
+    took: VecDeque<Duration>,
 }
 
-/// The estimates of all routes.
+/// The answers of all routes.
 #[derive(Debug, Clone, Default)]
-pub struct Estimates {
+pub struct Table {
     /// Sorted by route.
     rows: Vec<Row>,
 }
 
-impl Estimates {
-    /// So many events of an answer that is under way took this time.
-    pub fn progressed(&mut self, route: &str, events: u64, took: Duration) {
-        if let Some(row) = self.row(route) {
-            add(&mut row.lately, took.as_secs_f64() / events.max(1) as f64);
-        }
-    }
-
-    /// An answer that could have so many units ended with so many events after this time. A
-    /// plain answer is one unit and one event.
-    pub fn ended(&mut self, route: &str, units: u64, events: u64, took: Duration) {
-        if let Some(row) = self.row(route) {
-            add(&mut row.event, took.as_secs_f64() / events.max(1) as f64);
-            add(&mut row.events, events as f64 / units.max(1) as f64);
-        }
-    }
-
-    /// The longest that an answer of so many units is expected to take; none on a route on
-    /// which no answer ended.
-    #[must_use]
-    pub fn longest(&self, route: &str, units: u64) -> Option<Duration> {
-        let row = &self.rows[self.place(route).ok()?];
-        let lately = row.lately.map_or(0.0, Estimate::longest);
-        let event = row.event?.longest().max(lately);
-        let events = row.events?.longest() * units.max(1) as f64;
-        Some(Duration::from_secs_f64(event * events))
-    }
-
-    /// The row of a route; none if there is no room for one more.
-    fn row(&mut self, route: &str) -> Option<&mut Row> {
+impl Table {
+    /// A request on a route took this time until its answer was whole, or was given up after
+    /// it.
+    pub fn saw(&mut self, route: &str, took: Duration) {
         let place = match self.place(route) {
             Ok(place) => place,
-            Err(_) if self.rows.len() >= MOST => return None,
+            Err(_) if self.rows.len() >= MOST => return,
             Err(place) => {
                 let row = Row {
                     route: route.to_owned(),
-                    lately: None,
-                    event: None,
-                    events: None,
+                    took: VecDeque::new(),
                 };
                 self.rows.insert(place, row);
                 place
             }
         };
-        Some(&mut self.rows[place])
+        let answers = &mut self.rows[place].took;
+        if answers.len() >= WINDOW {
+            answers.pop_front();
+        }
+        answers.push_back(took);
+    }
+
+    /// The longest that a request on a route is expected to take; none if none was seen.
+    #[must_use]
+    pub fn longest(&self, route: &str) -> Option<Duration> {
+        let row = &self.rows[self.place(route).ok()?];
+        row.took.iter().max().copied()
     }
 
     fn place(&self, route: &str) -> Result<usize, usize> {
@@ -115,10 +62,3 @@
             .binary_search_by(|row| row.route.as_str().cmp(route))
     }
 }
-
-fn add(estimate: &mut Option<Estimate>, newest: f64) {
-    match estimate {
-        Some(estimate) => estimate.add(newest),
-        None => *estimate = Some(Estimate::new(newest)),
-    }
-}
