"Not run" of an idempotent request waits for its copies and the table

Cause: idempotent requests can be run by others than their owner, by a sealed backup and by whoever claims the slot, and a "not run" left on the owner's own word.

Ruled out: never telling idempotent requests "not run" (callers that come back by it would give up; refused_at_once counts on it), refusing them after a claim (they would not survive the loss of both copies), a read alone (a claim may follow before the word is out).

Change (denial.rs): such a "not run" leaves once all copies hold it and a read of the table that was sent after it and answered within 0.75 s still named this owner; a claimant waits 1.5 s before it runs older keys. What isn't confirmed in 5 s or while the service is down, and what comes into doubt, ends as unknown, recorded before anybody is told. Also: going alone and a dismissed backup let no "not run" leave, and a change whose record is not in the copy here never leaves.

--- a/coltsfoothall-entry/src/control.rs
+++ b/coltsfoothall-entry/src/control.rs
@@ -133,6 +133,8 @@
         }
         self.resend.look(&self.node);
         self.slots.look(now, &self.members, self.leaving);
+        let taken = self.slots.take_back(now);
+        self.node.desk.adopt(&self.node, taken);
         self.node.desk.flush_all();
         self.node.desk.with_ledger(|ledger| ledger.retire(now));
         self.look_at_endpoints(now);
@@ -371,6 +373,10 @@
             self.publish();
             self.node.desk.adopt(&self.node, events);
         }
+        if asked.is_some() {
+            // What the read confirmed leaves at once, while the read is young.
+            self.node.desk.flush_all();
+        }
     }
 
     fn round(&mut self, round: Round) {
--- a/coltsfoothall-entry/src/desk.rs
+++ b/coltsfoothall-entry/src/desk.rs
@@ -295,7 +295,7 @@
                 return Err(unresumable());
             }
             (Err(_), Some(intake)) => state.begin(node, slot, intake, number)?,
-            (Err(_), None) => state.known(slot, &follow.name)?,
+            (Err(_), None) => state.known(node, slot, &follow.name)?,
         };
         drop(state);
         if !feed.resumable(follow.offset) {
@@ -317,7 +317,10 @@
                     self.tell_slot(slot, &Input::Sealed);
                 }
                 Event::Ended(name, end) => {
-                    event::ORPHAN.emit(format_args!("request={name} end={end:?}"));
+                    let slot = node.view().slot(&name.key);
+                    if !self.state().doubt(slot, &name) {
+                        event::ORPHAN.emit(format_args!("request={name} end={end:?}"));
+                    }
                 }
                 Event::Broken(broken) => node.broken("ledger_observe", &broken),
             }
--- a/coltsfoothall-entry/src/keeper.rs
+++ b/coltsfoothall-entry/src/keeper.rs
@@ -18,6 +18,14 @@
 /// Age at which the table is read again, so that callers' own keys may be used.
 const STALE: Duration = Duration::from_secs(60);
 
+/// Least time between two reads that are to confirm "not run": under overload, 330 entry
+/// instances read 660 times a second at most, a third of what the service takes.
+const CONFIRM: Duration = Duration::from_millis(500);
+
+/// How long a "not run" waits to be confirmed while the service answers: longer than the
+/// 3 s after which a backup that doesn't acknowledge is taken for dead.
+const UNCONFIRMED: Duration = Duration::from_secs(5);
+
 /// Wait after a failed call of the service.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -91,7 +99,7 @@
         kept.for_each(|(slot, _)| self.copy_lost(slot, instance.clone()));
     }
 
-    /// Takes in a table; what it meant for the ledger, if it is not older.
+    /// Takes in a table; what it meant for the ledger, if it is newer or meant something.
     /// `asked` is when the service was asked for it, none if a peer gave it.
     pub fn observe(
         &mut self,
@@ -114,7 +122,7 @@
             }
             events
         });
-        newer.then_some(events)
+        (newer || !events.is_empty()).then_some(events)
     }
 
     /// Starts a round if there is something to do.
@@ -139,8 +147,7 @@
         };
         let duties = self.node.desk.with_ledger(sight);
         let open = self.node.desk.with_ledger(|ledger| ledger.proposing());
-        let stale = self.asked.is_none_or(|at| now.since(at) >= STALE);
-        let read = self.read || open || stale || !self.service || self.table.version == 0;
+        let read = self.read || open || self.aged(now) || !self.service || self.table.version == 0;
         if duties.is_empty() && !read {
             return;
         }
@@ -161,6 +168,24 @@
         tokio::spawn(work.run(duties));
     }
 
+    /// Takes back what could not be confirmed as not run.
+    pub fn take_back(&self, now: Time) -> Vec<Event> {
+        let waited = if self.service {
+            UNCONFIRMED
+        } else {
+            Duration::ZERO
+        };
+        let desk = &self.node.desk;
+        desk.with_ledger(|ledger| ledger.take_back(now, waited))
+    }
+
+    /// Whether the table was read too long ago.
+    fn aged(&self, now: Time) -> bool {
+        let waits = self.node.desk.with_ledger(|ledger| ledger.unconfirmed());
+        let most = if waits { CONFIRM } else { STALE };
+        self.asked.is_none_or(|at| now.since(at) >= most)
+    }
+
     /// Notes what a round came to.
     pub fn ended(&mut self, now: Time, round: &Round) {
         self.round = false;
--- a/coltsfoothall-entry/src/open.rs
+++ b/coltsfoothall-entry/src/open.rs
@@ -81,7 +81,7 @@
                 };
                 Ok(self.accept(node, slot, begun, &step))
             }
-            Ok(Begin::Join(_)) => self.known(slot, name),
+            Ok(Begin::Join(_)) => self.known(node, slot, name),
             Ok(refused) => Err(refusal(&refused, name)),
             Err(ledger::Error::Broken(broken)) => {
                 node.broken("ledger_begin", &broken);
@@ -149,13 +149,14 @@
     }
 
     /// The answer of a request that is known and has no relay.
-    pub fn known(&self, slot: Slot, name: &Name) -> Result<Arc<Feed>, Fault> {
+    pub fn known(&mut self, node: &Node, slot: Slot, name: &Name) -> Result<Arc<Feed>, Fault> {
         if !self.ledger.owned().any(|(owned, _)| owned == slot) {
             return Err(come_back(
                 Code::Unavailable,
                 "the request is owned elsewhere",
             ));
         }
+        self.ledger.recheck(node.now(), slot, name);
         let record = self.ledger.record(slot, name);
         let unknown = || Fault::new(Code::NotFound, format!("no request {} is known", name.key));
         let record = record.ok_or_else(unknown)?;
@@ -171,6 +172,23 @@
         }
     }
 
+    /// The ledger took an idempotent request's "not run" back: a relay that waits to tell
+    /// it tells "unknown". False if the request may run once only.
+    pub fn doubt(&mut self, slot: Slot, name: &Name) -> bool {
+        let record = self.ledger.record(slot, name);
+        if record.is_none_or(|record| !record.intake.idempotent) {
+            return false;
+        }
+        let seq = self.ledger.seq(slot, name);
+        if let Ok(at) = self.find(name)
+            && let (Some(pending), Some(seq)) = (self.live[at].pending.last_mut(), seq)
+        {
+            pending.seq = seq;
+            let _ended = self.live[at].signals.send(Input::Doubted);
+        }
+        true
+    }
+
     /// Tells relays of a slot what may leave.
     pub fn flush(&mut self, slot: Slot) {
         self.flush_where(|live| live.slot == slot);
--- a/coltsfoothall-entry/src/round.rs
+++ b/coltsfoothall-entry/src/round.rs
@@ -184,8 +184,8 @@
             None => self.silent.push(to.clone()),
             Some(false) => {}
             Some(true) => {
-                let desk = &self.node.desk;
-                desk.with_ledger(|ledger| ledger.resigned(slot, epoch, to));
+                let (desk, now) = (&self.node.desk, self.node.now());
+                desk.with_ledger(|ledger| ledger.resigned(now, slot, epoch, to));
                 desk.flush(slot);
                 let at = to.clone();
                 self.node.control.send(Message::CopyLost { slot, at });
--- a/coltsfoothall/src/ledger.rs
+++ b/coltsfoothall/src/ledger.rs
@@ -54,6 +54,11 @@
     /// Names of ended requests in a slot, 16 bytes each; it stops a flood of
     /// short requests from filling the memory. The oldest go first.
     pub stubs: usize,
+    /// Longest time for which a read of the table vouches for a "not run" of an idempotent
+    /// request, from when it was sent; whoever claims a slot waits twice as long before it
+    /// runs older keys. It has to be well above the service's usual answer of a few
+    /// milliseconds, and twice it below the 2 s for which a new request waits for an owner.
+    pub fresh: Duration,
     /// Tells this process from the one before it of the same name: a number drawn
     /// at its start.
     pub life: Life,
@@ -67,6 +72,7 @@
             bytes: Bytes(24 << 20),
             unacked: 4096,
             stubs: 16_384,
+            fresh: Duration::from_millis(750),
             life: Life::default(),
         }
     }
@@ -156,7 +162,12 @@
     pub(crate) version: u64,
     /// Epochs of all slots in that table, by slot.
     pub(crate) epochs: Vec<Epoch>,
+    /// When the last read that confirmed that table was sent.
     pub(crate) confirmed: Time,
+    /// When a table was last taken in.
+    pub(crate) observed: Time,
+    /// Whether a "not run" waits for the table.
+    pub(crate) awaited: bool,
     pub(crate) copies: u64,
     pub(crate) arrivals: Vec<Arrival>,
     /// Changes that took effect without a second copy.
@@ -177,6 +188,8 @@
             version: 0,
             epochs: Vec::new(),
             confirmed: Time::START,
+            observed: Time::START,
+            awaited: false,
             copies,
             arrivals: Vec::new(),
             alone: 0,
@@ -197,13 +210,17 @@
         }
         if let Ok(at) = replica.find(&intake.name) {
             let item = &replica.items[at];
-            let same = item.record.digest == intake.digest();
+            let (seq, same) = (item.seq, item.record.digest == intake.digest());
+            self.recheck(now, slot, &intake.name);
             return Ok(if same {
-                Begin::Join(item.seq)
+                Begin::Join(seq)
             } else {
                 Begin::Reused
             });
         }
+        if self.early(now, &intake, replica) {
+            return Ok(Begin::NotOwner);
+        }
         if !intake.idempotent
             && let Some(refused) = self.refusal(now, &intake, replica)
         {
@@ -412,14 +429,6 @@
         replica.is_some_and(|replica| backlog(replica) >= self.settings.unacked)
     }
 
-    /// Notes that the service answered with the table that this ledger knows to
-    /// a read sent at `now`: until then nobody else had claimed a slot.
-    pub fn confirm(&mut self, now: Time, version: u64) {
-        if version == self.version {
-            self.confirmed = now;
-        }
-    }
-
     pub(crate) fn replica(&self, slot: Slot) -> Option<&Replica> {
         let at = self.replicas.binary_search_by_key(&slot, |r| r.slot).ok()?;
         Some(&self.replicas[at])
@@ -440,6 +449,8 @@
         let replica = self.replica_mut(slot).ok_or(Error::NotOwner(slot))?;
         let seq = replica.apply(now, &name, change.clone())?;
         let step = replica.publish(seq, name, change);
+        let denies = |at: usize| replica.items[at].denies();
+        self.awaited |= replica.find(&step.update.name).is_ok_and(denies);
         self.alone += u64::from(step.released);
         Ok(step)
     }
--- a/coltsfoothall/src/lib.rs
+++ b/coltsfoothall/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod clock;
 pub mod confirm;
 pub mod copy;
+mod denial;
 mod digest;
 pub mod duty;
 pub mod effect;
--- a/coltsfoothall/src/record.rs
+++ b/coltsfoothall/src/record.rs
@@ -359,7 +359,7 @@
     /// The change breaks a rule; the record stays as it was.
     pub fn apply(&mut self, change: Change) -> Result<(), Broken> {
         let name = &self.intake.name;
-        if self.end.is_some() {
+        if (self.end).is_some_and(|end| !takes_back(end, &change)) {
             return Err(Broken::Ended(name.clone()));
         }
         match change {
@@ -409,3 +409,8 @@
         }
     }
 }
+
+/// Whether the change takes a "not run" back that nobody was told.
+fn takes_back(end: End, change: &Change) -> bool {
+    matches!(end, End::NotRun(_)) && matches!(change, Change::End(End::Unknown(_)))
+}
--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -78,6 +78,22 @@
     /// An attempt may have begun that the record does not know: its owner was
     /// lost, and idempotent attempts need no second copy.
     pub(crate) unsure: bool,
+    /// How far its "not run" may be told, if it is idempotent and ended so.
+    pub(crate) word: Word,
+    /// Number of a "not run" that was taken back; it never leaves.
+    pub(crate) denied: Option<Seq>,
+}
+
+/// What stands behind a "not run" of an idempotent request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Word {
+    /// Nothing, and nobody waits to be told.
+    #[default]
+    None,
+    /// Nothing yet; somebody waits since then.
+    Awaited(Time),
+    /// The table, asked for then.
+    Confirmed(Time),
 }
 
 /// A stub by its holder's clock.
@@ -175,6 +191,7 @@
     /// Applies a change and numbers it.
     pub(crate) fn apply(&mut self, now: Time, name: &Name, change: Change) -> Result<Seq, Broken> {
         let seq = self.seq.next();
+        let owner = matches!(self.role, Role::Owner(_));
         match (self.find(name), change) {
             (Err(at), Change::Accept(intake)) => {
                 let record = Box::new(Record::new(*intake));
@@ -184,15 +201,20 @@
                     seq,
                     ended: None,
                     unsure: false,
+                    word: Word::None,
+                    denied: None,
                 };
                 self.items.insert(at, item);
             }
+            // A "not run" is taken back whose record was dropped here for room.
+            (Err(_), Change::End(End::Unknown(_))) if !owner => {}
             (Err(_), _) => return Err(Broken::Absent(name.clone())),
             (Ok(at), change) => {
                 let item = &mut self.items[at];
                 let before = item.record.size();
+                let denied = item.denies();
                 item.record.apply(change)?;
-                item.seq = seq;
+                item.follow(now, seq, denied, owner);
                 item.ended = item.record.end.map(|_| now);
                 if item.ended.is_some() {
                     item.record.trim();
@@ -275,10 +297,14 @@
         }
     }
 
-    /// Whether the effect of a request's change may leave.
+    /// Whether the effect of a request's change may leave. A change that waited in a copy
+    /// which another has replaced since has no record here.
     pub(crate) fn may_leave(&self, name: &Name, seq: Seq) -> bool {
-        let at = self.find(name);
-        let idempotent = at.is_ok_and(|at| self.items[at].record.intake.idempotent);
+        let found = self.find(name).ok().map(|at| &self.items[at]);
+        let Some(item) = found.filter(|item| !item.withholds(seq)) else {
+            return false;
+        };
+        let idempotent = item.record.intake.idempotent;
         match &self.role {
             Role::Owner(owner) => {
                 self.leads() && (seq <= owner.released || owner.alone && idempotent)
@@ -298,12 +324,15 @@
         let Role::Owner(owner) = &self.role else {
             return false;
         };
+        if !self.draining || self.doubts() {
+            return false;
+        }
         let whole = |link: &Link| link.acked == self.seq;
         if let Some(copy) = owner.renewed() {
-            return self.draining && whole(copy);
+            return whole(copy);
         }
         let mut links = owner.backup.iter().chain(&owner.learner);
-        self.draining && !owner.alone && links.all(whole)
+        !owner.alone && links.all(whole)
     }
 
     /// Whether a request of this name ended and was dropped.
@@ -326,14 +355,14 @@
     /// ended, and whose end the other copies hold.
     pub(crate) fn settled(&self) -> impl Iterator<Item = (Time, usize)> {
         let held = self.held();
-        let ended = self.items.iter().filter(move |item| item.seq <= held);
+        let ended = self.items.iter().filter(move |item| item.droppable(held));
         ended.filter_map(|item| Some((item.ended?, item.record.size())))
     }
 
     /// Drops records that ended by `until` to make room, as [`Self::retire`] does.
     pub(crate) fn shed(&mut self, now: Time, until: Time, most: usize) {
         let held = self.held();
-        let old = |item: &Item| item.seq <= held && item.ended.is_some_and(|at| at <= until);
+        let old = |item: &Item| item.droppable(held) && item.ended.is_some_and(|at| at <= until);
         let dropped: Vec<_> = self.items.extract_if(.., |item| old(item)).collect();
         self.bury(now, dropped);
         self.cap(most);
--- a/coltsfoothall/src/step.rs
+++ b/coltsfoothall/src/step.rs
@@ -21,8 +21,8 @@
     },
     /// There is no backup now, and this instance is the owner for certain.
     Alone,
-    /// "Not run" could not be recorded, as another copy may have run the request: its
-    /// end is recorded as unknown.
+    /// "Not run" could not be recorded, or was taken back, as another copy may have run
+    /// the request: its end is recorded as unknown.
     Doubted,
     /// A new backup holds a copy of the record and gets each change after it.
     Backed,
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -10,7 +10,7 @@
 use crate::key::{Epoch, Slot};
 use crate::ledger::{Error, Ledger};
 use crate::record::{Change, End, Name};
-use crate::replica::{Broken, Doubt, Life, Link, Owner, Replica, Role, Seq};
+use crate::replica::{Broken, Doubt, Item, Life, Link, Owner, Replica, Role, Seq, Word};
 use crate::slot::{Entry, FIRST, Table};
 
 use serde::{Deserialize, Serialize};
@@ -24,7 +24,7 @@
     Backs(Slot),
     /// It kept the slot and no longer does; attempts and answers are to stop.
     Dropped(Slot),
-    /// A request that a lost owner had sent ended here.
+    /// A request that a lost owner had sent ended here, or its "not run" was taken back.
     Ended(Name, End),
     /// A rule is broken.
     Broken(Broken),
@@ -159,15 +159,21 @@
     }
 
     /// Waits for a backup no longer after it dropped its copy at `epoch`.
-    pub fn resigned(&mut self, slot: Slot, epoch: Epoch, backup: &id::Instance) {
+    pub fn resigned(&mut self, now: Time, slot: Slot, epoch: Epoch, backup: &id::Instance) {
         if self.proposals.iter().any(|proposal| proposal.slot == slot) {
             return;
         }
-        if let Some(replica) = self.replica_mut(slot).filter(|r| r.epoch == epoch)
-            && let Role::Owner(owner) = &mut replica.role
-        {
+        if let Some(replica) = self.replica_mut(slot).filter(|r| r.epoch == epoch) {
+            if replica.backed() {
+                // A process before this one may have sealed its copy and worked on alone.
+                replica.doubt(now, epoch.next());
+            }
+            let Role::Owner(owner) = &mut replica.role else {
+                return;
+            };
             owner.backup.take_if(|link| link.peer == *backup);
             owner.release(replica.seq);
+            self.awaited = true;
         }
     }
 
@@ -234,6 +240,7 @@
             return Vec::new();
         }
         self.version = table.version;
+        self.observed = now;
         self.epochs = table.iter().map(|(_, entry)| entry.epoch).collect();
         let mut events = Vec::new();
         for (slot, entry) in table.iter() {
@@ -250,6 +257,7 @@
                 replica.sealed = replica.yielded;
             }
         }
+        self.end_doubted(now, &mut events);
         events
     }
 
@@ -302,9 +310,9 @@
             return;
         }
         let fresh = entry.cold == entry.epoch;
-        let parted = replica.may_be_parted();
+        let backed = replica.backed();
         match replica.follow(entry, &me, proposed) {
-            Follow::Kept if parted => replica.doubt(now, entry.epoch),
+            Follow::Kept if backed => replica.doubt(now, entry.epoch),
             Follow::Kept => {}
             Follow::Owns => events.push(Event::Owns(slot)),
             Follow::Backs => events.push(Event::Backs(slot)),
@@ -339,7 +347,18 @@
 
     fn end_orphans(&mut self, now: Time, slot: Slot, events: &mut Vec<Event>) {
         let orphans = self.replica(slot).map(Replica::orphans).unwrap_or_default();
-        for (name, end) in orphans {
+        self.end_all(now, slot, orphans, events);
+    }
+
+    /// Records ends that follow from a change of the slot's owner or copies.
+    pub(crate) fn end_all(
+        &mut self,
+        now: Time,
+        slot: Slot,
+        ends: Vec<(Name, End)>,
+        events: &mut Vec<Event>,
+    ) {
+        for (name, end) in ends {
             match self.step(now, slot, name.clone(), Change::End(end)) {
                 Ok(_step) => events.push(Event::Ended(name, end)),
                 Err(Error::Broken(err)) => events.push(Event::Broken(err)),
@@ -425,14 +444,10 @@
         }
     }
 
-    /// Whether the backup of the owner here may have sealed its copy: it does not hold
-    /// all changes, or said so.
-    fn may_be_parted(&self) -> bool {
-        let Role::Owner(owner) = &self.role else {
-            return false;
-        };
-        let backup = owner.backup.as_ref();
-        backup.is_some_and(|link| self.told || owner.alone || link.acked < self.seq)
+    /// Whether the owner here has a backup. Any may have sealed its copy and worked on
+    /// alone, also one that holds all changes: its owner hears of it with the next only.
+    fn backed(&self) -> bool {
+        matches!(&self.role, Role::Owner(owner) if owner.backup.is_some())
     }
 
     fn back(&mut self, entry: &Entry) {
@@ -440,6 +455,7 @@
         self.role = Role::Backup {
             primary: entry.primary.clone(),
         };
+        (self.items.iter_mut()).for_each(|item| item.word = Word::None);
         self.sealed = false;
         self.yielded = false;
         self.told = false;
@@ -448,13 +464,11 @@
 
     /// Idempotent requests may have been carried on by another copy alone: by an
     /// owner that is lost, or by a backup that had sealed its copy and dropped it
-    /// since. None that is older than this change can be told "not run".
+    /// since. None that is older than this change can be told "not run", unless it was.
     pub(crate) fn doubt(&mut self, now: Time, before: Epoch) {
         self.doubt = Some(Doubt { before, since: now });
-        let open = self
-            .items
-            .iter_mut()
-            .filter(|item| item.record.end.is_none());
+        let told = |item: &Item| item.record.end.is_some() && !item.withholds(item.seq);
+        let open = self.items.iter_mut().filter(|item| !told(item));
         open.for_each(|item| item.unsure |= item.record.intake.idempotent);
     }
 }
--- a/coltsfoothall/src/transfer.rs
+++ b/coltsfoothall/src/transfer.rs
@@ -10,6 +10,7 @@
 use crate::ledger::Ledger;
 use crate::replica::{
     Broken, Chunk, Copying, Item, Link, Mark, Replica, Role, Row, Seq, Stub, Taken, Update, Whole,
+    Word,
 };
 use crate::size::Millis;
 
@@ -54,7 +55,9 @@
             // The backup that is gone may have sealed its copy and worked on alone.
             replica.doubt(now, replica.epoch.next());
         }
-        Some(cut(now, replica, &me, copy))
+        let chunks = cut(now, replica, &me, copy);
+        self.awaited |= renewed;
+        Some(chunks)
     }
 
     /// Gives up a copy that the table does not name, unless a write that names
@@ -247,6 +250,8 @@
             seq: chunk.seq,
             ended: row.age.map(|age| now - age.duration()),
             unsure: row.unsure,
+            word: Word::None,
+            denied: None,
         });
         let first = replica.items.len();
         replica.items.extend(rows);
