--- a/coltsfoothall/tests/ledger.rs
+++ b/coltsfoothall/tests/ledger.rs
@@ -29,6 +29,18 @@
     }
 }
 
+/// An owner that stood still while its backup took the slot over goes on with a copy at
+/// that backup's next process, which knows nothing of it: calls run twice, or an end
+/// that was told is lost.
+#[test]
+fn stale_owner() {
+    for seed in [11_419, 26_096, 46_691, 69_043] {
+        let mut world = World::new(seed);
+        world.run(1500);
+        world.settle();
+    }
+}
+
 #[test]
 fn many_seeds() {
     let mut told = [0; 3];
