Slots are shared out in large steps; a call whose owner was lost waits for a backup

Cause: a member that came first owns all slots, and shared them out four at a time, three rounds of duties each. Change: up to 32 slots at once, under a megabyte of records beyond the first four; a whole copy that may be named is kept to; backups chosen in a round count for its next choice; drained slots go first.

Cause: an owner without a backup refuses a call as "not run", and the source made that "unknown", final for a call that may run only once, when an owner that it had asked before was lost. The key's slot (252) had gone by word to entry-1, which had no backup until the service was back. Retry-After of 200 ms and "unknown" together come from nowhere else, so a relay's end, the caller and the ledger are ruled out. Not known: how the earlier owner was lost. Change: the source goes on asking until the owner has its backup, the deadline or 60 s.

--- a/coltsfoothall-entry/src/round.rs
+++ b/coltsfoothall-entry/src/round.rs
@@ -1,6 +1,7 @@
 //! Carries out the duties of one round for the slots: at this instance, at its
 //! peers, and in the slot table at the key-value service.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -282,9 +283,10 @@
         }
         let result = if written.is_ok() { "written" } else { "failed" };
         event::SLOTS.emit(format_args!(
-            "version={} changes={} result={result}",
+            "version={} changes={} {} result={result}",
             table.version,
-            changed.len()
+            changed.len(),
+            Kinds::of(&self.base, &table),
         ));
         written
     }
@@ -375,6 +377,52 @@
     }
 }
 
+/// Changes of a write of the table by kind, for the log.
+#[derive(Debug, Default)]
+struct Kinds {
+    claimed: usize,
+    taken_over: usize,
+    handed_over: usize,
+    backed: usize,
+}
+
+impl Kinds {
+    fn of(old: &Table, new: &Table) -> Self {
+        let mut kinds = Self::default();
+        for (old, new) in old.entries.iter().zip(&new.entries) {
+            if new.epoch == old.epoch {
+                continue;
+            }
+            let kind = if new.cold == new.epoch {
+                &mut kinds.claimed
+            } else if new.primary == old.primary {
+                &mut kinds.backed
+            } else if new.backup.as_ref() == Some(&old.primary) {
+                &mut kinds.handed_over
+            } else {
+                &mut kinds.taken_over
+            };
+            *kind += 1;
+        }
+        kinds
+    }
+}
+
+impl fmt::Display for Kinds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            claimed,
+            taken_over,
+            handed_over,
+            backed,
+        } = self;
+        write!(
+            f,
+            "claimed={claimed} taken_over={taken_over} handed_over={handed_over} backed={backed}"
+        )
+    }
+}
+
 /// Others that `new` gives a slot which they did not have in `old`, sorted.
 fn named(old: &Table, new: &Table, me: &id::Instance) -> Vec<id::Instance> {
     let changed = new.iter().zip(old.iter());
--- a/coltsfoothall-entry/src/source.rs
+++ b/coltsfoothall-entry/src/source.rs
@@ -14,6 +14,7 @@
 
 use coltsfoothall::id;
 use coltsfoothall::size::Millis;
+use coltsfoothall_shell::event;
 use coltsfoothall_wire::fault::{Code, Fault, Outcome};
 use coltsfoothall_wire::peer::{self, Follow, Frames, Piece};
 
@@ -115,7 +116,7 @@
                         return Piece::Fault(Box::new(self.unreached()));
                     }
                 }
-                Some(Piece::Fault(fault)) if elsewhere(&fault) => {
+                Some(Piece::Fault(fault)) if self.passing(&fault) => {
                     self.stream = None;
                     self.refused = self.owner.take();
                     if self.expired() {
@@ -144,11 +145,23 @@
     /// request over, or was lost. It is asked again only after the others.
     fn lose(&mut self, lost: bool) {
         self.stream = None;
+        if lost {
+            self.tell_lost("stream", self.owner.as_ref());
+        }
         self.refused = self.owner.take();
         self.sent = true;
         self.lost |= lost;
     }
 
+    fn tell_lost(&self, step: &str, owner: Option<&id::Instance>) {
+        let key = &self.follow.name.key;
+        let slot = self.node.view().slot(key);
+        let owner = owner.map_or("", id::Instance::as_str);
+        event::OWNER_LOST.emit(format_args!(
+            "request={key} slot={slot} owner={owner} step={step}"
+        ));
+    }
+
     /// Whether the search for an owner is to be given up. A request that may
     /// have been taken in is stayed with for as long as its caller waits.
     fn expired(&mut self) -> bool {
@@ -165,8 +178,7 @@
     /// A refusal by an owner that never had the request says nothing of one
     /// that had it and was lost.
     fn settled(&self, fault: Fault) -> Fault {
-        let unsure = self.lost || self.follow.intake.is_none();
-        if fault.outcome == Outcome::NotRun && unsure {
+        if fault.outcome == Outcome::NotRun && self.unsure() {
             return Fault {
                 outcome: Outcome::Unknown,
                 ..fault
@@ -175,6 +187,19 @@
         fault
     }
 
+    /// Whether the refusal is no answer yet: another instance may still take the
+    /// request. So may an owner that has no backup yet, if the request may have been
+    /// taken in before: "unknown" would be final, and the owner has its backup soon.
+    fn passing(&self, fault: &Fault) -> bool {
+        let unready = fault.code == Code::NotSafe && fault.outcome == Outcome::NotRun;
+        fault.code == Code::Unavailable || (unready && self.unsure())
+    }
+
+    /// Whether an owner that was lost, or the caller, may know more of the request.
+    fn unsure(&self) -> bool {
+        self.lost || self.follow.intake.is_none()
+    }
+
     /// Finds the owner and opens a stream to it.
     async fn find(&mut self) -> Result<(), Fault> {
         loop {
@@ -212,7 +237,7 @@
                     self.sent = true;
                     Ok(Some(Stream::Local(follower)))
                 }
-                Err(fault) if elsewhere(&fault) => Ok(None),
+                Err(fault) if self.passing(&fault) => Ok(None),
                 Err(fault) => Err(self.settled(fault)),
             };
         }
@@ -238,6 +263,7 @@
             Ok(_refused) => Ok(None),
             Err(error) => {
                 if !error.unsent() {
+                    self.tell_lost("call", Some(owner));
                     self.sent = true;
                     self.lost = true;
                 }
@@ -263,11 +289,6 @@
     }
 }
 
-/// Whether another instance may still take the request.
-fn elsewhere(fault: &Fault) -> bool {
-    fault.code == Code::Unavailable
-}
-
 /// The next piece from another instance, or none when the stream broke.
 async fn remote(body: &mut Incoming, frames: &mut Frames) -> Option<Piece> {
     loop {
--- a/coltsfoothall-entry/tests/outage.rs
+++ b/coltsfoothall-entry/tests/outage.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use coltsfoothall::key::Key;
 use coltsfoothall_call::ask::{Ask, Origin, Work};
 use coltsfoothall_standin::service::Counts;
 use coltsfoothall_wire::caller::Prompt;
@@ -252,3 +253,46 @@
         system.assert_sound().await;
     }
 }
+
+/// A key of a caller's own whose slot these two entry instances own and back up.
+async fn own_key(system: &System, owner: usize, backup: usize) -> Key {
+    let table = system.table().await.unwrap();
+    let [owner, backup] = [owner, backup].map(|at| system.entries[at].name.as_str());
+    let fits = |key: &Key| {
+        let entry = table.entry(key.slot(table.count())).unwrap();
+        let named = entry.backup.as_ref().map(|backup| backup.as_str());
+        entry.primary.as_str() == owner && named == Some(backup)
+    };
+    let mut keys = (0..10_000).map(|number| format!("own-{number}").parse::<Key>().unwrap());
+    keys.find(fits).unwrap()
+}
+
+/// The owner of a call that may run only once falls silent with it, and the one that
+/// takes over cannot promise anything while the service is down. The call waits until
+/// it can be run, and runs once, also when the first owner comes back.
+#[tokio::test]
+async fn owner_silent() {
+    let system = System::start(Shape::default()).await;
+    let store = system.store.clone();
+    // Nobody is judged in the first seconds of an instance.
+    sleep(2 * PAUSE).await;
+    let key = own_key(&system, 0, 1).await;
+    let before = runs(&system).await;
+    system.fault(&store, DOWN).await;
+    system.entries[0].pause();
+    let ask = Ask {
+        origin: Origin::Given(key),
+        ..quote(51)
+    };
+    let caller = system.caller_of(&[2], 51);
+    let asked = tokio::spawn(async move { caller.ask(&ask).await });
+    sleep(2 * PAUSE).await;
+    system.fault(&store, "{}").await;
+    let outcome = timeout(PATIENCE, asked).await.unwrap().unwrap();
+    system.entries[0].wake();
+    let outcome = outcome.unwrap_or_else(|error| panic!("{error}\n{}", system.logs()));
+    assert_eq!(outcome.status, 200);
+    system.until_backed().await;
+    assert_eq!(runs(&system).await, before + 1, "{}", system.logs());
+    system.assert_sound().await;
+}
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -122,6 +122,8 @@
     ORPHAN = 414 Warn "orphan_ended";
     /// An owner that began anew asked its backup to take a slot over.
     CEDED = 415 Info "slot_ceded";
+    /// The owner of a request ended a call or a stream without a word.
+    OWNER_LOST = 416 Info "owner_lost";
     /// A configuration is in force.
     ADOPTED = 501 Info "config_adopted";
     /// An older configuration was refused.
--- a/coltsfoothall/src/duty.rs
+++ b/coltsfoothall/src/duty.rs
@@ -7,12 +7,19 @@
 use crate::id;
 use crate::key::{Epoch, Slot};
 use crate::ledger::Ledger;
-use crate::slot::{Candidate, Entry, FIRST, Table};
+use crate::slot::{Candidate, Entry, FIRST, Move, Table};
 
 /// Most copies started in one round; it keeps a change of members from
 /// crowding out requests.
 pub const COPIES: usize = 32;
 
+/// Bytes of records in the slots that are moved at once, beyond the first few; it
+/// keeps moves from taking the bandwidth of requests: 5 MB/s at five rounds a second.
+pub const MOVED: usize = 1 << 20;
+
+/// Slots that are moved at once however large they are.
+const FEW: usize = 4;
+
 /// A step for one slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Duty {
@@ -110,10 +117,7 @@
 /// The duties of this instance, in the order in which they should be done.
 #[must_use]
 pub fn duties(sight: &Sight<'_>) -> Vec<Duty> {
-    let mut moves = sight.table.moves(sight.me, sight.live);
-    if !sight.service || !sight.settled {
-        moves.clear();
-    }
+    let moves = sight.moves();
     let mut duties = Vec::new();
     for (slot, entry) in sight.table.iter() {
         let next = if entry.primary == *sight.me {
@@ -126,9 +130,32 @@
         };
         duties.extend(next);
     }
+    if sight.service {
+        spread_backups(sight, &moves, &mut duties);
+    }
     bound_copies(duties)
 }
 
+/// Chooses backups so that those chosen in this round count for the next choice;
+/// else the one with the least copies would get them all.
+fn spread_backups(sight: &Sight<'_>, moves: &[Move], duties: &mut [Duty]) {
+    let moved = |slot: Slot| moves.iter().any(|step| step.slot == slot);
+    let mut planned = sight.table.clone();
+    for duty in duties {
+        let (slot, to) = match duty {
+            Duty::Name { slot, backup } => (*slot, backup.clone()),
+            Duty::Copy { slot, to } if !moved(*slot) => {
+                if let Some(best) = planned.backup_for(*slot, sight.live) {
+                    *to = best;
+                }
+                (*slot, to.clone())
+            }
+            _ => continue,
+        };
+        planned.entries[usize::from(slot.0)].backup = Some(to);
+    }
+}
+
 fn bound_copies(duties: Vec<Duty>) -> Vec<Duty> {
     let mut copies = 0;
     let mut keep = |duty: &Duty| {
@@ -139,6 +166,36 @@
 }
 
 impl Sight<'_> {
+    /// Slots that are to change hands now.
+    fn moves(&self) -> Vec<Move> {
+        if !self.service || !self.settled {
+            return Vec::new();
+        }
+        let mut moves = self.table.moves(self.me, self.live);
+        let mut bytes = 0;
+        let small = moves.iter().take_while(|step| {
+            bytes += self.ledger.size(step.slot);
+            bytes <= MOVED
+        });
+        let most = small.count().max(FEW);
+        moves.truncate(most);
+        let staying = self.live.iter().filter(|c| !c.leaving).count();
+        let fair = self.table.entries.len() / staying.max(1);
+        for step in &mut moves {
+            if let Some(copy) = self.copied(step.slot)
+                && self.table.primaries(copy) < fair
+            {
+                step.to = copy.clone();
+            }
+        }
+        // A slot that stands still is given away before others are copied.
+        let drained = |step: &Move| self.ledger.drained(step.slot);
+        if moves.iter().any(drained) {
+            moves.retain(drained);
+        }
+        moves
+    }
+
     fn alive(&self, instance: &id::Instance) -> bool {
         let found = self.live.binary_search_by(|c| c.instance.cmp(instance));
         found.is_ok()
@@ -218,12 +275,25 @@
         }
     }
 
+    /// Who has a whole copy of an owned slot that the table does not name, if it
+    /// may be named. It is kept to: the one with the least slots changes with each
+    /// table that others write, and a copy made for that one alone is often in vain.
+    fn copied(&self, slot: Slot) -> Option<&id::Instance> {
+        let learner = self.ledger.learner(slot)?;
+        let fits = self.staying(learner) && self.ledger.ready(slot, learner);
+        fits.then_some(learner)
+    }
+
     fn find_backup(&self, slot: Slot, entry: &Entry) -> Option<Duty> {
         let known = entry.backup.as_ref();
         if !self.service {
             return self.unbacked(slot, entry, known?);
         }
-        let backup = self.table.backup_for(slot, self.live)?;
+        let copied = self.copied(slot).filter(|copy| !self.near(copy));
+        let backup = match copied {
+            Some(copy) => copy.clone(),
+            None => self.table.backup_for(slot, self.live)?,
+        };
         if self.ledger.ready(slot, &backup) {
             return Some(Duty::Name { slot, backup });
         }
--- a/coltsfoothall/src/slot.rs
+++ b/coltsfoothall/src/slot.rs
@@ -14,9 +14,11 @@
 /// whole table stays under 64 KB, far from the service's limit of a megabyte.
 pub const SLOTS: u16 = 256;
 
-/// Most slots that one instance gives away in one table, so that copying
-/// never takes the bandwidth of requests.
-pub const MOVES: usize = 4;
+/// Most slots that one instance gives away in one table. A move takes three rounds
+/// of duties: a member that owned all 256 slots shared them out to five others in 6 s and
+/// 29 writes; at 4 it took 29 s and 142, each of which may stop another's write
+/// (measured). Their records are bounded apart, see [`crate::duty::MOVED`].
+pub const MOVES: usize = 32;
 
 /// Epoch of a first table's entries. The instances named there still claim
 /// them, since an instance that began anew could not tell otherwise whether it
--- a/coltsfoothall/src/status.rs
+++ b/coltsfoothall/src/status.rs
@@ -74,6 +74,11 @@
         Bytes(bytes as u64)
     }
 
+    /// Bytes of a slot's records.
+    pub(crate) fn size(&self, slot: Slot) -> usize {
+        self.replica(slot).map_or(0, |replica| replica.bytes)
+    }
+
     /// Changes that took effect without a second copy.
     #[must_use]
     pub fn alone(&self) -> u64 {
--- a/coltsfoothall/tests/duty.rs
+++ b/coltsfoothall/tests/duty.rs
@@ -3,11 +3,13 @@
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use coltsfoothall::clock::Time;
-use coltsfoothall::duty::{Duty, Missing, Sight, duties};
+use coltsfoothall::duty::{Duty, MOVED, Missing, Sight, duties};
 use coltsfoothall::id;
-use coltsfoothall::key::Slot;
+use coltsfoothall::key::{Key, Slot};
 use coltsfoothall::ledger::{Ledger, Life, Settings};
+use coltsfoothall::record::{Class, Intake, Name, Work};
 use coltsfoothall::replica::{Chunk, Taken};
+use coltsfoothall::size::Millis;
 use coltsfoothall::slot::{Candidate, Refused, Table};
 
 const NOW: Time = Time::START;
@@ -363,3 +365,98 @@
     world.a.go_alone(SLOT);
     assert!(world.a.serving(SLOT));
 }
+
+/// A copy that is whole is named, also when another instance has fewer by now.
+#[test]
+fn copy_kept() {
+    let mut world = World::new();
+    let mut all = live(&["a", "b", "c", "d"]);
+    all[1].domain = all[0].domain.clone();
+    let first = world.duties("a", &all, &[]);
+    let [Duty::Copy { to, .. }] = &first[..] else {
+        panic!("{first:?}");
+    };
+    let other = if *to == name("c") { "d" } else { "c" };
+    let mut peer = ledger(other, 0);
+    for chunk in world.a.export(NOW, SLOT, &name(other)).unwrap() {
+        if let Taken::Whole(whole) = peer.import(NOW, chunk) {
+            world.a.copied(SLOT, &name(other), whole).unwrap();
+        }
+    }
+    let backup = name(other);
+    let named = Duty::Name { slot: SLOT, backup };
+    assert_eq!(world.duties("a", &all, &[]), [named]);
+}
+
+/// Slots that `a` moves at once to `b`, which backs all 64 of them up.
+fn moved(body: usize) -> usize {
+    let me = name("a");
+    let all = live(&["a", "b"]);
+    let mut table = Table::first(64, &all[..1]).unwrap();
+    let mut owner = Ledger::new(me.clone(), Settings::default());
+    let mut backup = Ledger::new(name("b"), Settings::default());
+    for step in 0..2 {
+        let mut changed = Vec::new();
+        for (slot, entry) in table.iter() {
+            let next = match step {
+                0 => table.claim(slot, entry.epoch, &me),
+                _ => table.replace_backup(slot, entry.epoch, &me, Some(name("b"))),
+            };
+            let next = next.unwrap();
+            let entry = next.entry(slot).unwrap().clone();
+            owner.propose(slot, table.version, entry).unwrap();
+            changed.push(next);
+        }
+        table = table.merge(&changed);
+        owner.observe(NOW, &table);
+        backup.observe(NOW, &table);
+        for (slot, epoch) in table.claimed().filter(|_| step == 0) {
+            let key = Key::mint(slot, epoch, 1);
+            owner.begin(NOW, intake(key, body), slot).unwrap();
+            for chunk in owner.export(NOW, slot, &name("b")).unwrap() {
+                if let Taken::Whole(whole) = backup.import(NOW, chunk) {
+                    owner.copied(slot, &name("b"), whole).unwrap();
+                }
+            }
+        }
+    }
+    let sight = Sight {
+        me: &me,
+        table: &table,
+        ledger: &owner,
+        live: &all,
+        missing: &[],
+        leaving: false,
+        service: true,
+        settled: true,
+    };
+    duties(&sight).len()
+}
+
+fn intake(key: Key, body: usize) -> Intake {
+    Intake {
+        name: Name {
+            workspace: "w".parse().unwrap(),
+            key,
+        },
+        service: "s".parse().unwrap(),
+        work: Work::Call {
+            method: "PUT".into(),
+            path: "/".into(),
+            headers: Vec::new(),
+            body: vec![0; body].into(),
+        },
+        idempotent: true,
+        class: Class::default(),
+        deadline: Millis(60_000),
+    }
+}
+
+/// A member that has too many slots gives many small ones away at once, and few large ones.
+#[test]
+fn moved_by_size() {
+    assert_eq!(moved(100), 32);
+    let some = moved(MOVED / 10);
+    assert!((5..=10).contains(&some), "{some}");
+    assert_eq!(moved(MOVED / 4), 4);
+}
