What may run once does not begin any more at an owner that leaves

Cause: the desk refuses non-idempotent requests that come after the stop began, but what it took in before waits for its place at the gate in its relay's pick, after its record was begun (Message::Admit is answered at once, with a number, also when the request is queued). When a place became free, nothing looked again: the request was sent on, kept its slot from being handed over, and could be cut with an unknown outcome.

Ruled out: that `follow` waits at the gate between `takes` and `open`. It waits for one answer of the control thread only, so a second look there would leave the fault in place.

Change: the control thread, which alone knows both the place and the stop, looks when it chooses an endpoint: a non-idempotent request is given up as not run (not_safe, come back after 200 ms, as for a slot that changes its owner), and its place goes to the next. This covers the moment between `takes` and `open` too, as Leave and Pick come to the same thread. Idempotent requests begin as before. What still waits when its slot is handed over goes with the slot.

--- a/coltsfoothall-entry/src/control.rs
+++ b/coltsfoothall-entry/src/control.rs
@@ -261,6 +261,7 @@
             }
             Message::Leave => {
                 self.leaving = true;
+                self.dispatch.leave();
                 self.beat();
             }
         }
--- a/coltsfoothall-entry/src/dispatch.rs
+++ b/coltsfoothall-entry/src/dispatch.rs
@@ -27,6 +27,7 @@
 use crate::endpoint::Ended;
 pub use crate::pick::{Pick, ticket};
 use crate::queue::{Queue, Waiting};
+use crate::refusal::COME_BACK;
 use crate::retries::Retries;
 use crate::room::Rooms;
 
@@ -52,6 +53,8 @@
     queue: Queue,
     attempts: Attempts,
     random: Pcg64Mcg,
+    /// Whether this instance is leaving.
+    leaving: bool,
 }
 
 impl Dispatch {
@@ -73,6 +76,7 @@
             queue: Queue::default(),
             attempts: Attempts::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
+            leaving: false,
         }
     }
 
@@ -86,6 +90,11 @@
         &mut self.judge
     }
 
+    /// This instance is leaving: from now on no non-idempotent request begins.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     /// Takes the list of endpoints.
     pub fn set_endpoints(&mut self, endpoints: Vec<Endpoint>) {
         self.rooms.set(&endpoints);
@@ -316,6 +325,12 @@
     }
 
     fn choose(&mut self, now: Time, waiting: Waiting) {
+        // Its slot could not be handed over while it runs, and it would be cut off
+        // with an unknown outcome. The desk refuses only what comes after the stop began;
+        // this was taken in before and waited at the gate.
+        if self.leaving && !waiting.pick.idempotent {
+            return self.stop(now, &waiting, not_safe());
+        }
         let alone = match self.judge.verdict(now, waiting.pick.print) {
             suspicion::Verdict::Poisonous => return self.stop(now, &waiting, Input::Poisoned),
             suspicion::Verdict::Later => return self.stop(now, &waiting, no_pick(LATER)),
@@ -378,6 +393,14 @@
     }
 }
 
+/// For a request that may run once and has not begun.
+fn not_safe() -> Input {
+    Input::GivenUp {
+        cause: Cause::NotSafe,
+        retry_after: COME_BACK.duration(),
+    }
+}
+
 fn refused(refusal: Refusal) -> Input {
     Input::GivenUp {
         cause: refusal.cause,
--- a/coltsfoothall-entry/src/pick.rs
+++ b/coltsfoothall-entry/src/pick.rs
@@ -30,6 +30,8 @@
     pub exclude: Vec<id::Endpoint>,
     /// The marks of its content.
     pub print: Print,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
     model: Option<id::Model>,
     blocks: Vec<Block>,
     prompt: Tokens,
@@ -55,6 +57,7 @@
             attempt,
             exclude,
             print,
+            idempotent: intake.idempotent,
             model: None,
             blocks: Vec::new(),
             prompt: Tokens(1),
--- a/coltsfoothall-entry/src/refusal.rs
+++ b/coltsfoothall-entry/src/refusal.rs
@@ -8,7 +8,7 @@
 use coltsfoothall_wire::header;
 
 /// When to come back while a slot changes its owner.
-const COME_BACK: Millis = Millis(200);
+pub(crate) const COME_BACK: Millis = Millis(200);
 /// When to come back while the ledger is full.
 const FULL: Millis = Millis(1000);
 
--- a/coltsfoothall-entry/tests/dispatch.rs
+++ b/coltsfoothall-entry/tests/dispatch.rs
@@ -41,6 +41,8 @@
     callers: Vec<Caller>,
     now: Time,
     next: u64,
+    /// Whether requests may run more than once.
+    idempotent: bool,
 }
 
 fn endpoint(at: usize) -> Endpoint {
@@ -73,6 +75,7 @@
             callers: Vec::new(),
             now: Time::START,
             next: 1,
+            idempotent: true,
         }
     }
 
@@ -95,7 +98,7 @@
             } else {
                 Class::Interactive
             },
-            idempotent: true,
+            idempotent: self.idempotent,
             deadline: Millis(20_000),
             work: Work::Completion {
                 model: "rights-1".parse().unwrap(),
@@ -316,3 +319,29 @@
         assert_eq!(world.dispatch.judge().running(), 0, "seed {seed}");
     }
 }
+
+/// What waits for a place that becomes free when the instance is leaving.
+#[test]
+fn leaving_begins() {
+    for idempotent in [true, false] {
+        let mut world = World {
+            idempotent,
+            ..World::new(7)
+        };
+        while world.dispatch.waiting() == 0 {
+            world.arrive();
+            world.hear();
+        }
+        world.dispatch.leave();
+        let mut running = world.dispatch.running();
+        while world.dispatch.waiting() > 0 {
+            let runs = |caller: &Caller| !caller.running.is_empty();
+            let at = world.callers.iter().position(runs).unwrap();
+            world.over(at);
+            running -= 1;
+            world.hear();
+        }
+        let begun = world.dispatch.running() > running;
+        assert_eq!(begun, idempotent);
+    }
+}
