Watches are sent again once the store answers after a silence

Cause: a watch waits at the store for 25 s, and one that was lost looks like one that waits. While the store takes calls and answers none, an instance that rests between two watches sends the next one into the silence; for up to 25 s it then hears of no endpoint that leaves, of no configuration and no member.

Ruled out: the rests between watches (1.4 s here; all instances had the same news within 1.5 s of each other before the silence), the connection's probes (it lives), the store's history (its 410 came to the watches that had been waiting already).

Change: renewals of the instance's registration, each 2 s and answered at once, show a silence and its end (health.rs); at the end all watches are sent again, and endpoints that lapsed meanwhile get their two seconds. A silence shorter than 2 s may fall between an instance's renewals; others tell it then.

--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -13,7 +13,7 @@
 use crate::orders::Buyer;
 use crate::state::State;
 use crate::time;
-use crate::watch::{LEADER, MEMBER};
+use crate::watch::{self, LEADER, MEMBER};
 
 /// Term of a registration; a killed instance counts as a member for so long at most.
 const TERM: Duration = Duration::from_secs(6);
@@ -34,6 +34,7 @@
 pub async fn register(state: Rc<State>) {
     let mut lease = None;
     while !state.stopping.is_cancelled() {
+        let asked = state.now();
         let outcome = match lease {
             Some(lease) => state.border.renew(lease).await,
             None => match enter(&state).await {
@@ -44,6 +45,11 @@
                 Err(error) => Err(error),
             },
         };
+        watch::note(
+            &state,
+            asked,
+            matches!(outcome, Ok(()) | Err(Error::Missing(_))),
+        );
         let wait = match outcome {
             Ok(()) => RENEW,
             Err(Error::Missing(_)) => {
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dispatch;
 pub mod duty;
 pub mod gossip;
+pub mod health;
 pub mod intake;
 pub mod kept;
 pub mod listen;
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -27,6 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::border::{Border, Item};
+use crate::health::Health;
 use crate::kept::Pool;
 use crate::retries::Retries;
 use crate::settings::Settings;
@@ -111,6 +112,8 @@
     pub leader: RefCell<Leader>,
     /// Registrations of endpoints as they were read, for instances that lack them.
     pub listed: RefCell<Vec<Item>>,
+    /// Whether the store answers.
+    pub health: Health,
     /// Evidence against requests that crash endpoints.
     pub docket: RefCell<Docket>,
     attempts: Cell<u64>,
@@ -157,6 +160,7 @@
             peers: RefCell::new(Peers::new(name.clone(), peer::Settings::default())),
             leader: RefCell::new(Leader::new(settings.bounds.lease.duration())),
             listed: RefCell::default(),
+            health: Health::default(),
             docket: RefCell::new(Docket::new(suspicion::Settings::default())),
             attempts: Cell::new(boot),
             open: Cell::new(0),
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfoothall::clock::Time;
 use coltsfoothall::forward::peer::{Profile, TOGETHER};
 use coltsfoothall::id;
 use coltsfoothall::turn;
@@ -51,14 +52,20 @@
 
 /// Follows one part of the store for as long as the process runs.
 pub async fn follow(state: Rc<State>, realm: Realm, rest: Duration) {
-    let mut lost: Option<coltsfoothall::clock::Time> = None;
+    let mut lost: Option<Time> = None;
     let mut after: Option<u64> = None;
     let mut pause = PAUSE;
     loop {
         let asked = state.now();
-        let outcome = match after {
-            None => state.border.list(realm).await,
-            Some(after) => state.border.watch(realm, after).await,
+        let call = async {
+            match after {
+                None => state.border.list(realm).await,
+                Some(after) => state.border.watch(realm, after).await,
+            }
+        };
+        let outcome = tokio::select! {
+            outcome = call => outcome,
+            () = state.health.back() => continue,
         };
         match outcome {
             Ok(listing) => {
@@ -98,6 +105,24 @@
     }
 }
 
+/// Notes whether the store answered a call, made then, whose answer was due at once.
+pub fn note(state: &State, asked: Time, answered: bool) {
+    if !answered {
+        state.health.failed(asked);
+        return;
+    }
+    let Some(away) = state.health.answered(state.now()) else {
+        return;
+    };
+    event::STORE.emit(format_args!(
+        "realm=all state=back away_ms={}",
+        away.as_millis()
+    ));
+    if away > AWAY {
+        state.store_returned();
+    }
+}
+
 /// How long an instance of a large fleet rests. What one reads in its rest the others have
 /// told it, and each call is paid for: a fleet of 64 made 5,900 in 76 s.
 fn longer(state: &State, realm: Realm, rest: Duration) -> Duration {
