--- a/coltsfoothall/tests/ledger.rs
+++ b/coltsfoothall/tests/ledger.rs
@@ -41,6 +41,25 @@
     }
 }
 
+/// An end that was told is lost: "i0 lost ... of epoch 8", and "of epoch 3".
+#[test]
+fn stale_copy() {
+    for seed in [201_867, 271_564] {
+        let mut world = World::new(seed);
+        world.run(1500);
+        world.settle();
+    }
+}
+
+/// A request runs after it was told "not run": "k:0:a:cbc61683b9be2cd8 ran after it was
+/// told not run".
+#[test]
+fn doubt_passed_on() {
+    let mut world = World::new(265_705);
+    world.run(1500);
+    world.settle();
+}
+
 #[test]
 fn many_seeds() {
     let mut told = [0; 3];
