--- a/coltsfoothall/tests/copies.rs
+++ b/coltsfoothall/tests/copies.rs
@@ -7,7 +7,7 @@
 
 use coltsfoothall::ledger::{Begin, Ledger, Life, Settings};
 use coltsfoothall::record::{Change, Intake};
-use coltsfoothall::replica::{Seq, Taken};
+use coltsfoothall::replica::Seq;
 use pair::{SLOT, World, intake};
 
 /// A world whose backup was named, and whose process is then gone.
@@ -34,35 +34,6 @@
     world.a.change(world.now, SLOT, name, sent).unwrap().seq
 }
 
-/// `a` copies the slot to `b` as it is now.
-fn copy(world: &mut World) {
-    let [a, b] = world.names.clone();
-    for chunk in world.a.export(world.now, SLOT, &b).unwrap() {
-        if let Taken::Whole(whole) = world.b.import(world.now, chunk) {
-            let missing = world.a.copied(SLOT, &b, whole).unwrap().unwrap();
-            for update in missing {
-                let epoch = update.epoch;
-                let ack = world.b.receive(world.now, &a, update).unwrap();
-                world.a.acked(SLOT, epoch, &b, ack).unwrap();
-            }
-        }
-    }
-}
-
-/// `a` names `b` in the table.
-fn name(world: &mut World) {
-    let [a, b] = world.names.clone();
-    let epoch = world.table.entry(SLOT).unwrap().epoch;
-    let named = world
-        .table
-        .replace_backup(SLOT, epoch, &a, Some(b))
-        .unwrap();
-    let entry = named.entry(SLOT).unwrap().clone();
-    world.a.propose(SLOT, world.table.version, entry).unwrap();
-    world.table = named;
-    world.read();
-}
-
 /// The process that held the backup may have taken the slot over before it went. What its
 /// successor acknowledges lets idempotent work go on; a call that may run once waits for the table.
 #[test]
@@ -71,11 +42,11 @@
     let once = intake("once", false);
     let often = intake("often", true);
     let (sent, repeated) = (send(&mut world, &once), send(&mut world, &often));
-    copy(&mut world);
+    world.copy();
     assert!(!world.leaves(&once, sent));
     assert!(world.leaves(&often, repeated));
     assert_eq!(world.begin(&intake("late", false)), Begin::NotSafe);
-    name(&mut world);
+    world.name(Some(1));
     assert!(world.leaves(&once, sent));
 }
 
@@ -85,7 +56,7 @@
     let mut world = successor();
     let once = intake("once", false);
     let sent = send(&mut world, &once);
-    copy(&mut world);
+    world.copy();
     world.a.drain(SLOT);
     let (heir, word) = world.a.hand_over(SLOT).unwrap();
     assert_eq!(heir, world.names[1]);
--- a/coltsfoothall/tests/denial.rs
+++ b/coltsfoothall/tests/denial.rs
@@ -190,3 +190,38 @@
     world.read();
     assert!(!world.leaves(&request, step.seq));
 }
+
+/// An owner that is in doubt of a key's idempotent work hands its slot over in the table:
+/// the new owner, which knows less, may not tell "not run" for the key either.
+#[test]
+fn doubt_handed_over() {
+    let mut world = World::new();
+    world.back_up();
+    // The backup may have sealed its copy and worked on alone.
+    world.name(None);
+    world.copy();
+    world.hand_over();
+    let late = intake("late", true);
+    let begun = world.b.begin(world.now, late.clone(), SLOT);
+    assert!(matches!(begun, Ok(Begin::New(_))));
+    let end = Change::End(NOT_RUN);
+    let refused = world.b.change(world.now, SLOT, late.name.clone(), end);
+    assert_eq!(refused, Err(Error::NotSafe(late.name)));
+}
+
+/// The same, if the owner comes into doubt after the copy was made.
+#[test]
+fn doubt_after_copy() {
+    let mut world = World::new();
+    world.back_up();
+    world.copy();
+    world.name(Some(1));
+    world.b.observe(world.now, &world.table);
+    world.hand_over();
+    let late = intake("late", true);
+    let begun = world.b.begin(world.now, late.clone(), SLOT);
+    assert!(matches!(begun, Ok(Begin::New(_))));
+    let end = Change::End(NOT_RUN);
+    let refused = world.b.change(world.now, SLOT, late.name.clone(), end);
+    assert_eq!(refused, Err(Error::NotSafe(late.name)));
+}
--- a/coltsfoothall/tests/pair/mod.rs
+++ b/coltsfoothall/tests/pair/mod.rs
@@ -69,19 +69,51 @@
 
     /// `a` copies the slot to `b` and names it.
     pub fn back_up(&mut self) {
+        self.copy();
+        self.name(Some(1));
+        self.b.observe(self.now, &self.table);
+    }
+
+    /// `a` copies the slot to `b` as it is now.
+    pub fn copy(&mut self) {
         let [a, b] = self.names.clone();
         for chunk in self.a.export(self.now, SLOT, &b).unwrap() {
             if let Taken::Whole(whole) = self.b.import(self.now, chunk) {
-                self.a.copied(SLOT, &b, whole).unwrap().unwrap();
+                for update in self.a.copied(SLOT, &b, whole).unwrap().unwrap() {
+                    let epoch = update.epoch;
+                    let ack = self.b.receive(self.now, &a, update).unwrap();
+                    self.a.acked(SLOT, epoch, &b, ack).unwrap();
+                }
             }
         }
+    }
+
+    /// `a` names another backup in the table, or none.
+    pub fn name(&mut self, backup: Option<usize>) {
+        let backup = backup.map(|at| self.names[at].clone());
         let epoch = self.table.entry(SLOT).unwrap().epoch;
-        let named = self.table.replace_backup(SLOT, epoch, &a, Some(b)).unwrap();
-        let entry = named.entry(SLOT).unwrap().clone();
+        let named = self
+            .table
+            .replace_backup(SLOT, epoch, &self.names[0], backup);
+        self.write(named.unwrap());
+    }
+
+    /// `a` hands the slot to `b` in the table.
+    pub fn hand_over(&mut self) {
+        let [a, b] = self.names.clone();
+        self.a.drain(SLOT);
+        let epoch = self.table.entry(SLOT).unwrap().epoch;
+        let given = self.table.hand_over(SLOT, epoch, &a, &b).unwrap();
+        self.write(given);
+        self.b.observe(self.now, &self.table);
+    }
+
+    /// `a` writes the table and reads it.
+    fn write(&mut self, table: Table) {
+        let entry = table.entry(SLOT).unwrap().clone();
         self.a.propose(SLOT, self.table.version, entry).unwrap();
-        self.table = named;
+        self.table = table;
         self.read();
-        self.b.observe(self.now, &self.table);
     }
 
     /// `b` claims the slot although `a` lives.
