Doubt of idempotent work goes with the slot

Cause: an owner that took a slot over, or whose backup lost its role, knows that idempotent work of older keys may have been done without it, and tells no "not run" for them. It kept that for itself: a copy that it sent, and whoever it handed the slot to in the table, did not know. Ruled out: stale_owner (no process of a backup is involved), the wait of a claimant (the slot was not claimed). Change: Entry::sure, beside cold, says in the table since when all idempotent work is known. It rises with a takeover, with a backup that is replaced, and with a hand-over that leaves a third instance out; every holder of a copy reads it. A copy is sent with its owner's doubt, and an owner whose backup resigned gives up a copy that was made before.

--- a/coltsfoothall/src/copy.rs
+++ b/coltsfoothall/src/copy.rs
@@ -96,6 +96,15 @@
     pub unsure: bool,
 }
 
+/// Keys whose idempotent work a copy may not know all of, as it is told to another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unsure {
+    /// Keys minted before this epoch, and all that callers chose.
+    pub before: Epoch,
+    /// Time since it is so.
+    pub age: Millis,
+}
+
 /// A piece of a whole copy of a slot.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
@@ -119,6 +128,8 @@
     pub cold: Epoch,
     /// Time since the slot went cold.
     pub cold_age: Option<Millis>,
+    /// Keys whose idempotent work the sender may not know all of.
+    pub doubt: Option<Unsure>,
     /// Records, sorted by name.
     pub rows: Vec<Row>,
     /// Stubs, sorted by hash.
--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -14,7 +14,7 @@
 use crate::record::{Cause, Change, End, Name, Record};
 
 pub use crate::copy::{
-    Ack, Broken, Chunk, Holder, Life, Row, Seq, Step, Stub, Taken, Update, Whole,
+    Ack, Broken, Chunk, Holder, Life, Row, Seq, Step, Stub, Taken, Unsure, Update, Whole,
 };
 
 /// Another copy, as the owner sees it.
--- a/coltsfoothall/src/slot.rs
+++ b/coltsfoothall/src/slot.rs
@@ -36,6 +36,9 @@
     pub epoch: Epoch,
     /// Epoch since which the ledger is complete; older keys may be lost.
     pub cold: Epoch,
+    /// Epoch since which all idempotent work is known: a backup that lost its role, or took
+    /// the slot over, may have carried older keys on without the owner, or the owner without it.
+    pub sure: Epoch,
 }
 
 /// The whole table.
@@ -94,6 +97,17 @@
     }
 }
 
+impl Entry {
+    /// `sure` of the next entry, in which this backup has lost its role: it may have sealed
+    /// its copy and carried idempotent work on.
+    fn sure_without(&self, backup: Option<&id::Instance>) -> Epoch {
+        match backup {
+            Some(_lost) => self.epoch.next(),
+            None => self.sure,
+        }
+    }
+}
+
 impl Table {
     /// The first table, made by whoever finds none. Slots begin without
     /// backups: a backup is named only once it holds a copy.
@@ -110,6 +124,7 @@
             backup: None,
             epoch: FIRST,
             cold: FIRST,
+            sure: FIRST,
         };
         Ok(Self {
             version: 1,
@@ -154,6 +169,7 @@
                 backup: None,
                 epoch: next,
                 cold: next,
+                sure: next,
             },
         ))
     }
@@ -174,6 +190,7 @@
                 backup: None,
                 epoch: entry.epoch.next(),
                 cold: entry.cold,
+                sure: entry.epoch.next(),
             },
         ))
     }
@@ -203,6 +220,7 @@
                 backup,
                 epoch: entry.epoch.next(),
                 cold: entry.cold,
+                sure: entry.sure_without(entry.backup.as_ref()),
             },
         ))
     }
@@ -233,6 +251,7 @@
                 backup: Some(by.clone()),
                 epoch: entry.epoch.next(),
                 cold: entry.cold,
+                sure: entry.sure_without(entry.backup.as_ref().filter(|old| *old != to)),
             },
         ))
     }
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -196,6 +196,8 @@
             let lost = owner.backup.take_if(|link| link.peer == *backup);
             // Another process than the one that held it cannot speak for that.
             owner.contested |= lost.is_some_and(|link| link.holder.life != life);
+            // A copy that was made before does not know of the doubt.
+            owner.learner = None;
             owner.release(replica.seq);
             self.awaited = true;
         }
@@ -334,14 +336,15 @@
             return;
         }
         let fresh = entry.cold == entry.epoch;
-        let backed = replica.backed();
-        match replica.follow(entry, &me, life, proposed) {
-            Follow::Kept if backed => replica.doubt(now, entry.epoch),
+        let follow = replica.follow(entry, &me, life, proposed);
+        if entry.sure > replica.sure() {
+            replica.doubt(now, entry.sure);
+        }
+        match follow {
             Follow::Kept => {}
             Follow::Owns => events.push(Event::Owns(slot)),
             Follow::Backs => events.push(Event::Backs(slot)),
             Follow::TookOver => {
-                replica.doubt(now, entry.epoch);
                 events.push(Event::Owns(slot));
                 self.end_orphans(now, slot, events);
             }
@@ -490,6 +493,11 @@
         }
     }
 
+    /// The epoch since which this copy knows all idempotent work.
+    pub(crate) fn sure(&self) -> Epoch {
+        self.doubt.map_or(self.cold, |doubt| doubt.before)
+    }
+
     /// Whether the owner here has a backup. Any may have sealed its copy and worked on
     /// alone, also one that holds all changes: its owner hears of it with the next only.
     fn backed(&self) -> bool {
--- a/coltsfoothall/src/transfer.rs
+++ b/coltsfoothall/src/transfer.rs
@@ -9,8 +9,8 @@
 use crate::key::Slot;
 use crate::ledger::Ledger;
 use crate::replica::{
-    Broken, Chunk, Copying, Holder, Item, Link, Mark, Replica, Role, Row, Seq, Source, Stub, Taken,
-    Update, Whole, Word,
+    Broken, Chunk, Copying, Doubt, Holder, Item, Link, Mark, Replica, Role, Row, Seq, Source, Stub,
+    Taken, Unsure, Update, Whole, Word,
 };
 use crate::size::Millis;
 
@@ -229,6 +229,9 @@
         let overtaken = new.follows(have) && self.seq > other.seq;
         if overtaken {
             self.source.clone_from(&other.source);
+            if let Some(doubt) = other.doubt.filter(|doubt| doubt.before > self.sure()) {
+                self.doubt(doubt.since, doubt.before);
+            }
         }
         overtaken
     }
@@ -253,6 +256,10 @@
         let primary = chunk.from.clone();
         let mut replica = Replica::new(chunk.slot, chunk.epoch, Role::Learner { primary });
         replica.source = Some(source.clone());
+        replica.doubt = chunk.doubt.map(|doubt| Doubt {
+            before: doubt.before,
+            since: now - doubt.age.duration(),
+        });
         replica.seq = chunk.seq;
         replica.cold = chunk.cold;
         replica.cold_since = chunk.cold_age.map(|age| now - age.duration());
@@ -326,6 +333,10 @@
         seq: replica.seq,
         cold: replica.cold,
         cold_age: replica.cold_since.map(age),
+        doubt: replica.doubt.map(|doubt| Unsure {
+            before: doubt.before,
+            age: age(doubt.since),
+        }),
         rows: Vec::new(),
         stubs: Vec::new(),
     };
--- a/coltsfoothall/tests/ledger.rs
+++ b/coltsfoothall/tests/ledger.rs
@@ -66,6 +66,14 @@
 
 /// A request runs after it was told "not run": "k:0:a:cbc61683b9be2cd8 ran after it was
 /// told not run".
+///
+/// Not the cause of `stale_owner`: the doubt of an owner went no further than itself. i1 takes
+/// slot 0 over at step 1,170; the owner before, i0, carries idempotent work on alone and sends
+/// the request at 1,173, late enough to run at 1,314. i1 knows that it may not know all of its
+/// keys, and hands the slot to i2 in the table at 1,211. i2 took the request in at 1,230 as one
+/// that nobody could have run, and told "not run" at 1,270. The table holds since when all
+/// idempotent work is known, and a copy is sent with its owner's doubt
+/// ([`Entry::sure`](coltsfoothall::slot::Entry::sure)).
 #[test]
 fn doubt_passed_on() {
     let mut world = World::new(265_705);
