--- a/coltsfoothall/tests/copies.rs
+++ b/coltsfoothall/tests/copies.rs
@@ -93,3 +93,27 @@
     world.b.observe(world.now, &given);
     assert_eq!(world.b.resign(SLOT, epoch), None);
 }
+
+/// A backup that sealed its copy and worked on alone becomes the owner by the table, with the
+/// owner before as its backup. What it did alone is held by no other copy.
+#[test]
+fn own_changes_kept() {
+    let mut world = World::new();
+    world.back_up();
+    world.give_away();
+    world.b.seal(SLOT);
+    let often = intake("often", true);
+    let Ok(Begin::New(accepted)) = world.b.begin(world.now, often.clone(), SLOT) else {
+        panic!("it is not new");
+    };
+    world.b.observe(world.now, &world.table);
+    assert!(world.b.released(SLOT) < Some(accepted.seq));
+    let [a, b] = world.names.clone();
+    for update in world.b.resend(SLOT, &a) {
+        let epoch = update.epoch;
+        let ack = world.a.receive(world.now, &b, update).unwrap();
+        world.b.acked(SLOT, epoch, &a, ack).unwrap();
+    }
+    assert_eq!(world.b.released(SLOT), Some(accepted.seq));
+    assert!(world.a.record(SLOT, &often.name).is_some());
+}
--- a/coltsfoothall/tests/ledger.rs
+++ b/coltsfoothall/tests/ledger.rs
@@ -81,6 +81,17 @@
     world.settle();
 }
 
+/// An end that was told is lost: "i2 lost w/own-cb1f2dc4db693915 of epoch 10", "i0 lost
+/// w/k:1:7:720baca20aad6022 of epoch 8".
+#[test]
+fn parted_owner() {
+    for seed in [134_909, 192_979] {
+        let mut world = World::new(seed);
+        world.run(1500);
+        world.settle();
+    }
+}
+
 #[test]
 fn many_seeds() {
     let mut told = [0; 3];
--- a/coltsfoothall/tests/pair/mod.rs
+++ b/coltsfoothall/tests/pair/mod.rs
@@ -98,14 +98,19 @@
         self.write(named.unwrap());
     }
 
-    /// `a` hands the slot to `b` in the table.
+    /// `a` hands the slot to `b` in the table, and `b` reads it.
     pub fn hand_over(&mut self) {
+        self.give_away();
+        self.b.observe(self.now, &self.table);
+    }
+
+    /// `a` hands the slot to `b` in the table.
+    pub fn give_away(&mut self) {
         let [a, b] = self.names.clone();
         self.a.drain(SLOT);
         let epoch = self.table.entry(SLOT).unwrap().epoch;
         let given = self.table.hand_over(SLOT, epoch, &a, &b).unwrap();
         self.write(given);
-        self.b.observe(self.now, &self.table);
     }
 
     /// `a` writes the table and reads it.
