What a sealed backup did alone is sent to the backup that the table gives it

Symptom: an end that was told is lost (parted_owner). Cause: a backup that had sealed its copy and carried idempotent work on alone may then read that its owner handed it the slot in the table, with itself as backup. It took all of its own changes for held by that backup, so ends were told as kept by two and were kept by one; the backup was never sent them either. Ruled out: an acknowledgement of another process (none was given).

--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -135,8 +135,8 @@
     pub(crate) told: bool,
     /// An owner that makes no more changes, to hand over.
     pub(crate) draining: bool,
-    /// A sealed backup that made changes of its own.
-    pub(crate) parted: bool,
+    /// Changes that a sealed backup made of its own; no other copy holds them.
+    pub(crate) parted: Vec<Update>,
     /// Whose records a backup's or learner's copy follows; none at an owner.
     pub(crate) source: Option<Source>,
     pub(crate) seq: Seq,
@@ -223,7 +223,7 @@
             yielded: false,
             told: false,
             draining: false,
-            parted: false,
+            parted: Vec::new(),
             source: None,
             seq: Seq(0),
             items: Vec::new(),
@@ -353,7 +353,7 @@
                 }
                 owner.release(seq);
             }
-            Role::Backup { .. } | Role::Learner { .. } => self.parted = true,
+            Role::Backup { .. } | Role::Learner { .. } => self.parted.push(update.clone()),
         }
         let released = self.may_leave(&update.name, seq);
         Step {
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -405,9 +405,17 @@
 }
 
 impl Replica {
-    /// Becomes the owner with the given backup, which holds the same.
+    /// Becomes the owner with the given backup, which holds the same but for the changes
+    /// that this copy made while it was sealed.
     fn own(&mut self, me: Life, backup: Option<id::Instance>) {
-        let acked = if self.parted { Seq(0) } else { self.seq };
+        let mut unacked = std::mem::take(&mut self.parted);
+        if backup.is_none() {
+            unacked.clear();
+        }
+        for update in &mut unacked {
+            update.epoch = self.epoch;
+        }
+        let acked = Seq(self.seq.0 - unacked.len() as u64);
         let source = self.source.take();
         let backup = backup.zip(source).map(|(peer, source)| {
             let (life, owner) = (source.life, me);
@@ -420,14 +428,14 @@
         });
         self.role = Role::Owner(Owner {
             backup,
-            released: self.seq,
+            unacked,
+            released: acked,
             ..Owner::default()
         });
         self.sealed = false;
         self.yielded = false;
         self.told = false;
         self.draining = false;
-        self.parted = false;
     }
 
     /// Follows a newer entry of the table.
@@ -474,7 +482,7 @@
                 Follow::Owns
             }
             Role::Backup { primary } | Role::Learner { primary }
-                if backing && entry.primary == *primary && !self.parted =>
+                if backing && entry.primary == *primary && self.parted.is_empty() =>
             {
                 self.back(entry);
                 Follow::Backs
--- a/coltsfoothall/tests/ledger.rs
+++ b/coltsfoothall/tests/ledger.rs
@@ -83,6 +83,12 @@
 
 /// An end that was told is lost: "i2 lost w/own-cb1f2dc4db693915 of epoch 10", "i0 lost
 /// w/k:1:7:720baca20aad6022 of epoch 8".
+///
+/// Cause: in 134,909 i2 hands slot 1 to i1 in the table at step 1,309. i1 has not read that; it
+/// seals its copy at 1,334 and carries idempotent work on alone. At 1,471 it reads that it is
+/// the owner, with i2 as its backup, and took all that it had done alone for held by i2: the end
+/// that it told at 1,482 was lost with i1. In 192,979 the same between steps 866 and 1,007. Such
+/// changes are sent to the backup now, and count once it holds them.
 #[test]
 fn parted_owner() {
     for seed in [134_909, 192_979] {
