A claimed slot takes older keys in at once, and holds them back

Change: such a request is recorded, gets its second copy and waits there; only its first attempt is held back, by the same 1.5 s. The look lets go what ripened in the same round.

--- a/coltsfoothall-entry/src/control.rs
+++ b/coltsfoothall-entry/src/control.rs
@@ -135,8 +135,8 @@
         self.slots.look(now, &self.members, self.leaving);
         let taken = self.slots.take_back(now);
         self.node.desk.adopt(&self.node, taken);
-        self.node.desk.flush_all();
         self.node.desk.with_ledger(|ledger| ledger.retire(now));
+        self.node.desk.flush_all();
         self.look_at_endpoints(now);
         self.gauge();
     }
--- a/coltsfoothall/src/denial.rs
+++ b/coltsfoothall/src/denial.rs
@@ -3,7 +3,7 @@
 //! Others than its owner can run it: a sealed backup, and whoever claims the slot while
 //! the owner still lives. So its "not run" leaves only once each copy that may run it
 //! holds it, and a read of the table that began after that still named this owner.
-//! Whoever claims the slot runs no older key before such a word has been told. A "not
+//! Whoever claims the slot takes older keys in, and runs none before such a word has been told. A "not
 //! run" that cannot be confirmed is taken back: the request ends as unknown.
 
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use crate::clock::Time;
 use crate::key::Slot;
 use crate::ledger::Ledger;
-use crate::record::{End, Intake, Name};
+use crate::record::{End, Name};
 use crate::replica::{Item, Replica, Role, Seq, Word};
 use crate::takeover::Event;
 
@@ -80,19 +80,36 @@
         }
     }
 
-    /// Whether the claim of the slot is so young that the owner before it may still tell
-    /// "not run": for a key that may have been used there, come back later.
-    pub(crate) fn early(&self, now: Time, intake: &Intake, replica: &Replica) -> bool {
-        // One `fresh` until the owner's read is answered, one until its word is out.
-        let until = self.settings.fresh * 2;
-        let young = |since: Time| now.since(since) < until;
-        intake.idempotent
-            && replica.cold_since.is_some_and(young)
-            && self.lost(now, intake, replica)
+    /// How long the owner before may still tell "not run" after a claim: one `fresh` until
+    /// its read is answered, one until its word is out.
+    pub(crate) fn wait(&self) -> Duration {
+        self.settings.fresh * 2
+    }
+
+    /// Lets older keys of a claimed slot run once its former owner tells "not run" no more.
+    pub(crate) fn ripen(&mut self, now: Time, slot: Slot) {
+        let wait = self.wait();
+        if let Some(replica) = self.replica_mut(slot) {
+            replica.ripen(now, wait);
+        }
     }
 }
 
 impl Replica {
+    /// Ends the wait after a claim, once it is that old.
+    pub(crate) fn ripen(&mut self, now: Time, wait: Duration) {
+        let young = |since: Time| now.since(since) < wait;
+        self.young &= self.cold_since.is_some_and(young);
+    }
+
+    /// Whether a request waits: the owner before the claim may still tell that it did not run.
+    pub(crate) fn waits(&self, item: &Item) -> bool {
+        let intake = &item.record.intake;
+        let minted = intake.name.key.minted();
+        let older = minted.is_none_or(|mint| mint.epoch < self.cold);
+        self.young && intake.idempotent && older && item.record.end.is_none()
+    }
+
     fn confirm(&mut self, asked: Time) {
         let Role::Owner(owner) = &self.role else {
             return;
--- a/coltsfoothall/src/ledger.rs
+++ b/coltsfoothall/src/ledger.rs
@@ -201,6 +201,7 @@
     /// # Errors
     /// A rule is broken.
     pub fn begin(&mut self, now: Time, intake: Intake, slot: Slot) -> Result<Begin, Error> {
+        self.ripen(now, slot);
         let Some(replica) = self.replica(slot).filter(|replica| serves(replica)) else {
             return Ok(Begin::NotOwner);
         };
@@ -218,9 +219,6 @@
                 Begin::Reused
             });
         }
-        if self.early(now, &intake, replica) {
-            return Ok(Begin::NotOwner);
-        }
         if !intake.idempotent
             && let Some(refused) = self.refusal(now, &intake, replica)
         {
@@ -255,6 +253,7 @@
         name: Name,
         change: Change,
     ) -> Result<Step, Error> {
+        self.ripen(now, slot);
         let replica = self.replica(slot).filter(|replica| serves(replica));
         let replica = replica.ok_or(Error::NotOwner(slot))?;
         let at = replica.find(&name);
@@ -415,7 +414,9 @@
     /// room; names of non-idempotent ones stay.
     pub fn retire(&mut self, now: Time) {
         let settings = self.settings.clone();
+        let wait = self.wait();
         for replica in &mut self.replicas {
+            replica.ripen(now, wait);
             replica.retire(now, settings.retention, settings.names, settings.stubs);
         }
         self.make_room(now);
--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -144,6 +144,8 @@
     pub(crate) stubs: Vec<Mark>,
     pub(crate) cold: Epoch,
     pub(crate) cold_since: Option<Time>,
+    /// Whether the claim is so young that the owner before may still tell "not run".
+    pub(crate) young: bool,
     pub(crate) doubt: Option<Doubt>,
     pub(crate) bytes: usize,
 }
@@ -230,6 +232,7 @@
             stubs: Vec::new(),
             cold: epoch,
             cold_since: None,
+            young: false,
             doubt: None,
             bytes: 0,
         }
@@ -369,7 +372,8 @@
     /// which another has replaced since has no record here.
     pub(crate) fn may_leave(&self, name: &Name, seq: Seq) -> bool {
         let found = self.find(name).ok().map(|at| &self.items[at]);
-        let Some(item) = found.filter(|item| !item.withholds(seq)) else {
+        let leaves = |item: &&Item| !item.withholds(seq) && !self.waits(item);
+        let Some(item) = found.filter(leaves) else {
             return false;
         };
         let idempotent = item.record.intake.idempotent;
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -366,6 +366,7 @@
         let mut replica = Replica::new(slot, entry.epoch, Role::Owner(Owner::default()));
         // Nobody keeps a slot at the first table's epoch, so nothing was lost.
         replica.cold_since = (entry.epoch > FIRST.next()).then_some(now);
+        replica.young = replica.cold_since.is_some();
         if let Err(at) = self.replicas.binary_search_by_key(&slot, |r| r.slot) {
             self.replicas.insert(at, replica);
             events.push(Event::Owns(slot));
--- a/coltsfoothall/src/transfer.rs
+++ b/coltsfoothall/src/transfer.rs
@@ -263,6 +263,7 @@
         replica.seq = chunk.seq;
         replica.cold = chunk.cold;
         replica.cold_since = chunk.cold_age.map(|age| now - age.duration());
+        replica.young = replica.cold_since.is_some();
         Self {
             source,
             next: 0,
