--- a/coltsfoothall/tests/copies.rs
+++ b/coltsfoothall/tests/copies.rs
@@ -7,7 +7,7 @@
 
 use coltsfoothall::ledger::{Begin, Ledger, Life, Settings};
 use coltsfoothall::record::{Change, Intake};
-use coltsfoothall::replica::Seq;
+use coltsfoothall::replica::{Seq, Taken};
 use pair::{SLOT, World, intake};
 
 /// A world whose backup was named, and whose process is then gone.
@@ -117,3 +117,25 @@
     assert_eq!(world.b.released(SLOT), Some(accepted.seq));
     assert!(world.a.record(SLOT, &often.name).is_some());
 }
+
+/// The table names the process that held a copy when it was written. Its successor has an
+/// older copy, of which its owner never heard that it came: it may not take the slot over.
+#[test]
+fn other_process_named() {
+    let mut world = successor();
+    let [_a, b] = world.names.clone();
+    let mut old = world.a.export(world.now, SLOT, &b).unwrap();
+    // The owner begins another copy, which the former process takes.
+    let mut former = Ledger::new(b.clone(), Settings::default());
+    for chunk in world.a.export(world.now, SLOT, &b).unwrap() {
+        if let Taken::Whole(whole) = former.import(world.now, chunk) {
+            world.a.copied(SLOT, &b, whole).unwrap().unwrap();
+        }
+    }
+    for chunk in old.drain(..) {
+        world.b.import(world.now, chunk);
+    }
+    world.name(Some(1));
+    world.b.observe(world.now, &world.table);
+    assert_eq!(world.b.seal(SLOT), None);
+}
--- a/coltsfoothall/tests/denial.rs
+++ b/coltsfoothall/tests/denial.rs
@@ -219,6 +219,31 @@
     assert!(!world.leaves(&request, step.seq));
 }
 
+/// A request that its owner took in without knowing all of its key's past, and that reached
+/// the next owner as a change, is no better known there.
+#[test]
+fn unsure_handed_over() {
+    let mut world = World::new();
+    world.back_up();
+    world.name(None);
+    world.copy();
+    let late = intake("late", true);
+    let Begin::New(step) = world.begin(&late) else {
+        panic!("it is not new");
+    };
+    let [a, b] = world.names.clone();
+    let epoch = step.update.epoch;
+    let ack = world.b.receive(world.now, &a, step.update);
+    world
+        .a
+        .acked(SLOT, epoch, &b, ack.expect("taken"))
+        .expect("sent");
+    world.hand_over();
+    let end = Change::End(NOT_RUN);
+    let refused = world.b.change(world.now, SLOT, late.name.clone(), end);
+    assert_eq!(refused, Err(Error::NotSafe(late.name)));
+}
+
 /// An owner that is in doubt of a key's idempotent work hands its slot over in the table:
 /// the new owner, which knows less, may not tell "not run" for the key either.
 #[test]
--- a/coltsfoothall/tests/ledger.rs
+++ b/coltsfoothall/tests/ledger.rs
@@ -98,6 +98,27 @@
     }
 }
 
+/// "Not run" is told of a request that had run: "own-39143a9e21b308f8 had run when it was told
+/// not run", and six more.
+#[test]
+fn heir_unsure() {
+    for seed in [
+        246_420, 559_779, 633_663, 710_791, 748_357, 858_495, 858_731,
+    ] {
+        let mut world = World::new(seed);
+        world.run(1500);
+        world.settle();
+    }
+}
+
+/// An end that was told is lost: "i4 lost w/own-1b595184f4b9892f of epoch 13".
+#[test]
+fn other_process() {
+    let mut world = World::new(949_933);
+    world.run(1500);
+    world.settle();
+}
+
 #[test]
 fn many_seeds() {
     let mut told = [0; 3];
