A copy marks requests of an unknown past as its owner does

Cause: an owner that takes in a key whose past it may not know marks the request, and tells no "not run" for it. Its copies get the request as a change, without the mark, so whoever the slot was handed to told it. Change: a copy marks what it takes in by the same rule; an entry that says that doubt arises marks what is open each time.

--- a/coltsfoothall/src/ledger.rs
+++ b/coltsfoothall/src/ledger.rs
@@ -228,15 +228,13 @@
             return Ok(Begin::Behind);
         }
         let name = intake.name.clone();
-        let unsure = self.lost(now, &intake, replica) || self.doubted(now, &intake, replica);
+        let unsure = self.unsure(now, &intake, replica);
         if !self.make_room(now) {
             return Ok(Begin::Full);
         }
         let step = self.step(now, slot, name.clone(), Change::Accept(Box::new(intake)))?;
-        if let Some(replica) = self.replica_mut(slot)
-            && let Ok(at) = replica.find(&name)
-        {
-            replica.items[at].unsure = unsure;
+        if let Some(replica) = self.replica_mut(slot) {
+            replica.mark(&name, unsure);
         }
         Ok(Begin::New(step))
     }
@@ -280,6 +278,11 @@
         if matches!(update.change, Change::Accept(_)) {
             self.make_room(now);
         }
+        // What is not known of a key's past at its owner is not known here either.
+        let unsure = match (&update.change, self.replica(update.slot)) {
+            (Change::Accept(intake), Some(replica)) => self.unsure(now, intake, replica),
+            _ => false,
+        };
         let life = self.settings.life;
         let Some(replica) = self.replica_mut(update.slot) else {
             return Ok(Ack::Missing);
@@ -294,6 +297,7 @@
             return Ok(Ack::Gap(replica.seq.next()));
         }
         let seq = replica.apply(now, &update.name, update.change)?;
+        replica.mark(&update.name, unsure);
         Ok(Ack::Ok(seq, replica.holder(life)))
     }
 
--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -282,6 +282,13 @@
         Ok(seq)
     }
 
+    /// Marks a request of which an attempt may have begun that the copy here does not know.
+    pub(crate) fn mark(&mut self, name: &Name, unsure: bool) {
+        if let Ok(at) = self.find(name) {
+            self.items[at].unsure |= unsure;
+        }
+    }
+
     /// Non-idempotent requests that may have begun at a lost owner, and how
     /// they end now.
     pub(crate) fn orphans(&self) -> Vec<(Name, End)> {
--- a/coltsfoothall/src/safety.rs
+++ b/coltsfoothall/src/safety.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Whether a new request may have run before without the copy here knowing.
+    pub(crate) fn unsure(&self, now: Time, intake: &Intake, replica: &Replica) -> bool {
+        self.lost(now, intake, replica) || self.doubted(now, intake, replica)
+    }
+
     /// Whether idempotent work of the key may have been done that the copy here
     /// does not know: "not run" would be a guess then.
     pub(crate) fn doubted(&self, now: Time, intake: &Intake, replica: &Replica) -> bool {
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -337,9 +337,7 @@
         }
         let fresh = entry.cold == entry.epoch;
         let follow = replica.follow(entry, &me, life, proposed);
-        if entry.sure > replica.sure() {
-            replica.doubt(now, entry.sure);
-        }
+        replica.learn(now, entry);
         match follow {
             Follow::Kept => {}
             Follow::Owns => events.push(Event::Owns(slot)),
@@ -492,6 +490,14 @@
         }
     }
 
+    /// Learns from an entry that idempotent work may not be known.
+    fn learn(&mut self, now: Time, entry: &Entry) {
+        let arisen = entry.sure == entry.epoch && entry.cold < entry.epoch;
+        if arisen || entry.sure > self.sure() {
+            self.doubt(now, entry.sure);
+        }
+    }
+
     /// Takes on what the owner before, which gave its word, knew of its own standing.
     fn inherit(&mut self, handoff: Handoff) {
         if let Role::Owner(owner) = &mut self.role
--- a/coltsfoothall/tests/ledger.rs
+++ b/coltsfoothall/tests/ledger.rs
@@ -100,6 +100,13 @@
 
 /// "Not run" is told of a request that had run: "own-39143a9e21b308f8 had run when it was told
 /// not run", and six more.
+///
+/// Cause: an owner marks a request that it takes in under a key whose past it may not know; its
+/// copies got the request as a change, without the mark. In 246,420 i2 runs the key at step 31,
+/// i0 claims the slot, takes the key in at 106 and hands the slot to i1 in the table at 162,
+/// which tells "not run" at 185. A copy marks what it takes in by the same rule now. In
+/// 858,731 i2 takes a slot over at 394; it was in doubt up to that epoch already, and so did
+/// not mark what had come since. An entry with new doubt marks what is open, always.
 #[test]
 fn heir_unsure() {
     for seed in [
