The table names the process that holds a copy

Cause: an entry of the table named an instance, and whichever of its processes had some copy of the epoch before took itself for the backup, or at a hand-over for the owner. The owner had counted a copy of the former process; its successor held an older one. Ruled out: acknowledgements (they count by process), a copy that arrived in part (it was whole, of change 39; 41 had been told). Change: Entry::holder is the process whose copy the entry counts, and Table::replace_backup and hand_over cannot be called without one. A copy of another process takes no role by the entry; one that its owner's changes brought to the epoch ahead of the table waits for the table to name it.

--- a/coltsfoothall-entry/benches/message.rs
+++ b/coltsfoothall-entry/benches/message.rs
@@ -12,11 +12,11 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::id;
 use coltsfoothall::key::{Key, Slot};
-use coltsfoothall::ledger::{Begin, Ledger, Settings, Update};
+use coltsfoothall::ledger::{Begin, Ledger, Life, Settings, Update};
 use coltsfoothall::member::{self, Digest, Heartbeat};
 use coltsfoothall::record::{Change, Class, End, Finish, Intake, Name, Part, Work};
 use coltsfoothall::size::{Bytes, Millis, Price, Rate, Tokens};
-use coltsfoothall::slot::{Candidate, SLOTS, Table};
+use coltsfoothall::slot::{Candidate, Process, SLOTS, Table};
 use coltsfoothall_entry::view::{Peer, Place, Token, View};
 use coltsfoothall_wire::caller::{Address, Addresses};
 use coltsfoothall_wire::cloud::{Lend, Machine, Machines, Phase};
@@ -124,6 +124,8 @@
         let slot = Slot(number);
         let entry = table.entry(slot).expect("it is in the table").clone();
         let backup = table.backup_for(slot, &all);
+        let life = Life::default();
+        let backup = backup.map(|instance| Process { instance, life });
         let next = table.replace_backup(slot, entry.epoch, &entry.primary, backup);
         table = next.expect("the primary asks");
     }
--- a/coltsfoothall-entry/src/round.rs
+++ b/coltsfoothall-entry/src/round.rs
@@ -12,7 +12,7 @@
 use coltsfoothall::ledger::Ledger;
 use coltsfoothall::record::Record;
 use coltsfoothall::replica::{Taken, Whole};
-use coltsfoothall::slot::{Candidate, Refused, SLOTS, Table};
+use coltsfoothall::slot::{Candidate, Process, Refused, SLOTS, Table};
 use coltsfoothall::step::Input;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::http;
@@ -201,22 +201,28 @@
             Duty::Claim(slot) => (*slot, self.base.claim(*slot, self.epoch(*slot)?, me)),
             Duty::TakeOver(slot) => (*slot, self.base.takeover(*slot, self.epoch(*slot)?, me)),
             Duty::Name { slot, backup } => {
-                let backup = Some(backup.clone());
-                (
-                    *slot,
-                    self.base
-                        .replace_backup(*slot, self.epoch(*slot)?, me, backup),
-                )
+                let backup = Some(self.process(*slot, backup)?);
+                let table = self
+                    .base
+                    .replace_backup(*slot, self.epoch(*slot)?, me, backup);
+                (*slot, table)
+            }
+            Duty::HandOver { slot, to } => {
+                let heir = self.process(*slot, to)?;
+                let table = self.base.hand_over(*slot, self.epoch(*slot)?, me, &heir);
+                (*slot, table)
             }
-            Duty::HandOver { slot, to } => (
-                *slot,
-                self.base.hand_over(*slot, self.epoch(*slot)?, me, to),
-            ),
             _ => return None,
         };
         self.propose(slot, table)
     }
 
+    /// The process of a peer that holds a copy.
+    fn process(&self, slot: Slot, peer: &id::Instance) -> Option<Process> {
+        let desk = &self.node.desk;
+        desk.with_ledger(|ledger| ledger.process(slot, peer))
+    }
+
     fn epoch(&self, slot: Slot) -> Option<Epoch> {
         self.base.entry(slot).map(|entry| entry.epoch)
     }
--- a/coltsfoothall/benches/control.rs
+++ b/coltsfoothall/benches/control.rs
@@ -14,13 +14,13 @@
 use coltsfoothall::id;
 use coltsfoothall::index::{Change, Event};
 use coltsfoothall::key::Slot;
-use coltsfoothall::ledger::{self, Ledger};
+use coltsfoothall::ledger::{self, Ledger, Life};
 use coltsfoothall::load::Report;
 use coltsfoothall::member::{self, Digest, Heartbeat};
 use coltsfoothall::prefix::Block;
 use coltsfoothall::record::Class;
 use coltsfoothall::size::{Price, Rate, Tokens};
-use coltsfoothall::slot::{Candidate, SLOTS, Table};
+use coltsfoothall::slot::{Candidate, Process, SLOTS, Table};
 use coltsfoothall::stall::{self, Watch};
 use coltsfoothall::weight::Risk;
 
@@ -171,6 +171,8 @@
         let slot = Slot(number);
         let backup = table.backup_for(slot, all);
         let entry = table.entry(slot).expect("it is in the table").clone();
+        let life = Life::default();
+        let backup = backup.map(|instance| Process { instance, life });
         let next = table.replace_backup(slot, entry.epoch, &entry.primary, backup);
         table = next.expect("the primary asks");
     }
--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -312,10 +312,9 @@
         match &self.role {
             // The owner has written the table, which has not come here yet.
             // Another sender has claimed the slot or taken it over: its records differ.
+            // Whether it names this copy, only the table tells.
             Role::Learner { primary } if update.epoch == self.epoch.next() && from == primary => {
-                let primary = primary.clone();
                 self.epoch = update.epoch;
-                self.role = Role::Backup { primary };
                 None
             }
             Role::Owner(_) | Role::Backup { .. } if later => Some(Ack::Gap(self.seq.next())),
--- a/coltsfoothall/src/slot.rs
+++ b/coltsfoothall/src/slot.rs
@@ -7,6 +7,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+use crate::copy::Life;
 use crate::id;
 use crate::key::{Epoch, Slot};
 
@@ -32,6 +33,9 @@
     pub primary: id::Instance,
     /// Holder of the second copy.
     pub backup: Option<id::Instance>,
+    /// The process whose copy gives it its role here: the backup's, or that of a primary which
+    /// the slot was handed to. A copy of another process of that name may lack changes.
+    pub holder: Option<Life>,
     /// Number of this ownership.
     pub epoch: Epoch,
     /// Epoch since which the ledger is complete; older keys may be lost.
@@ -41,6 +45,15 @@
     pub sure: Epoch,
 }
 
+/// One process of an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Process {
+    /// The instance.
+    pub instance: id::Instance,
+    /// Its process.
+    pub life: Life,
+}
+
 /// The whole table.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Table {
@@ -122,6 +135,7 @@
         let entry = |index: u16| Entry {
             primary: staying[usize::from(index) % staying.len()].instance.clone(),
             backup: None,
+            holder: None,
             epoch: FIRST,
             cold: FIRST,
             sure: FIRST,
@@ -167,6 +181,7 @@
             Entry {
                 primary: by.clone(),
                 backup: None,
+                holder: None,
                 epoch: next,
                 cold: next,
                 sure: next,
@@ -188,6 +203,7 @@
             Entry {
                 primary: by.clone(),
                 backup: None,
+                holder: None,
                 epoch: entry.epoch.next(),
                 cold: entry.cold,
                 sure: entry.epoch.next(),
@@ -204,12 +220,14 @@
         slot: Slot,
         epoch: Epoch,
         by: &id::Instance,
-        backup: Option<id::Instance>,
+        backup: Option<Process>,
     ) -> Result<Self, Refused> {
         let entry = self.at(slot, epoch)?;
         if entry.primary != *by {
             return Err(Refused::Role(slot, by.clone()));
         }
+        let holder = backup.as_ref().map(|backup| backup.life);
+        let backup = backup.map(|backup| backup.instance);
         if backup.as_ref() == Some(by) {
             return Err(Refused::Same(slot));
         }
@@ -218,6 +236,7 @@
             Entry {
                 primary: by.clone(),
                 backup,
+                holder,
                 epoch: entry.epoch.next(),
                 cold: entry.cold,
                 sure: entry.sure_without(entry.backup.as_ref()),
@@ -235,23 +254,25 @@
         slot: Slot,
         epoch: Epoch,
         by: &id::Instance,
-        to: &id::Instance,
+        to: &Process,
     ) -> Result<Self, Refused> {
         let entry = self.at(slot, epoch)?;
         if entry.primary != *by {
             return Err(Refused::Role(slot, by.clone()));
         }
-        if to == by {
+        let heir = &to.instance;
+        if heir == by {
             return Err(Refused::Same(slot));
         }
         Ok(self.with(
             slot,
             Entry {
-                primary: to.clone(),
+                primary: heir.clone(),
                 backup: Some(by.clone()),
+                holder: Some(to.life),
                 epoch: entry.epoch.next(),
                 cold: entry.cold,
-                sure: entry.sure_without(entry.backup.as_ref().filter(|old| *old != to)),
+                sure: entry.sure_without(entry.backup.as_ref().filter(|old| *old != heir)),
             },
         ))
     }
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -299,24 +299,21 @@
         match &replica.role {
             Role::Owner(_) | Role::Backup { .. } if entry.cold != replica.cold => false,
             Role::Owner(_) if mine => match &entry.backup {
-                Some(backup) => self.ready(slot, backup),
+                Some(backup) => self.ready(slot, backup) && self.named(slot, backup, entry),
                 None => !replica.sealed,
             },
             Role::Owner(_) => {
-                replica.drained() && !replica.sealed && self.holds(slot, &entry.primary)
+                replica.drained() && !replica.sealed && self.named(slot, &entry.primary, entry)
             }
             Role::Backup { .. } => mine && replica.sealed && entry.backup.is_none(),
             Role::Learner { .. } => mine && entry.cold == entry.epoch,
         }
     }
 
-    /// Whether `peer` has a whole copy of a drained slot.
-    fn holds(&self, slot: Slot, peer: &id::Instance) -> bool {
-        let Some(Role::Owner(owner)) = self.replica(slot).map(|r| &r.role) else {
-            return false;
-        };
-        let mut links = owner.backup.iter().chain(&owner.learner);
-        links.any(|link| link.peer == *peer)
+    /// Whether the entry names the process of `peer` that holds a copy.
+    fn named(&self, slot: Slot, peer: &id::Instance, entry: &Entry) -> bool {
+        let process = self.process(slot, peer);
+        process.is_some_and(|process| entry.holder == Some(process.life))
     }
 
     fn adopt(&mut self, now: Time, slot: Slot, entry: &Entry, events: &mut Vec<Event>) {
@@ -332,6 +329,11 @@
         };
         let (me, life) = (self.me.clone(), self.settings.life);
         let replica = &mut self.replicas[at];
+        if entry.epoch == replica.epoch && replica.confirmed(entry, &me, life) {
+            replica.back(entry);
+            replica.learn(now, entry);
+            events.push(Event::Backs(slot));
+        }
         if entry.epoch <= replica.epoch {
             return;
         }
@@ -474,14 +476,17 @@
                 Follow::TookOver
             }
             Role::Backup { primary } | Role::Learner { primary }
-                if mine && entry.backup.as_ref() == Some(primary) =>
+                if mine && entry.backup.as_ref() == Some(primary) && entry.holder == Some(life) =>
             {
                 self.epoch = entry.epoch;
                 self.own(life, entry.backup.clone());
                 Follow::Owns
             }
             Role::Backup { primary } | Role::Learner { primary }
-                if backing && entry.primary == *primary && self.parted.is_empty() =>
+                if backing
+                    && entry.primary == *primary
+                    && entry.holder == Some(life)
+                    && self.parted.is_empty() =>
             {
                 self.back(entry);
                 Follow::Backs
@@ -490,6 +495,16 @@
         }
     }
 
+    /// Whether the entry gives a role to the copy here, which its owner's changes brought to
+    /// the entry's epoch before the table came.
+    fn confirmed(&self, entry: &Entry, me: &id::Instance, life: Life) -> bool {
+        let Role::Learner { primary } = &self.role else {
+            return false;
+        };
+        let named = entry.backup.as_ref() == Some(me) && entry.holder == Some(life);
+        named && entry.primary == *primary
+    }
+
     /// Learns from an entry that idempotent work may not be known.
     fn learn(&mut self, now: Time, entry: &Entry) {
         let arisen = entry.sure == entry.epoch && entry.cold < entry.epoch;
--- a/coltsfoothall/src/transfer.rs
+++ b/coltsfoothall/src/transfer.rs
@@ -13,6 +13,7 @@
     Taken, Unsure, Update, Whole, Word,
 };
 use crate::size::Millis;
+use crate::slot::Process;
 
 /// Bytes of records in a piece, beyond the first record; it keeps a copy from
 /// blocking the connection for requests.
@@ -136,6 +137,19 @@
         Ok(Some(missing))
     }
 
+    /// The process of `peer` that holds a copy of an owned slot, to be named in the table.
+    #[must_use]
+    pub fn process(&self, slot: Slot, peer: &id::Instance) -> Option<Process> {
+        let Role::Owner(owner) = &self.replica(slot)?.role else {
+            return None;
+        };
+        let link = owner.links().find(|link| link.peer == *peer)?;
+        Some(Process {
+            instance: link.peer.clone(),
+            life: link.holder.life,
+        })
+    }
+
     /// Whether the copy at `to` may be named in the table.
     #[must_use]
     pub fn ready(&self, slot: Slot, to: &id::Instance) -> bool {
--- a/coltsfoothall/tests/balance.rs
+++ b/coltsfoothall/tests/balance.rs
@@ -227,12 +227,18 @@
                 let epoch = epoch(slot).unwrap();
                 (
                     slot,
-                    node.base.replace_backup(slot, epoch, &me, Some(backup)),
+                    node.base
+                        .replace_backup(slot, epoch, &me, node.ledger.process(slot, &backup)),
                 )
             }
             Duty::HandOver { slot, to } => (
                 slot,
-                node.base.hand_over(slot, epoch(slot).unwrap(), &me, &to),
+                node.base.hand_over(
+                    slot,
+                    epoch(slot).unwrap(),
+                    &me,
+                    &node.ledger.process(slot, &to).unwrap(),
+                ),
             ),
             Duty::Cede { slot, epoch, to } => return self.cede(at, slot, epoch, &to),
             other => panic!("{other:?} while the service is up"),
--- a/coltsfoothall/tests/duty.rs
+++ b/coltsfoothall/tests/duty.rs
@@ -52,10 +52,10 @@
         assert!(world.propose(&claimed));
         world.settle(claimed.unwrap());
         world.copy();
-        let named =
-            world
-                .table
-                .replace_backup(SLOT, world.entry_epoch(), &name("a"), Some(name("b")));
+        let backup = world.a.process(SLOT, &name("b"));
+        let named = world
+            .table
+            .replace_backup(SLOT, world.entry_epoch(), &name("a"), backup);
         assert!(world.propose(&named));
         world.settle(named.unwrap());
         world
@@ -200,9 +200,10 @@
     let mut world = World::new();
     world.a.drain(SLOT);
     assert!(world.a.drained(SLOT));
+    let heir = world.a.process(SLOT, &name("b")).unwrap();
     let given = world
         .table
-        .hand_over(SLOT, world.entry_epoch(), &name("a"), &name("b"));
+        .hand_over(SLOT, world.entry_epoch(), &name("a"), &heir);
     assert!(world.propose(&given));
     assert_eq!(
         world.a.released(SLOT),
@@ -400,7 +401,7 @@
         for (slot, entry) in table.iter() {
             let next = match step {
                 0 => table.claim(slot, entry.epoch, &me),
-                _ => table.replace_backup(slot, entry.epoch, &me, Some(name("b"))),
+                _ => table.replace_backup(slot, entry.epoch, &me, owner.process(slot, &name("b"))),
             };
             let next = next.unwrap();
             let entry = next.entry(slot).unwrap().clone();
--- a/coltsfoothall/tests/ledger.rs
+++ b/coltsfoothall/tests/ledger.rs
@@ -119,6 +119,12 @@
 }
 
 /// An end that was told is lost: "i4 lost w/own-1b595184f4b9892f of epoch 13".
+///
+/// Cause: the table named an instance, whichever of its processes held the copy. i2 names i4 as
+/// backup of slot 1 at step 1,141, for a copy that i4's former process took. The process that is
+/// there has another one, of change 39, of which i2 took no note when it came; it reads its name,
+/// takes itself for the backup, and keeps the slot without the end that was told at 1,133. An
+/// entry names the process now ([`Entry::holder`](coltsfoothall::slot::Entry::holder)).
 #[test]
 fn other_process() {
     let mut world = World::new(949_933);
--- a/coltsfoothall/tests/pair/mod.rs
+++ b/coltsfoothall/tests/pair/mod.rs
@@ -90,7 +90,7 @@
 
     /// `a` names another backup in the table, or none.
     pub fn name(&mut self, backup: Option<usize>) {
-        let backup = backup.map(|at| self.names[at].clone());
+        let backup = backup.and_then(|at| self.a.process(SLOT, &self.names[at]));
         let epoch = self.table.entry(SLOT).unwrap().epoch;
         let named = self
             .table
@@ -109,7 +109,8 @@
         let [a, b] = self.names.clone();
         self.a.drain(SLOT);
         let epoch = self.table.entry(SLOT).unwrap().epoch;
-        let given = self.table.hand_over(SLOT, epoch, &a, &b).unwrap();
+        let heir = self.a.process(SLOT, &b).unwrap();
+        let given = self.table.hand_over(SLOT, epoch, &a, &heir).unwrap();
         self.write(given);
     }
 
--- a/coltsfoothall/tests/retention.rs
+++ b/coltsfoothall/tests/retention.rs
@@ -82,7 +82,8 @@
                 self.owner.copied(SLOT, &b, whole).unwrap().unwrap();
             }
         }
-        let backed = self.table.replace_backup(SLOT, self.epoch(), &a, Some(b));
+        let backup = self.owner.process(SLOT, &b);
+        let backed = self.table.replace_backup(SLOT, self.epoch(), &a, backup);
         self.write(backed.unwrap());
     }
 
--- a/coltsfoothall/tests/slot.rs
+++ b/coltsfoothall/tests/slot.rs
@@ -4,7 +4,8 @@
 
 use coltsfoothall::id::Instance;
 use coltsfoothall::key::{Epoch, Slot};
-use coltsfoothall::slot::{Candidate, MOVES, Refused, SLOTS, Table};
+use coltsfoothall::ledger::Life;
+use coltsfoothall::slot::{Candidate, MOVES, Process, Refused, SLOTS, Table};
 
 fn candidates(count: usize, domains: usize) -> Vec<Candidate> {
     let candidate = |at: usize| Candidate {
@@ -19,12 +20,19 @@
     format!("i{at:03}").parse().unwrap()
 }
 
+fn process(instance: Instance) -> Process {
+    Process {
+        instance,
+        life: Life(u64::MAX >> 1),
+    }
+}
+
 #[test]
 fn stale_epoch() {
     let table = Table::first(4, &candidates(3, 3)).unwrap();
     let slot = Slot(0);
     let backed = table
-        .replace_backup(slot, Epoch(1), &name(0), Some(name(1)))
+        .replace_backup(slot, Epoch(1), &name(0), Some(process(name(1))))
         .unwrap();
     let refused = Refused::Epoch(slot, Epoch(2), Epoch(1));
     assert_eq!(
@@ -69,7 +77,7 @@
             for step in moves {
                 let epoch = table.entry(step.slot).unwrap().epoch;
                 table = table
-                    .hand_over(step.slot, epoch, &name(from), &step.to)
+                    .hand_over(step.slot, epoch, &name(from), &process(step.to))
                     .unwrap();
             }
         }
--- a/coltsfoothall/tests/world/mod.rs
+++ b/coltsfoothall/tests/world/mod.rs
@@ -754,10 +754,12 @@
         if self.nodes[at].ledger.ready(slot, &peer) {
             let table = &self.nodes[at].table;
             if self.nodes[at].ledger.drained(slot) {
-                let table = table.hand_over(slot, entry.epoch, &me, &peer);
+                let heir = self.nodes[at].ledger.process(slot, &peer).unwrap();
+                let table = table.hand_over(slot, entry.epoch, &me, &heir);
                 self.swaps += u32::from(self.swap(at, slot, table));
             } else {
-                let table = table.replace_backup(slot, entry.epoch, &me, Some(peer));
+                let backup = self.nodes[at].ledger.process(slot, &peer);
+                let table = table.replace_backup(slot, entry.epoch, &me, backup);
                 self.swap(at, slot, table);
             }
         } else if other != at && self.chance(if gone { 0.3 } else { 0.01 }) {
