--- a/coltsfoothall-forward/src/stop.rs
+++ b/coltsfoothall-forward/src/stop.rs
@@ -49,7 +49,11 @@
     if closed.await.is_ok() {
         event::STOPPED.emit(format_args!("ms={}", after(state, stop)));
     } else {
-        event::CUT_OFF.emit(format_args!("open={}", state.open.get()));
+        event::CUT_OFF.emit(format_args!(
+            "open={} after_ms={}",
+            state.open.get(),
+            after(state, stop)
+        ));
         state.cutting.cancel();
     }
     // Callers who do not read hold nobody up.
