A caller's outcome tells why its connections broke

rolling_replacement counts requests that had to be sent again; its two logs do not say which connection broke, when and how, so the hypotheses (a connection reset at a stop, no answer in time at an instance without processor) could not be told apart.

--- a/coltsfoothall-call/src/caller.rs
+++ b/coltsfoothall-call/src/caller.rs
@@ -133,6 +133,8 @@
     pub body: Bytes,
     /// What it took.
     pub effort: Effort,
+    /// Why connections brought no whole answer, in turn: time since the start in ms, address, reason.
+    pub breaks: Vec<String>,
     /// When it came.
     pub times: Times,
 }
--- a/coltsfoothall-call/src/run.rs
+++ b/coltsfoothall-call/src/run.rs
@@ -32,6 +32,7 @@
     pub(crate) text: Text,
     pub(crate) reply: Reply,
     pub(crate) effort: Effort,
+    pub(crate) breaks: Vec<String>,
     pub(crate) times: Times,
     pub(crate) begun: Instant,
     pub(crate) last: Instant,
@@ -68,6 +69,7 @@
             text: Text::default(),
             reply: Reply::default(),
             effort: Effort::default(),
+            breaks: Vec::new(),
             times: Times::default(),
             begun: now,
             last: now,
@@ -107,6 +109,7 @@
             text: self.text.as_str().into(),
             body: self.reply.body,
             effort: self.effort,
+            breaks: self.breaks,
             times: self.times,
         }
     }
@@ -134,6 +137,8 @@
 
     /// Leaves an address that failed alone, and pauses.
     async fn rest(&mut self, address: &str, step: String) -> Result<(), Error> {
+        let after = self.begun.elapsed().as_millis();
+        self.breaks.push(format!("{after} ms, {address}: {step}"));
         self.caller.avoid(address);
         let pause = self.caller.pause(self.failures);
         self.failures += 1;
--- a/coltsfoothall-entry/tests/stop.rs
+++ b/coltsfoothall-entry/tests/stop.rs
@@ -34,8 +34,9 @@
         assert_eq!(
             cut,
             (0, 0),
-            "seed {seed}, request {}\n{}",
+            "seed {seed}, request {}, {:?}\n{}",
             outcome.key,
+            outcome.breaks,
             system.logs()
         );
     }
