A stop answers what was sent before its callers could know of it

A connection that the system had made and the program had not accepted was reset; a request sent on a kept connection in that moment met a closed one. A caller cannot tell whether such a request was read, and sends it again. Change: a server stops in two steps. First it takes no more connections, but for those made already (50 ms), and ends each with its next answer; connections without a request are closed once callers have no address of this instance any more. Its planned stop lasts as long as addresses are kept (3 s) if callers hold connections, else as before. Ruled out: closing the listener later (a refused connection was not sent on, which callers know).

--- a/coltsfoothall-entry/src/run.rs
+++ b/coltsfoothall-entry/src/run.rs
@@ -18,7 +18,7 @@
 use coltsfoothall_shell::metric::Board;
 use coltsfoothall_shell::{event, stop};
 use coltsfoothall_wire::client::Client;
-use coltsfoothall_wire::serve::{self, Answer, Handler};
+use coltsfoothall_wire::serve::{self, Answer, Handler, Stop};
 
 use crate::control;
 use crate::desk::Desk;
@@ -136,20 +136,25 @@
 }
 
 struct Door {
-    close: CancellationToken,
+    stop: Stop,
     task: tokio::task::JoinHandle<()>,
 }
 
 impl Door {
     fn open(listener: TcpListener, handler: Arc<dyn Handler>) -> Self {
-        let close = CancellationToken::new();
-        let task = tokio::spawn(serve::run(listener, handler, close.clone()));
-        Self { close, task }
+        let stop = Stop::default();
+        let task = tokio::spawn(serve::run_until(listener, handler, stop.clone()));
+        Self { stop, task }
     }
 
-    /// Takes no more connections and lets the open ones finish, until `limit`.
-    async fn shut(self, limit: Instant) -> bool {
-        self.close.cancel();
+    /// Takes no more connections and lets the open ones finish, until `limit`. Those without
+    /// a request are closed from `idle` on.
+    async fn shut(mut self, idle: Instant, limit: Instant) -> bool {
+        self.stop.last.cancel();
+        if timeout_at(idle.min(limit), &mut self.task).await.is_ok() {
+            return true;
+        }
+        self.stop.idle.cancel();
         timeout_at(limit, self.task).await.is_ok()
     }
 }
@@ -181,7 +186,10 @@
 /// While slots cannot be handed over, callers may still connect for a part of
 /// the time, as their requests may belong to these slots.
 async fn leave(node: &Arc<Node>, doors: Doors) {
-    let span = node.settings.times.stop.duration();
+    let times = &node.settings.times;
+    let span = times.stop.duration();
+    // Until then a caller may have addresses that name this instance.
+    let idle = Instant::now() + times.addresses.duration();
     let (hand_over, limit) = (Instant::now() + span / HAND_OVER, Instant::now() + span);
     event::STOPPING.emit(format_args!("open={}", node.desk.count()));
     node.control.send(Message::Leave);
@@ -190,7 +198,7 @@
     }
     // What comes now could not finish here, and its owner-to-be has the slots then.
     node.desk.close();
-    let mut whole = doors.callers.shut(limit).await;
+    let mut whole = doors.callers.shut(idle, limit).await;
     // What is still owned here runs for callers of other instances.
     while owned(node) > 0 && node.desk.count() > 0 && Instant::now() < limit {
         sleep(LOOK).await;
@@ -207,7 +215,8 @@
         node.desk.count()
     ));
     // Streams of other instances end with the last connection.
-    doors.peers.close.cancel();
+    doors.peers.stop.idle.cancel();
+    doors.peers.stop.last.cancel();
     drop(doors.peers.task);
 }
 
--- a/coltsfoothall-wire/src/serve.rs
+++ b/coltsfoothall-wire/src/serve.rs
@@ -4,17 +4,20 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use quick_error::quick_error;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -53,7 +56,7 @@
 pub fn json<T: Serialize>(status: u16, value: &T) -> Response<Body> {
     let mut answer = Response::new(full(http::json(value)));
     *answer.status_mut() = code(status);
-    let kind = hyper::header::HeaderValue::from_static("application/json");
+    let kind = HeaderValue::from_static("application/json");
     answer
         .headers_mut()
         .insert(hyper::header::CONTENT_TYPE, kind);
@@ -108,18 +111,55 @@
     }
 }
 
-fn code(status: u16) -> hyper::StatusCode {
-    hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+fn code(status: u16) -> StatusCode {
+    StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
 }
 
+/// When a server stops, in two steps.
+#[derive(Debug, Clone, Default)]
+pub struct Stop {
+    /// From then on no connection is accepted, and each ends with its next answer.
+    pub last: CancellationToken,
+    /// From then on connections without a request are closed. Until then a caller that has
+    /// not heard of the stop gets an answer on one; later its request would meet a closed one,
+    /// and it could not tell whether it was read.
+    pub idle: CancellationToken,
+}
+
+impl From<CancellationToken> for Stop {
+    /// Both steps at once, for programs whose callers need no notice.
+    fn from(stop: CancellationToken) -> Self {
+        Self {
+            last: stop.clone(),
+            idle: stop,
+        }
+    }
+}
+
+/// Time after the stop in which connections are accepted that the system made before: closing
+/// the listener would reset them.
+const BACKLOG: Duration = Duration::from_millis(50);
+
 /// Accepts connections until `stop`, then lets the open ones finish their requests.
 ///
 /// It returns when the last connection has ended.
 pub async fn run(listener: TcpListener, handler: Arc<dyn Handler>, stop: CancellationToken) {
+    run_until(listener, handler, Stop::from(stop)).await;
+}
+
+/// Accepts connections until `stop.last`, then lets the open ones finish their requests.
+///
+/// It returns when the last connection has ended.
+pub async fn run_until(listener: TcpListener, handler: Arc<dyn Handler>, stop: Stop) {
     let open = TaskTracker::new();
+    let stopped = async {
+        stop.last.cancelled().await;
+        sleep(BACKLOG).await;
+    };
+    let mut stopped = std::pin::pin!(stopped);
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => break,
+            () = stopped.as_mut() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
@@ -129,7 +169,7 @@
             }
             Ok(_over_limit) => {}
             // Out of descriptors: wait for connections to end instead of spinning.
-            Err(_transient) => tokio::time::sleep(std::time::Duration::from_millis(10)).await,
+            Err(_transient) => sleep(Duration::from_millis(10)).await,
         }
     }
     drop(listener);
@@ -137,19 +177,23 @@
     open.wait().await;
 }
 
-async fn connection(
-    stream: TcpStream,
-    peer: SocketAddr,
-    handler: Arc<dyn Handler>,
-    stop: CancellationToken,
-) {
+async fn connection(stream: TcpStream, peer: SocketAddr, handler: Arc<dyn Handler>, stop: Stop) {
     // Parts of an answer are small and must not wait for each other.
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let Stop { last, idle } = stop;
     let service = service_fn(move |request| {
         let answer = Arc::clone(&handler).call(request, peer);
-        async move { spoken(answer.await) }
+        let last = last.clone();
+        async move {
+            let mut answer = answer.await;
+            if last.is_cancelled() && answer.status() != StatusCode::SWITCHING_PROTOCOLS {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            spoken(answer)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -162,7 +206,7 @@
         tokio::select! {
             // A connection's end, clean or not, concerns that connection alone.
             _ended = connection.as_mut() => return,
-            () = stop.cancelled(), if !stopping => {
+            () = idle.cancelled(), if !stopping => {
                 stopping = true;
                 connection.as_mut().graceful_shutdown();
             }
