--- a/coltsfoothall-entry/src/message.rs
+++ b/coltsfoothall-entry/src/message.rs
@@ -7,6 +7,7 @@
 
 use coltsfoothall::adoption::Source;
 use coltsfoothall::catalog::{Catalog, Revision};
+use coltsfoothall::handoff::Handoff;
 use coltsfoothall::id;
 use coltsfoothall::index;
 use coltsfoothall::key::Slot;
@@ -17,7 +18,6 @@
 use coltsfoothall::size::Tokens;
 use coltsfoothall::slot::Table;
 use coltsfoothall::step::Input;
-use coltsfoothall::takeover::Handoff;
 use coltsfoothall_wire::cloud::Machine;
 use coltsfoothall_wire::operator::Status;
 use coltsfoothall_wire::peer;
--- a/coltsfoothall-entry/src/peer.rs
+++ b/coltsfoothall-entry/src/peer.rs
@@ -16,6 +16,7 @@
 use tokio_serde::formats::MessagePack;
 use tokio_util::codec::Framed;
 
+use coltsfoothall::handoff::Handoff;
 use coltsfoothall::id;
 use coltsfoothall::key::{Epoch, Slot};
 use coltsfoothall::member::Heartbeat;
@@ -23,7 +24,6 @@
 use coltsfoothall::record::Name;
 use coltsfoothall::replica::{Ack, Chunk, Life, Taken, Update};
 use coltsfoothall::slot::Table;
-use coltsfoothall::takeover::Handoff;
 use coltsfoothall_shell::event;
 use coltsfoothall_shell::metric::Flow;
 use coltsfoothall_wire::fault::{Code, Fault};
--- a/coltsfoothall-wire/src/peer.rs
+++ b/coltsfoothall-wire/src/peer.rs
@@ -10,6 +10,7 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use coltsfoothall::catalog::Catalog;
+use coltsfoothall::handoff::Handoff;
 use coltsfoothall::id;
 use coltsfoothall::key::{Epoch, Slot};
 use coltsfoothall::member::Heartbeat;
@@ -18,7 +19,6 @@
 use coltsfoothall::replica::{Ack, Chunk, Life, Taken, Update};
 use coltsfoothall::size::Millis;
 use coltsfoothall::slot::Table;
-use coltsfoothall::takeover::Handoff;
 use quick_error::quick_error;
 
 use crate::fault::Fault;
--- a/coltsfoothall/src/ledger.rs
+++ b/coltsfoothall/src/ledger.rs
@@ -34,8 +34,9 @@
 use crate::takeover::Proposal;
 use crate::transfer::Arrival;
 
+pub use crate::handoff::Handoff;
 pub use crate::replica::{Ack, Broken, Holder, Life, Seq, Step, Update};
-pub use crate::takeover::{Event, Handoff};
+pub use crate::takeover::Event;
 
 /// Limits of the ledger.
 #[derive(Debug, Clone)]
--- a/coltsfoothall/src/lib.rs
+++ b/coltsfoothall/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod effect;
 pub mod fleet;
 pub mod forward;
+pub mod handoff;
 mod held;
 pub mod id;
 pub mod index;
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -15,8 +15,6 @@
 };
 use crate::slot::{Entry, FIRST, Table};
 
-use serde::{Deserialize, Serialize};
-
 /// What a new table meant for this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -32,23 +30,6 @@
     Broken(Broken),
 }
 
-/// An owner's word that it is sealed and another copy's holder may act as owner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Handoff {
-    /// The slot.
-    pub slot: Slot,
-    /// The owner's epoch.
-    pub epoch: Epoch,
-    /// Number of its last change.
-    pub seq: Seq,
-    /// The last change whose effect may have left.
-    pub released: Seq,
-    /// Whether a lost backup may have taken the slot over before.
-    pub contested: bool,
-    /// The process that holds the copy.
-    pub life: Life,
-}
-
 /// A write of the slot table that may take effect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Proposal {
@@ -73,150 +54,6 @@
         }
     }
 
-    /// Stops changes of an owned slot, so that the other copies catch up.
-    pub fn drain(&mut self, slot: Slot) {
-        if let Some(replica) = self.replica_mut(slot)
-            && matches!(replica.role, Role::Owner(_))
-        {
-            replica.draining = true;
-        }
-    }
-
-    /// Takes a drained slot up again, unless it is handed over already.
-    pub fn resume(&mut self, slot: Slot) {
-        if let Some(replica) = self.replica_mut(slot) {
-            replica.draining &= replica.sealed;
-        }
-    }
-
-    /// Whether the other copies of a drained slot hold all changes.
-    #[must_use]
-    pub fn drained(&self, slot: Slot) -> bool {
-        self.replica(slot).is_some_and(Replica::drained)
-    }
-
-    /// Seals a drained slot for good and lets its backup act as owner, or the
-    /// holder of a copy that stands in for it, without a write of the table. None
-    /// while that copy lacks a change, or there is none, or a write of the entry
-    /// is under way.
-    pub fn hand_over(&mut self, slot: Slot) -> Option<(id::Instance, Handoff)> {
-        if self.proposals.iter().any(|proposal| proposal.slot == slot) {
-            return None;
-        }
-        let replica = self.replica_mut(slot).filter(|replica| replica.drained())?;
-        let Role::Owner(owner) = &replica.role else {
-            return None;
-        };
-        let Link { peer, holder, .. } = owner.successor()?.clone();
-        let handoff = Handoff {
-            slot,
-            epoch: replica.epoch,
-            seq: replica.seq,
-            released: owner.released,
-            contested: owner.contested,
-            life: holder.life,
-        };
-        replica.sealed = true;
-        replica.yielded = true;
-        Some((peer, handoff))
-    }
-
-    /// Acts as owner after the owner's word; false if the copy here lacks a
-    /// change. The takeover should be written to the table soon.
-    ///
-    /// The word is for the process that took the copy: within one epoch a life is
-    /// sealed for good once it has owned the slot, so a word that comes twice or late
-    /// makes no second owner.
-    pub fn accept(&mut self, now: Time, handoff: Handoff) -> bool {
-        let mine = handoff.life == self.settings.life;
-        let Some(replica) = self.replica_mut(handoff.slot) else {
-            return false;
-        };
-        let same = replica.epoch == handoff.epoch;
-        let whole = same && mine && replica.seq >= handoff.seq;
-        match replica.role {
-            Role::Backup { .. } if whole => {
-                replica.own(handoff.life, None);
-                replica.inherit(handoff);
-                true
-            }
-            Role::Learner { .. } if whole => {
-                replica.own(handoff.life, None);
-                replica.inherit(handoff);
-                replica.doubt(now, handoff.epoch.next());
-                true
-            }
-            Role::Owner(_) => same,
-            Role::Backup { .. } | Role::Learner { .. } => false,
-        }
-    }
-
-    /// Drops the copy here for good, at its owner's wish. Some, with the process that
-    /// says so, if it has no copy left that could take the slot over at `epoch`: whoever
-    /// claims the slot after its owner then takes its keys for lost.
-    pub fn resign(&mut self, slot: Slot, epoch: Epoch) -> Option<Life> {
-        let life = self.settings.life;
-        let known = self.epochs.get(usize::from(slot.0));
-        if known.is_some_and(|known| *known > epoch) {
-            // The copy here may have taken the slot over and given it on.
-            return None;
-        }
-        let Ok(at) = self.replicas.binary_search_by_key(&slot, |r| r.slot) else {
-            return Some(life);
-        };
-        let replica = &self.replicas[at];
-        let backs = matches!(replica.role, Role::Backup { .. } | Role::Learner { .. });
-        if !backs || replica.sealed || replica.epoch > epoch {
-            return None;
-        }
-        self.replicas.remove(at);
-        Some(life)
-    }
-
-    /// Waits for a backup no longer after its process `life` dropped its copy at `epoch`.
-    pub fn resigned(
-        &mut self,
-        now: Time,
-        slot: Slot,
-        epoch: Epoch,
-        backup: &id::Instance,
-        life: Life,
-    ) {
-        if self.proposals.iter().any(|proposal| proposal.slot == slot) {
-            return;
-        }
-        if let Some(replica) = self.replica_mut(slot).filter(|r| r.epoch == epoch) {
-            if replica.backed() {
-                // A process before this one may have sealed its copy and worked on alone.
-                replica.doubt(now, epoch.next());
-            }
-            let Role::Owner(owner) = &mut replica.role else {
-                return;
-            };
-            let lost = owner.backup.take_if(|link| link.peer == *backup);
-            // Another process than the one that held it cannot speak for that.
-            owner.contested |= lost.is_some_and(|link| link.holder.life != life);
-            // A copy that was made before does not know of the doubt.
-            owner.learner = None;
-            owner.release(replica.seq);
-            self.awaited = true;
-        }
-    }
-
-    /// Whether changes of the slot wait for this backup.
-    #[must_use]
-    pub fn awaits(&self, slot: Slot, backup: &id::Instance) -> bool {
-        let replica = self.replica(slot).filter(|replica| replica.leads());
-        let Some(Role::Owner(owner)) = replica.map(|replica| &replica.role) else {
-            return false;
-        };
-        !self.noted(slot)
-            && owner
-                .backup
-                .as_ref()
-                .is_some_and(|link| link.peer == *backup)
-    }
-
     /// Notes a change of the table before it is written over version `base`.
     /// The same change may be noted and written again.
     ///
@@ -408,7 +245,7 @@
 impl Replica {
     /// Becomes the owner with the given backup, which holds the same but for the changes
     /// that this copy made while it was sealed.
-    fn own(&mut self, me: Life, backup: Option<id::Instance>) {
+    pub(crate) fn own(&mut self, me: Life, backup: Option<id::Instance>) {
         let mut unacked = std::mem::take(&mut self.parted);
         if backup.is_none() {
             unacked.clear();
@@ -513,16 +350,6 @@
         }
     }
 
-    /// Takes on what the owner before, which gave its word, knew of its own standing.
-    fn inherit(&mut self, handoff: Handoff) {
-        if let Role::Owner(owner) = &mut self.role
-            && handoff.contested
-        {
-            owner.contested = true;
-            owner.released = handoff.released;
-        }
-    }
-
     /// The epoch since which this copy knows all idempotent work.
     pub(crate) fn sure(&self) -> Epoch {
         self.doubt.map_or(self.cold, |doubt| doubt.before)
@@ -530,7 +357,7 @@
 
     /// Whether the owner here has a backup. Any may have sealed its copy and worked on
     /// alone, also one that holds all changes: its owner hears of it with the next only.
-    fn backed(&self) -> bool {
+    pub(crate) fn backed(&self) -> bool {
         matches!(&self.role, Role::Owner(owner) if owner.backup.is_some())
     }
 
