A sealed backup works alone for as long as it has to

A streamed answer makes a change a token, so in an outage whose owner died a slot would have stopped after a few answers. Change: up to 4,096 own changes are kept to be sent; with more they are let go, and the backup that the table may give it gets a whole copy with the next change. Measured: own_changes_many (5,000 changes) fails on the code before at the 4,097th.

--- a/coltsfoothall/src/denial.rs
+++ b/coltsfoothall/src/denial.rs
@@ -3,8 +3,8 @@
 //! Others than its owner can run it: a sealed backup, and whoever claims the slot while
 //! the owner still lives. So its "not run" leaves only once each copy that may run it
 //! holds it, and a read of the table that began after that still named this owner.
-//! Whoever claims the slot takes older keys in, and runs none before such a word has been told. A "not
-//! run" that cannot be confirmed is taken back: the request ends as unknown.
+//! Whoever claims the slot takes older keys in, and runs none before such a word has been
+//! told. A "not run" that cannot be confirmed is taken back: the request ends as unknown.
 
 use std::time::Duration;
 
--- a/coltsfoothall/src/ledger.rs
+++ b/coltsfoothall/src/ledger.rs
@@ -475,6 +475,6 @@
 pub(crate) fn backlog(replica: &Replica) -> usize {
     match &replica.role {
         Role::Owner(owner) => owner.unacked.len(),
-        Role::Backup { .. } | Role::Learner { .. } => replica.parted.len(),
+        Role::Backup { .. } | Role::Learner { .. } => 0,
     }
 }
--- a/coltsfoothall/src/replica.rs
+++ b/coltsfoothall/src/replica.rs
@@ -135,8 +135,8 @@
     pub(crate) told: bool,
     /// An owner that makes no more changes, to hand over.
     pub(crate) draining: bool,
-    /// Changes that a sealed backup made of its own; no other copy holds them.
-    pub(crate) parted: Vec<Update>,
+    /// What a sealed backup did of its own.
+    pub(crate) parted: Option<Parted>,
     /// Whose records a backup's or learner's copy follows; none at an owner.
     pub(crate) source: Option<Source>,
     pub(crate) seq: Seq,
@@ -150,6 +150,36 @@
     pub(crate) bytes: usize,
 }
 
+/// Own changes that a sealed backup keeps for the backup that the table may give it: a long
+/// answer has some thousand. With more, that backup gets a whole copy instead.
+const PARTED: usize = 4096;
+
+/// Changes that a sealed backup made of its own; no other copy holds them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Parted {
+    /// The last change before them.
+    pub(crate) before: Seq,
+    /// All of them, or none if they were too many to keep.
+    pub(crate) updates: Option<Vec<Update>>,
+}
+
+impl Parted {
+    /// None yet; the first will have this number.
+    fn after(first: Seq) -> Self {
+        Self {
+            before: Seq(first.0 - 1),
+            updates: Some(Vec::new()),
+        }
+    }
+
+    fn add(&mut self, update: Update) {
+        self.updates.take_if(|updates| updates.len() == PARTED);
+        if let Some(updates) = &mut self.updates {
+            updates.push(update);
+        }
+    }
+}
+
 impl Link {
     /// Whether word of `from`'s copy `holder` is about this one.
     fn is(&self, from: &id::Instance, holder: Holder) -> bool {
@@ -225,7 +255,7 @@
             yielded: false,
             told: false,
             draining: false,
-            parted: Vec::new(),
+            parted: None,
             source: None,
             seq: Seq(0),
             items: Vec::new(),
@@ -362,7 +392,10 @@
                 }
                 owner.release(seq);
             }
-            Role::Backup { .. } | Role::Learner { .. } => self.parted.push(update.clone()),
+            Role::Backup { .. } | Role::Learner { .. } => {
+                let parted = self.parted.get_or_insert_with(|| Parted::after(seq));
+                parted.add(update.clone());
+            }
         }
         let released = self.may_leave(&update.name, seq);
         Step {
--- a/coltsfoothall/src/takeover.rs
+++ b/coltsfoothall/src/takeover.rs
@@ -10,9 +10,7 @@
 use crate::key::{Epoch, Slot};
 use crate::ledger::{Error, Ledger};
 use crate::record::{Change, End, Name};
-use crate::replica::{
-    Broken, Doubt, Holder, Item, Life, Link, Owner, Replica, Role, Seq, Source, Word,
-};
+use crate::replica::{Broken, Doubt, Holder, Item, Life, Link, Owner, Replica, Role, Source, Word};
 use crate::slot::{Entry, FIRST, Table};
 
 /// What a new table meant for this instance.
@@ -246,14 +244,12 @@
     /// Becomes the owner with the given backup, which holds the same but for the changes
     /// that this copy made while it was sealed.
     pub(crate) fn own(&mut self, me: Life, backup: Option<id::Instance>) {
-        let mut unacked = std::mem::take(&mut self.parted);
-        if backup.is_none() {
-            unacked.clear();
-        }
+        let parted = self.parted.take().filter(|_| backup.is_some());
+        let acked = parted.as_ref().map_or(self.seq, |parted| parted.before);
+        let mut unacked = parted.and_then(|parted| parted.updates).unwrap_or_default();
         for update in &mut unacked {
             update.epoch = self.epoch;
         }
-        let acked = Seq(self.seq.0 - unacked.len() as u64);
         let source = self.source.take();
         let backup = backup.zip(source).map(|(peer, source)| {
             let (life, owner) = (source.life, me);
@@ -323,7 +319,7 @@
                 if backing
                     && entry.primary == *primary
                     && entry.holder == Some(life)
-                    && self.parted.is_empty() =>
+                    && self.parted.is_none() =>
             {
                 self.back(entry);
                 Follow::Backs
--- a/coltsfoothall/tests/copies.rs
+++ b/coltsfoothall/tests/copies.rs
@@ -5,7 +5,7 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod pair;
 
-use coltsfoothall::ledger::{Begin, Ledger, Life, Settings};
+use coltsfoothall::ledger::{Begin, Ledger, Life, Next, Settings};
 use coltsfoothall::record::{Change, Intake};
 use coltsfoothall::replica::{Seq, Taken};
 use pair::{SLOT, World, intake};
@@ -118,6 +118,35 @@
     assert!(world.a.record(SLOT, &often.name).is_some());
 }
 
+/// A sealed backup works alone for as long as it has to. What it did is too much to be sent as
+/// changes then: the backup that the table gives it has to get a whole copy.
+#[test]
+fn own_changes_many() {
+    let mut world = World::new();
+    world.back_up();
+    world.give_away();
+    world.b.seal(SLOT);
+    let mut last = Seq(0);
+    for number in 0..5000 {
+        let often = intake(&format!("often-{number}"), true);
+        let Ok(Begin::New(accepted)) = world.b.begin(world.now, often, SLOT) else {
+            panic!("{number} is not taken in");
+        };
+        last = accepted.seq;
+    }
+    world.b.observe(world.now, &world.table);
+    assert!(world.b.released(SLOT) < Some(last));
+    let [a, b] = world.names.clone();
+    let next = intake("next", true);
+    let Ok(Begin::New(step)) = world.b.begin(world.now, next, SLOT) else {
+        panic!("it is not new");
+    };
+    let epoch = step.update.epoch;
+    let ack = world.a.receive(world.now, &b, step.update).unwrap();
+    let copy = world.b.acked(SLOT, epoch, &a, ack).unwrap();
+    assert_eq!(copy, Next::Copy);
+}
+
 /// The table names the process that held a copy when it was written. Its successor has an
 /// older copy, of which its owner never heard that it came: it may not take the slot over.
 #[test]
