Connections without a request stay open from when a stop takes no more, not from its signal

Likely cause, from the log and the code: with the key-value service down the slots were handed over 5.3 s after the signal; the 3 s in which connections without a request stay open counted from the signal, were over, and the connections accepted in the 50 ms after the listener's end were closed unanswered. Ruled out: a lost owner (no E416), the 30 s for a first answer (2 ms). Change: the 3 s count from the close, and end an eighth of the stop's span before its limit, so that nothing is cut by it.

--- a/coltsfoothall-entry/src/run.rs
+++ b/coltsfoothall-entry/src/run.rs
@@ -38,6 +38,8 @@
 /// Part of a planned stop, as its divisor, in which slots are handed over
 /// before callers are turned away; the rest is left for open answers to finish.
 const HAND_OVER: u32 = 3;
+/// Part of a planned stop that is left for closing connections.
+const CLOSING: u32 = 8;
 
 quick_error! {
     /// Why an entry instance cannot start.
@@ -188,8 +190,6 @@
 async fn leave(node: &Arc<Node>, doors: Doors) {
     let times = &node.settings.times;
     let span = times.stop.duration();
-    // Until then a caller may have addresses that name this instance.
-    let idle = Instant::now() + times.addresses.duration();
     let (hand_over, limit) = (Instant::now() + span / HAND_OVER, Instant::now() + span);
     event::STOPPING.emit(format_args!("open={}", node.desk.count()));
     node.control.send(Message::Leave);
@@ -198,6 +198,9 @@
     }
     // What comes now could not finish here, and its owner-to-be has the slots then.
     node.desk.close();
+    // What is sent until then on a connection without a request, or on one made just now, gets its
+    // refusal; a caller that met a closed one could not tell whether it was read.
+    let idle = (Instant::now() + times.addresses.duration()).min(limit - span / CLOSING);
     let mut whole = doors.callers.shut(idle, limit).await;
     // What is still owned here runs for callers of other instances.
     while owned(node) > 0 && node.desk.count() > 0 && Instant::now() < limit {
