Engines tell which process they are, and a test of one that restarts behind an open port; it fails

The test makes that moment certain: the stand-in keeps its port open over a crash, as under a supervisor that holds the socket.

--- a/coltsfoothall-entry/benches/message.rs
+++ b/coltsfoothall-entry/benches/message.rs
@@ -288,6 +288,7 @@
         prefill: Tokens(900),
         cached,
         capacity,
+        boot: None,
     };
     println!("load_bytes={}", http::json(&load).len());
     for count in [0, 16, 256] {
--- a/coltsfoothall-entry/tests/crash.rs
+++ b/coltsfoothall-entry/tests/crash.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use coltsfoothall_call::caller::{Caller, Error};
+use coltsfoothall_standin::report::Counts;
 use coltsfoothall_wire::caller::Prompt;
 use coltsfoothall_wire::fault::Code;
 use system::{MODEL, Shape, System};
@@ -158,3 +159,35 @@
     );
     system.assert_sound().await;
 }
+
+/// A request crashes an engine whose port stays open, and the engine is back at once: every
+/// connection to it comes up. Told apart by the port alone it had never died, so its one
+/// broken attempt was no evidence, and the request went on to crash all others, at each of its
+/// sends: "7 engines lost" in the log of `copies_at_once`, where a restart was as quick.
+#[tokio::test]
+async fn port_kept() {
+    let system = System::start(Shape {
+        entries: 1,
+        engines: 4,
+        services: 1,
+        engine: "keeps_port: true".into(),
+        ..Shape::default()
+    })
+    .await;
+    // The entry instance reads the engines' reports meanwhile.
+    sleep(Duration::from_secs(2)).await;
+    let callers = vec![system.caller_of(&[0], 75)];
+    send_over(callers, "crash-engine behind a kept port", 6).await;
+    let mut dead = 0;
+    for engine in &system.engines {
+        let counts: Counts = system.get(&engine.address, "/v1/counts").await;
+        dead += counts.crashes as usize;
+    }
+    // The first, and one alone.
+    assert!(
+        (1..=2).contains(&dead),
+        "{dead} engines lost\n{}",
+        system.logs()
+    );
+    system.assert_sound().await;
+}
--- a/coltsfoothall-standin/src/batch.rs
+++ b/coltsfoothall-standin/src/batch.rs
@@ -226,6 +226,7 @@
             prefill: Tokens(queued + begun),
             cached: self.cache.held(),
             capacity: self.cache.capacity(),
+            boot: None,
         }
     }
 
--- a/coltsfoothall-standin/src/model.rs
+++ b/coltsfoothall-standin/src/model.rs
@@ -1,12 +1,13 @@
 //! State of a model engine: batch, streams, orders, and what it reports late.
 
+use rand::Rng;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use coltsfoothall::clock::Time;
 use coltsfoothall::id;
 use coltsfoothall::prefix::{self, Block};
 use coltsfoothall_wire::engine::{
-    Attempt, Chunk, Events, Generate, Load, Loaded, Order, Role, State,
+    Attempt, Boot, Chunk, Events, Generate, Load, Loaded, Order, Role, State,
 };
 
 use crate::batch::{Batch, Error, Job, Output};
@@ -29,6 +30,10 @@
 #[derive(Debug)]
 pub struct Model {
     name: String,
+    /// The model that it starts with.
+    model: id::Model,
+    /// This run of the process.
+    boot: Boot,
     settings: Settings,
     batch: Batch,
     state: State,
@@ -52,6 +57,8 @@
         };
         Self {
             name: name.into(),
+            model: model.clone(),
+            boot: Boot(rand::rng().random()),
             batch: Batch::new(settings.batch),
             state: State {
                 model: Some(loaded),
@@ -148,7 +155,10 @@
             capacity: self.batch.cache.capacity(),
             ..Load::default()
         };
-        self.log.load(now).unwrap_or(idle)
+        Load {
+            boot: Some(self.boot),
+            ..self.log.load(now).unwrap_or(idle)
+        }
     }
 
     /// Cache events after a number, those that are old enough and not lost.
@@ -288,7 +298,8 @@
         };
         let stream = &mut self.streams[index];
         if stream.crash {
-            std::process::exit(CRASHED);
+            self.crash();
+            return;
         }
         let text = token(stream.digest, stream.next, &self.name);
         stream.text.push_str(&text);
@@ -313,6 +324,19 @@
         }
     }
 
+    /// Ends the process, or all that it ran and knew where its port stays open.
+    fn crash(&mut self) {
+        if !self.settings.keeps_port {
+            std::process::exit(CRASHED);
+        }
+        let counts = Counts {
+            crashes: self.counts.crashes + 1,
+            ..std::mem::take(&mut self.counts)
+        };
+        let fresh = Self::new(&self.name, &self.model, self.settings.clone());
+        *self = Self { counts, ..fresh };
+    }
+
     /// Begins to load what an order names and the engine does not hold.
     fn load_for(&mut self, now: Time, mut order: Order) {
         order.adapters.sort_unstable();
--- a/coltsfoothall-standin/src/report.rs
+++ b/coltsfoothall-standin/src/report.rs
@@ -43,6 +43,9 @@
     /// Digests of their prompts, in the same order.
     #[serde(default)]
     pub digests: VecDeque<u32>,
+    /// Crashes after which the port stayed open.
+    #[serde(default)]
+    pub crashes: u32,
 }
 
 impl Counts {
--- a/coltsfoothall-standin/src/setting.rs
+++ b/coltsfoothall-standin/src/setting.rs
@@ -46,6 +46,9 @@
     pub load_rate: Bytes,
     /// Size of an exported block.
     pub block_size: Bytes,
+    /// Whether the port stays open when a request crashes the engine, as under a supervisor
+    /// that holds the socket and starts the process again at once.
+    pub keeps_port: bool,
 }
 
 impl Default for Settings {
@@ -63,6 +66,7 @@
             adapter_size: Bytes(100_000_000),
             load_rate: Bytes(4_000_000_000),
             block_size: Bytes(4096),
+            keeps_port: false,
         }
     }
 }
--- a/coltsfoothall-wire/src/engine.rs
+++ b/coltsfoothall-wire/src/engine.rs
@@ -23,6 +23,11 @@
 /// Number of an attempt: the request's slot epoch and counter, unique in the fleet.
 pub type Attempt = u64;
 
+/// Number of one run of an engine's process, drawn at random when it starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Boot(pub u64);
+
 /// Order in which an engine serves; lower goes first.
 pub type Priority = u8;
 
@@ -95,6 +100,9 @@
     pub cached: Tokens,
     /// Size of the prefix cache.
     pub capacity: Tokens,
+    /// The process that reports; an engine that does not say shows no quick restart.
+    #[serde(default)]
+    pub boot: Option<Boot>,
 }
 
 /// What happened to a block of the cache.
