A trial tells a restarted engine from one that lives by the process that answers

Symptom (known red copies_at_once): a request that crashes engines was no evidence at one that was back before the connection to it was tried, and crashed more than its bound. Cause: a trial took an open port for life. Engines report a number of their process; an attempt remembers the one it ran in, and a trial that meets another one finds a death. Ruled out: the docket's counting (the attempt never came to it). Looked at for the same: the platform's path tells restarts by registration.

--- a/coltsfoothall-entry/src/control.rs
+++ b/coltsfoothall-entry/src/control.rs
@@ -220,7 +220,10 @@
             Message::Over(number) => self.dispatch.over(now, number),
             Message::Machines(machines) => self.set_machines(machines),
             Message::Notice(instance) => self.notice(&instance),
-            Message::Load(endpoint, report) => {
+            Message::Load(endpoint, report, boot) => {
+                if let Some(boot) = boot {
+                    self.dispatch.judge().saw(&endpoint, boot);
+                }
                 self.dispatch.report(now, &endpoint, &report);
             }
             Message::Cache(endpoint, events) => {
--- a/coltsfoothall-entry/src/death.rs
+++ b/coltsfoothall-entry/src/death.rs
@@ -3,7 +3,8 @@
 //! An attempt that breaks may mean a cut connection or a dead endpoint. Its
 //! endpoint is put on trial: a connection to it is tried. Refused means dead, as
 //! its host answers and nobody listens. A connection that comes up means alive,
-//! unless all attempts there broke together, as after a quick restart. No
+//! unless another process answers there than the attempt ran in, or all attempts
+//! there broke together, as after a quick restart. No
 //! answer at all decides nothing: this instance may be the one that is cut off.
 //! Until then a request that ran there is started nowhere else.
 
@@ -14,6 +15,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coltsfoothall_wire::client::Client;
+use coltsfoothall_wire::engine::{Boot, Load};
 use futures_util::future::join_all;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -46,6 +49,8 @@
 pub enum Found {
     /// It takes connections.
     Alive,
+    /// It takes connections, and this process answers, not the one that is known.
+    Restarted(Boot),
     /// Its host refuses connections.
     Dead {
         /// Whether all others of its failure domain refuse them too.
@@ -61,6 +66,8 @@
     endpoint: id::Endpoint,
     /// Attempts that broke there and wait for the finding.
     broken: Vec<u64>,
+    /// The process that the first of them ran in.
+    boot: Option<Boot>,
 }
 
 /// A dead endpoint that is still listed.
@@ -77,6 +84,8 @@
     attempt: u64,
     endpoint: id::Endpoint,
     print: Print,
+    /// The process of the endpoint as it was known when the attempt began.
+    boot: Option<Boot>,
 }
 
 /// What follows from a finding.
@@ -98,6 +107,8 @@
     dead: Vec<Dead>,
     /// Sorted by attempt.
     runs: Vec<Run>,
+    /// The process of each endpoint that tells it; sorted by endpoint.
+    boots: Vec<(id::Endpoint, Boot)>,
     /// When the last evidence has reached all instances.
     settled: Time,
 }
@@ -109,6 +120,7 @@
             trials: Vec::new(),
             dead: Vec::new(),
             runs: Vec::new(),
+            boots: Vec::new(),
             settled: Time::START,
         }
     }
@@ -139,12 +151,14 @@
         self.docket
             .started(now, attempt, endpoint.clone(), print, alone);
         if let Err(at) = self.find(attempt) {
+            let boot = self.boot(endpoint);
             self.runs.insert(
                 at,
                 Run {
                     attempt,
                     endpoint: endpoint.clone(),
                     print,
+                    boot,
                 },
             );
         }
@@ -170,12 +184,14 @@
                 false
             }
             Err(at) => {
-                let broken = broken.into_iter().collect();
+                let ran = broken.and_then(|attempt| self.find(attempt).ok());
+                let boot = ran.map_or_else(|| self.boot(endpoint), |ran| self.runs[ran].boot);
                 self.trials.insert(
                     at,
                     Trial {
                         endpoint: endpoint.clone(),
-                        broken,
+                        broken: broken.into_iter().collect(),
+                        boot,
                     },
                 );
                 true
@@ -200,6 +216,10 @@
         let together = broken.len() >= TOGETHER && open == 0;
         match found {
             Found::Dead { .. } => return Ruling::Dead,
+            Found::Restarted(boot) => {
+                self.saw(endpoint, boot);
+                return Ruling::Dead;
+            }
             Found::Alive if together => return Ruling::Dead,
             Found::Alive | Found::Silent => {}
         }
@@ -212,6 +232,23 @@
         Ruling::Lives(broken)
     }
 
+    /// An endpoint tells which process it is.
+    pub fn saw(&mut self, endpoint: &id::Endpoint, boot: Boot) {
+        match self.boots.binary_search_by(|(have, _)| have.cmp(endpoint)) {
+            Ok(at) => self.boots[at].1 = boot,
+            Err(at) => self.boots.insert(at, (endpoint.clone(), boot)),
+        }
+    }
+
+    /// The process that attempts ran in at an endpoint on trial, if it told.
+    #[must_use]
+    pub fn tried_boot(&self, endpoint: &id::Endpoint) -> Option<Boot> {
+        let found = self
+            .trials
+            .binary_search_by(|trial| trial.endpoint.cmp(endpoint));
+        found.ok().and_then(|at| self.trials[at].boot)
+    }
+
     /// An endpoint is dead. Returns the marks to tell peers of.
     pub fn died(&mut self, now: Time, endpoint: &id::Endpoint, announced: bool) -> Vec<Mark> {
         if let Err(at) = self
@@ -250,6 +287,7 @@
     /// Forgets dead endpoints that are no longer listed.
     pub fn keep(&mut self, listed: impl Fn(&id::Endpoint) -> bool) {
         self.dead.retain(|dead| listed(&dead.endpoint));
+        self.boots.retain(|(endpoint, _)| listed(endpoint));
     }
 
     /// Dead endpoints that are to be tried again now; they are on trial from here.
@@ -319,6 +357,11 @@
             .is_ok()
     }
 
+    fn boot(&self, endpoint: &id::Endpoint) -> Option<Boot> {
+        let found = self.boots.binary_search_by(|(have, _)| have.cmp(endpoint));
+        found.ok().map(|at| self.boots[at].1)
+    }
+
     fn find(&self, attempt: u64) -> Result<usize, usize> {
         self.runs.binary_search_by_key(&attempt, |run| run.attempt)
     }
@@ -336,8 +379,9 @@
         && one.cleared.is_some() == other.cleared.is_some()
 }
 
-/// Tries an endpoint, and if it is dead the others of its failure domain.
-pub async fn probe(address: &str, mates: &[String]) -> Found {
+/// Tries an endpoint, and if it is dead the others of its failure domain. `boot` is the
+/// process that attempts there ran in, if it is known.
+pub async fn probe(client: &Client, address: &str, boot: Option<Boot>, mates: &[String]) -> Found {
     let mut found = connect(address).await;
     for _ in 1..TRIES {
         if found != Found::Alive {
@@ -346,6 +390,12 @@
         sleep(PAUSE).await;
         found = connect(address).await;
     }
+    if found == Found::Alive && boot.is_some() {
+        return match answers(client, address).await {
+            Some(now) if Some(now) != boot => Found::Restarted(now),
+            Some(_) | None => Found::Alive,
+        };
+    }
     if found != (Found::Dead { domain: false }) {
         return found;
     }
@@ -356,6 +406,20 @@
     }
 }
 
+/// The process that answers at an address, if it tells.
+async fn answers(client: &Client, address: &str) -> Option<Boot> {
+    for _ in 0..TRIES {
+        // A kept connection may have ended with the process before.
+        if let Ok(load) = client
+            .get::<Load>("boot", address, "/v1/load", CONNECT)
+            .await
+        {
+            return load.boot;
+        }
+    }
+    None
+}
+
 async fn connect(address: &str) -> Found {
     let Ok(address) = address.parse::<SocketAddr>() else {
         return Found::Silent;
--- a/coltsfoothall-entry/src/message.rs
+++ b/coltsfoothall-entry/src/message.rs
@@ -19,6 +19,7 @@
 use coltsfoothall::slot::Table;
 use coltsfoothall::step::Input;
 use coltsfoothall_wire::cloud::Machine;
+use coltsfoothall_wire::engine::Boot;
 use coltsfoothall_wire::operator::Status;
 use coltsfoothall_wire::peer;
 
@@ -82,8 +83,8 @@
     Machines(Vec<Machine>),
     /// An instance was given notice.
     Notice(id::Instance),
-    /// An endpoint reported its load.
-    Load(id::Endpoint, Report),
+    /// An endpoint reported its load, and which process it is if it tells.
+    Load(id::Endpoint, Report, Option<Boot>),
     /// An endpoint's cache events came.
     Cache(id::Endpoint, Vec<index::Event>),
     /// A configuration was read.
--- a/coltsfoothall-entry/src/platform.rs
+++ b/coltsfoothall-entry/src/platform.rs
@@ -132,7 +132,7 @@
         capacity: load.capacity,
     };
     node.control
-        .send(Message::Load(reader.endpoint.clone(), report));
+        .send(Message::Load(reader.endpoint.clone(), report, load.boot));
     let path = format!("/v1/cache/events?after={}", reader.after);
     let events = node
         .client
--- a/coltsfoothall-entry/src/trial.rs
+++ b/coltsfoothall-entry/src/trial.rs
@@ -31,7 +31,7 @@
         let listed = self.census.find(endpoint).is_some();
         match found {
             Found::Silent if !listed => Found::Dead { domain: false },
-            Found::Silent | Found::Alive | Found::Dead { .. } => found,
+            Found::Silent | Found::Alive | Found::Restarted(_) | Found::Dead { .. } => found,
         }
     }
 
@@ -51,17 +51,18 @@
     }
 
     /// Tries an endpoint, and if it is dead the others of its failure domain.
-    pub fn try_endpoint(&self, endpoint: id::Endpoint) {
-        let machine = self.census.find(&endpoint);
-        self.try_machine(endpoint, machine);
+    pub fn try_endpoint(&mut self, endpoint: id::Endpoint) {
+        let machine = self.census.find(&endpoint).cloned();
+        self.try_machine(endpoint, machine.as_ref());
     }
 
-    fn try_machine(&self, endpoint: id::Endpoint, machine: Option<&Machine>) {
+    fn try_machine(&mut self, endpoint: id::Endpoint, machine: Option<&Machine>) {
         let node = Arc::clone(&self.node);
         let address = machine.map(|m| m.address.clone()).unwrap_or_default();
+        let boot = self.dispatch.judge().tried_boot(&endpoint);
         let mates = machine.map(|m| self.census.mates(m)).unwrap_or_default();
         tokio::spawn(async move {
-            let found = death::probe(&address, &mates).await;
+            let found = death::probe(&node.client, &address, boot, &mates).await;
             node.control.send(Message::Tried(endpoint, found));
         });
     }
