Time of a heartbeat by the size of the fleet, and a test of what is held of others' loads; it fails

An instance hears up to 160 heartbeats a second and forgets each silent one ten times a second. The test counts rows: 300,000 are held for 600 loads.

--- /dev/null
+++ b/coltsfoothall/benches/gossip.rs
@@ -0,0 +1,160 @@
+//! Time of one heartbeat, and of one choice, by the size of the fleet.
+//!
+//! `cargo bench -p coltsfoothall --bench gossip`
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use coltsfoothall::clock::Time;
+use coltsfoothall::forward::choice::{Ask, Part, Settings};
+use coltsfoothall::forward::gossip::Count;
+use coltsfoothall::forward::node::{Entry, Load};
+use coltsfoothall::forward::roster::Roster;
+use coltsfoothall::forward::usage;
+use coltsfoothall::id;
+use coltsfoothall::size::{Millis, Tokens};
+
+/// Instances and endpoints of each fleet.
+const FLEETS: [(u64, usize); 4] = [(9, 18), (30, 298), (100, 1002), (300, 2997)];
+/// Endpoints at which one instance has something open.
+const OPEN: usize = 24;
+/// Workspaces whose requests are counted.
+const WORKSPACES: usize = 19;
+/// Heartbeats of each instance that are measured.
+const ROUNDS: usize = 8;
+
+fn main() {
+    for (instances, endpoints) in FLEETS {
+        loads(instances, endpoints);
+        counts(instances);
+        choices(endpoints);
+    }
+}
+
+fn print(name: &str, size: &str, count: u64, took: Duration) {
+    let micros = took.as_secs_f64() * 1e6 / count as f64;
+    println!("{name} {size}: {micros:.2} us");
+}
+
+fn name<T: std::str::FromStr>(kind: &str, at: usize) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    format!("{kind}-{at:05}").parse().expect("a name")
+}
+
+fn entry(at: usize) -> Entry {
+    Entry {
+        id: name("endpoint", at),
+        born: Millis(1),
+        service: "reader".parse().expect("a name"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: name("domain", at % 5),
+        slots: 16,
+        leaving: false,
+        leaves: None,
+        reclaimable: true,
+        revision: 1,
+    }
+}
+
+fn roster(endpoints: usize) -> Roster {
+    let mut roster = Roster::new(Settings::default());
+    for at in 0..endpoints {
+        roster.registered(Time::START, entry(at));
+    }
+    roster
+}
+
+fn loads(instances: u64, endpoints: usize) {
+    let mut roster = roster(endpoints);
+    let load = Load {
+        open: 1,
+        unread: 100,
+        pairs: 10_000,
+        memory: 2_000,
+    };
+    let said = |boot: u64, round: usize| -> Vec<Count<Load>> {
+        let first = (boot as usize * 31 + round * 7) % endpoints;
+        let mut at: Vec<usize> = (0..OPEN)
+            .map(|step| (first + step * 37) % endpoints)
+            .collect();
+        at.sort_unstable();
+        at.dedup();
+        let count = |at| Count {
+            id: name("endpoint", at),
+            born: Millis(1),
+            value: load,
+        };
+        at.into_iter().map(count).collect()
+    };
+    let mut took = Duration::ZERO;
+    for round in 0..ROUNDS {
+        for boot in 0..instances {
+            let said = said(boot, round);
+            let begun = Instant::now();
+            black_box(roster.hear(Time::START, boot, &said));
+            took += begun.elapsed();
+        }
+    }
+    let size = format!("instances={instances} endpoints={endpoints}");
+    print("load_heard", &size, instances * ROUNDS as u64, took);
+    let begun = Instant::now();
+    for boot in 0..instances {
+        roster.forget(boot);
+    }
+    print("instance_forgotten", &size, instances, begun.elapsed());
+}
+
+fn counts(instances: u64) {
+    let mut book = usage::Book::new(0, Duration::from_secs(5));
+    let workspaces: Vec<id::Workspace> = (0..WORKSPACES).map(|at| name("film", at)).collect();
+    let mut took = Duration::ZERO;
+    for round in 0..ROUNDS as u64 {
+        for boot in 1..=instances {
+            let counts: Vec<usage::Count> = workspaces
+                .iter()
+                .map(|workspace| usage::Count {
+                    window: round,
+                    workspace: workspace.clone(),
+                    runs: 1,
+                })
+                .collect();
+            let begun = Instant::now();
+            book.hear(boot, &counts);
+            took += begun.elapsed();
+        }
+    }
+    let size = format!("instances={instances}");
+    print("counts_heard", &size, instances * ROUNDS as u64, took);
+    let begun = Instant::now();
+    for _ in 0..100 {
+        book.began(ROUNDS as u64, &workspaces[3]);
+    }
+    print("run_counted", &size, 100, begun.elapsed());
+}
+
+fn choices(endpoints: usize) {
+    let roster = roster(endpoints);
+    let service = "reader".parse().expect("a name");
+    let domain = name("domain", 1);
+    let parts = [(1, 5_000), (2, 400), (3, 200)].map(|(mark, tokens)| Part {
+        mark,
+        tokens: Tokens(tokens),
+    });
+    let ask = Ask {
+        service: &service,
+        parts: &parts,
+        prompt: Tokens(5_600),
+        answer: Tokens(400),
+        domain: &domain,
+        exclude: &[],
+        memory: Some(Tokens(500_000)),
+    };
+    let begun = Instant::now();
+    for _ in 0..100 {
+        black_box(roster.choose(Time::START, &ask)).expect("an endpoint");
+    }
+    let size = format!("endpoints={endpoints}");
+    print("chosen", &size, 100, begun.elapsed());
+}
--- a/coltsfoothall/src/forward/gossip.rs
+++ b/coltsfoothall/src/forward/gossip.rs
@@ -67,6 +67,12 @@
         restarted
     }
 
+    /// Loads that others told and that are held here.
+    #[must_use]
+    pub fn told(&self) -> usize {
+        self.nodes.iter().map(|node| node.told.len()).sum()
+    }
+
     /// Another instance names the start of an endpoint.
     fn told_start(&mut self, now: Time, id: &id::Endpoint, born: Millis) -> Option<Event> {
         let place = self.place(id).ok()?;
--- /dev/null
+++ b/coltsfoothall/tests/forward_gossip.rs
@@ -0,0 +1,144 @@
+//! What instances tell each other of endpoints' load, in fleets of any size.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use coltsfoothall::clock::Time;
+use coltsfoothall::forward::choice::Settings;
+use coltsfoothall::forward::gossip::Count;
+use coltsfoothall::forward::node::{Entry, Load};
+use coltsfoothall::forward::roster::Roster;
+use coltsfoothall::id;
+use coltsfoothall::size::Millis;
+use proptest::prelude::*;
+
+fn at(millis: u64) -> Time {
+    Time::START + Duration::from_millis(millis)
+}
+
+fn id(number: usize) -> id::Endpoint {
+    format!("e-{number:04}").parse().unwrap()
+}
+
+fn entry(number: usize, born: u64, revision: u64) -> Entry {
+    Entry {
+        id: id(number),
+        born: Millis(born),
+        service: "reader".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "north".parse().unwrap(),
+        slots: 16,
+        leaving: false,
+        leaves: None,
+        reclaimable: false,
+        revision,
+    }
+}
+
+fn open(number: usize, born: u64, open: u32) -> Count<Load> {
+    Count {
+        id: id(number),
+        born: Millis(born),
+        value: Load {
+            open,
+            unread: u64::from(open) * 100,
+            pairs: 0,
+            memory: 0,
+        },
+    }
+}
+
+/// 300 instances and 1,000 endpoints, each instance busy at two of them. What is held of
+/// the others follows their open work: a row for each instance and endpoint made one
+/// heartbeat take 9 ms in a fleet of 300 and 2,997, and 25 MB.
+#[test]
+fn rows_follow_work() {
+    let mut roster = Roster::new(Settings::default());
+    for number in 0..1_000 {
+        roster.registered(at(0), entry(number, 1, 1));
+    }
+    for boot in 0..300 {
+        let first = boot as usize * 3;
+        roster.hear(at(1), boot, &[open(first, 1, 1), open(first + 1, 1, 2)]);
+    }
+    assert_eq!(roster.told(), 600);
+    for boot in 0..300 {
+        roster.forget(boot);
+    }
+    assert_eq!(roster.told(), 0);
+    assert!(roster.nodes().iter().all(|node| node.load().open == 0));
+}
+
+/// What another instance does, or what becomes of an endpoint.
+#[derive(Debug, Clone)]
+enum Step {
+    Hears { boot: u64, loads: Vec<(usize, u32)> },
+    Forgets { boot: u64 },
+    Restarts { endpoint: usize },
+    Lapses { endpoint: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let loads = prop::collection::btree_map(0..4_usize, 1..9_u32, 0..4);
+    prop_oneof![
+        6 => (0..3_u64, loads).prop_map(|(boot, loads)| Step::Hears {
+            boot,
+            loads: loads.into_iter().collect(),
+        }),
+        1 => (0..3_u64).prop_map(|boot| Step::Forgets { boot }),
+        1 => (0..4_usize).prop_map(|endpoint| Step::Restarts { endpoint }),
+        1 => (0..4_usize).prop_map(|endpoint| Step::Lapses { endpoint }),
+    ]
+}
+
+proptest! {
+    /// The load of an endpoint is the sum of what each instance told of it last, since it
+    /// started or registered again.
+    #[test]
+    fn last_told_counts(steps in prop::collection::vec(step(), 1..60)) {
+        let mut roster = Roster::new(Settings::default());
+        let mut born = [1_u64; 4];
+        let mut told = vec![[0_u32; 4]; 3];
+        let mut revision = 1;
+        for number in 0..4 {
+            roster.registered(at(0), entry(number, 1, 1));
+        }
+        for step in steps {
+            revision += 1;
+            match step {
+                Step::Hears { boot, loads } => {
+                    let said: Vec<_> = loads
+                        .iter()
+                        .map(|(number, count)| open(*number, born[*number], *count))
+                        .collect();
+                    roster.hear(at(revision), boot, &said);
+                    told[boot as usize] = [0; 4];
+                    for (number, count) in loads {
+                        told[boot as usize][number] = count;
+                    }
+                }
+                Step::Forgets { boot } => {
+                    roster.forget(boot);
+                    told[boot as usize] = [0; 4];
+                }
+                Step::Restarts { endpoint } => {
+                    born[endpoint] += 1;
+                    roster.registered(at(revision), entry(endpoint, born[endpoint], revision));
+                    told.iter_mut().for_each(|told| told[endpoint] = 0);
+                }
+                Step::Lapses { endpoint } => {
+                    roster.removed(&id(endpoint), revision);
+                    roster.registered(at(revision), entry(endpoint, born[endpoint], revision + 1));
+                    revision += 1;
+                    told.iter_mut().for_each(|told| told[endpoint] = 0);
+                }
+            }
+            for (number, node) in roster.nodes().iter().enumerate() {
+                let sum: u32 = told.iter().map(|told| told[number]).sum();
+                prop_assert_eq!(node.load().open, sum);
+                prop_assert_eq!(node.load().unread, u64::from(sum) * 100);
+            }
+        }
+    }
+}
