--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -124,11 +124,12 @@
         if ask.memory.is_some_and(|memory| needed > memory) {
             return Err(Nobody::Large);
         }
-        let part = shared(ask);
+        let chains: Vec<u64> = chains(ask.parts).collect();
+        let part = shared(ask, &chains);
         let home = self.home(now, ask, part);
         let pace = self.pace(ask.service);
         let mut nobody = Nobody::Absent;
-        let mut best: Option<(f64, Pick)> = None;
+        let mut best: Option<(&Node, Weighed)> = None;
         let mut among = 0;
         for node in &self.nodes {
             if node.entry.service != *ask.service
@@ -142,17 +143,24 @@
                 continue;
             }
             among += 1;
-            let (cost, pick) = self.weigh(now, node, ask, pace);
+            let weighed = self.weigh(now, node, ask, &chains, pace);
             let kept = part.filter(|part| home.is(node, part.chain));
             // Reading the part elsewhere takes time now, and again when it is asked there.
             let saved = kept.map_or(0.0, |part| pace.reading(part.tokens.0, 0));
-            let cost = cost - saved * self.settings.home;
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, pick));
+            let cost = weighed.cost - saved * self.settings.home;
+            if best.is_none_or(|(_, least)| cost < least.cost) {
+                best = Some((node, Weighed { cost, ..weighed }));
             }
         }
-        let best = best.map(|(_, pick)| Pick { among, ..pick });
-        best.ok_or(nobody)
+        let (node, weighed) = best.ok_or(nobody)?;
+        Ok(Pick {
+            endpoint: node.entry.id.clone(),
+            address: node.entry.address,
+            wait: Duration::from_micros(weighed.wait as u64),
+            unread: weighed.unread,
+            sample: weighed.sample,
+            among,
+        })
     }
 
     /// Where all instances look first for the longest part that others share: where it was
@@ -192,10 +200,10 @@
         }
     }
 
-    fn weigh(&self, now: Time, node: &Node, ask: &Ask<'_>, pace: &Pace) -> (f64, Pick) {
+    fn weigh(&self, now: Time, node: &Node, ask: &Ask<'_>, chains: &[u64], pace: &Pace) -> Weighed {
         let settings = &self.settings;
         let load = node.load();
-        let known = self.known(now, node, ask);
+        let known = self.known(now, node, ask, chains);
         let unread = ask.prompt.minus(known);
         let sample = Sample {
             tokens: load.unread.saturating_add(unread.0),
@@ -226,23 +234,20 @@
             0.0
         };
         let cost = wait + hop + doubt + avoided + node.unsound(now) * settings.fault;
-        let pick = Pick {
-            endpoint: node.entry.id.clone(),
-            address: node.entry.address,
-            wait: Duration::from_micros(wait as u64),
+        Weighed {
+            cost,
+            wait,
             unread,
             sample,
-            among: 0,
-        };
-        (cost, pick)
+        }
     }
 
     /// Tokens at the start of the prompt that the endpoint read lately.
-    fn known(&self, now: Time, node: &Node, ask: &Ask<'_>) -> Tokens {
+    fn known(&self, now: Time, node: &Node, ask: &Ask<'_>, chains: &[u64]) -> Tokens {
         let oldest = now - self.settings.keep;
         let mut known = Tokens(0);
-        for (part, chain) in ask.parts.iter().zip(chains(ask.parts)) {
-            if !node.knows(chain, oldest) {
+        for (part, chain) in ask.parts.iter().zip(chains) {
+            if !node.knows(*chain, oldest) {
                 break;
             }
             known = known.plus(part.tokens);
@@ -251,6 +256,17 @@
     }
 }
 
+/// What a candidate would cost.
+#[derive(Debug, Clone, Copy)]
+struct Weighed {
+    /// Microseconds, all that counts added up.
+    cost: f64,
+    /// Microseconds to the first event or the answer.
+    wait: f64,
+    unread: Tokens,
+    sample: Sample,
+}
+
 /// The longest start of a prompt that other requests share.
 #[derive(Debug, Clone, Copy)]
 struct Shared {
@@ -261,9 +277,9 @@
 }
 
 /// All parts but the last one, which is the request's own.
-fn shared(ask: &Ask<'_>) -> Option<Shared> {
+fn shared(ask: &Ask<'_>, chains: &[u64]) -> Option<Shared> {
     let count = ask.parts.len().checked_sub(1)?;
-    let chain = chains(ask.parts).take(count).last()?;
+    let chain = *chains[..count].last()?;
     let tokens = ask.parts[..count].iter().map(|part| part.tokens.0).sum();
     Some(Shared {
         chain,
