--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -10,6 +10,7 @@
 use coltsfoothall_shell::event;
 
 use crate::border::{Actor, Error, Realm, Write};
+use crate::calls::Call;
 use crate::orders::Buyer;
 use crate::state::State;
 use crate::time;
@@ -36,7 +37,10 @@
     while !state.stopping.is_cancelled() {
         let asked = state.now();
         let outcome = match lease {
-            Some(lease) => state.border.renew(lease).await,
+            Some(lease) => {
+                state.calls.count(Call::Renew);
+                state.border.renew(lease).await
+            }
             None => match enter(&state).await {
                 Ok(taken) => {
                     lease = Some(taken);
@@ -74,6 +78,7 @@
 }
 
 async fn enter(state: &State) -> Result<u64, Error> {
+    state.calls.count(Call::Lease);
     let lease = state.border.lease(TERM).await?;
     let profile = serde_json::to_vec(&state.profile())
         .map_err(|error| Error::Format("register", error.to_string()))?;
@@ -82,6 +87,7 @@
         puts: vec![(name, profile.into(), lease)],
         ..Write::default()
     };
+    state.calls.count(Call::Write);
     state.border.write(write).await?;
     Ok(lease)
 }
@@ -153,6 +159,7 @@
 async fn claim(state: &State) {
     let term = state.settings().bounds.lease.duration();
     let asked = time::boot();
+    state.calls.count(Call::Lease);
     let lease = match state.border.lease(term).await {
         Ok(lease) => lease,
         Err(error) => {
@@ -166,6 +173,7 @@
         puts: vec![(key, Bytes::from(state.name.to_string()), lease)],
         deletes: Vec::new(),
     };
+    state.calls.count(Call::Write);
     match state.border.write(write).await {
         Ok(fence) => {
             state.leader.borrow_mut().claimed(asked, lease, fence);
@@ -174,6 +182,7 @@
         Err(error) => {
             event::LEADER.emit(format_args!("state=not_holder reason={error:?}"));
             // Whatever became of the write, without its lease the key cannot stand.
+            state.calls.count(Call::Lease);
             if let Err(error) = state.border.end(lease).await {
                 event::STORE_FAILED.emit(format_args!("step=end_lease reason={error:?}"));
             }
@@ -183,6 +192,7 @@
 
 async fn renew(state: &State, lease: u64) {
     let asked = time::boot();
+    state.calls.count(Call::Renew);
     match state.border.renew(lease).await {
         Ok(()) => state.leader.borrow_mut().renewed(asked, lease),
         Err(Error::Missing(_)) => {
@@ -197,6 +207,7 @@
 
 async fn release(state: &State, lease: u64) {
     state.leader.borrow_mut().lost();
+    state.calls.count(Call::Lease);
     match state.border.end(lease).await {
         Ok(()) => event::LEADER.emit(format_args!("state=released lease={lease}")),
         Err(error) => event::STORE_FAILED.emit(format_args!("step=release reason={error:?}")),
@@ -219,6 +230,7 @@
     /// that they outlast the loss of all instances at once.
     async fn keep_counts(&mut self, state: &State) -> Result<(), Error> {
         if !self.informed {
+            state.calls.count(Call::List(Realm::Notes));
             let listing = state.border.list(Realm::Notes).await?;
             let item = listing.items.iter().find(|item| item.name == COUNTS);
             if let Some(value) = item.and_then(|item| item.value.as_ref()) {
@@ -244,6 +256,7 @@
             puts: vec![(format!("notes/{COUNTS}"), value.into(), 0)],
             ..Write::default()
         };
+        state.calls.count(Call::Write);
         state.border.write(write).await.map(drop)
     }
 
@@ -320,9 +333,11 @@
         puts: vec![(key, value.into(), 0)],
         deletes: vec![format!("notes/usage/{}", window.saturating_sub(NOTES))],
     };
+    state.calls.count(Call::Write);
     match state.border.write(write).await {
         Ok(_revision) => Ok(counts),
         Err(Error::Conflict(_)) => {
+            state.calls.count(Call::List(Realm::Notes));
             let listing = state.border.list(Realm::Notes).await?;
             let item = listing.items.iter().find(|item| item.name == name);
             let value = item.and_then(|item| item.value.as_ref());
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod attempt;
 pub mod border;
+pub mod calls;
 pub mod connection;
 pub mod dispatch;
 pub mod duty;
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -49,12 +49,13 @@
         let served = self.served.take();
         let reach = self.reach();
         event::SERVED.emit(format_args!(
-            "served={served} open={} version={} endpoints={} members={} heard={}",
+            "served={served} open={} version={} endpoints={} members={} heard={} store_calls={}",
             self.open.get(),
             self.version(),
             self.roster.borrow().nodes().len(),
             reach.members,
-            reach.heard
+            reach.heard,
+            self.calls
         ));
     }
 
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -27,6 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::border::{Border, Item};
+use crate::calls::Calls;
 use crate::health::Health;
 use crate::kept::Pool;
 use crate::retries::Retries;
@@ -114,6 +115,8 @@
     pub listed: RefCell<Vec<Item>>,
     /// Whether the store answers.
     pub health: Health,
+    /// Calls to the store.
+    pub calls: Calls,
     /// Evidence against requests that crash endpoints.
     pub docket: RefCell<Docket>,
     attempts: Cell<u64>,
@@ -161,6 +164,7 @@
             leader: RefCell::new(Leader::new(settings.bounds.lease.duration())),
             listed: RefCell::default(),
             health: Health::default(),
+            calls: Calls::default(),
             docket: RefCell::new(Docket::new(suspicion::Settings::default())),
             attempts: Cell::new(boot),
             open: Cell::new(0),
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::border::{Error, Item, Listing, Realm};
+use crate::calls::Call;
 use crate::state::State;
 use crate::time;
 
@@ -59,8 +60,14 @@
         let asked = state.now();
         let call = async {
             match after {
-                None => state.border.list(realm).await,
-                Some(after) => state.border.watch(realm, after).await,
+                None => {
+                    state.calls.count(Call::List(realm));
+                    state.border.list(realm).await
+                }
+                Some(after) => {
+                    state.calls.count(Call::Watch(realm));
+                    state.border.watch(realm, after).await
+                }
             }
         };
         let outcome = tokio::select! {
