Places in the store's history carry the era that they are from

A store that comes back from an older copy gives revisions out again. Cause of the four failures: bare revisions were compared over the return, the fence was the revision of a claim, and a watch went on from a revision of another history. Era and revision make one type now (forward/history.rs), the adapter reads Store-Era from every answer, 4xx and 503 too, and dates what the copy held to the era before. A rise, told by the store or by another instance, ends watches, leases and the holder's term; missing endpoints get the time of a return. The fence has the era above 40 bits of revision. Reported windows are told to others, as notes of them may be lost. Expectations of revisions are gone: only absence was ever asked for. Renewals of a lease number that another era gave out are no renewals. Ruled out: trusting 410 alone (revisions_caught_up).

--- a/coltsfoothall-forward/src/border.rs
+++ b/coltsfoothall-forward/src/border.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::forward::choice::Part;
+use coltsfoothall::forward::history::{Era, Fence, Lease, Place};
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::order::Order;
 use coltsfoothall::forward::table::Table;
@@ -135,29 +136,29 @@
     pub name: String,
     /// Its value; none if it was removed.
     pub value: Option<Bytes>,
-    /// Revision of this change.
-    pub revision: u64,
-    /// Revision at which it was created; 0 if it was removed.
-    pub created: u64,
+    /// This change.
+    pub place: Place,
+    /// The change that created it; the first place of all if it was removed.
+    pub created: Place,
 }
 
-/// Values of a realm, or changes of them, up to a revision.
+/// Values of a realm, or changes of them, up to a place in the store's history.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Listing {
     /// The values or changes in their order.
     pub items: Vec<Item>,
-    /// The store's revision; changes after it are not in here.
-    pub revision: u64,
+    /// The last change at the store; those after it are not in here.
+    pub place: Place,
 }
 
 /// A change of the realms that are the instances' own, made whole or not at all. Names
 /// begin with `live/` or `notes/`.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Write {
-    /// Names and the revisions that they must have; 0 means absent.
-    pub expect: Vec<(String, u64)>,
-    /// Names and values to put, under a lease where it is not 0.
-    pub puts: Vec<(String, Bytes, u64)>,
+    /// Names that must not be there.
+    pub absent: Vec<String>,
+    /// Names and values to put, under a lease where there is one.
+    pub puts: Vec<(String, Bytes, Option<Lease>)>,
     /// Names to delete.
     pub deletes: Vec<String>,
 }
@@ -166,16 +167,18 @@
 pub trait Store {
     /// Reads a whole realm.
     fn list(&self, realm: Realm) -> LocalBoxFuture<'_, Result<Listing, Error>>;
-    /// Waits for changes of a realm after a revision.
-    fn watch(&self, realm: Realm, after: u64) -> LocalBoxFuture<'_, Result<Listing, Error>>;
-    /// Writes to the instances' own realms; returns the revision.
-    fn write(&self, write: Write) -> LocalBoxFuture<'_, Result<u64, Error>>;
+    /// Waits for changes of a realm after a place.
+    fn watch(&self, realm: Realm, after: Place) -> LocalBoxFuture<'_, Result<Listing, Error>>;
+    /// Writes to the instances' own realms; returns the place of the change.
+    fn write(&self, write: Write) -> LocalBoxFuture<'_, Result<Place, Error>>;
     /// Takes a lease.
-    fn lease(&self, term: Duration) -> LocalBoxFuture<'_, Result<u64, Error>>;
-    /// Renews a lease.
-    fn renew(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Error>>;
-    /// Ends a lease.
-    fn end(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Error>>;
+    fn lease(&self, term: Duration) -> LocalBoxFuture<'_, Result<Lease, Error>>;
+    /// Renews a lease; one of a former era is gone.
+    fn renew(&self, lease: Lease) -> LocalBoxFuture<'_, Result<(), Error>>;
+    /// Ends a lease; one of a former era is gone.
+    fn end(&self, lease: Lease) -> LocalBoxFuture<'_, Result<(), Error>>;
+    /// The newest era that any answer was from.
+    fn era(&self) -> Option<Era>;
     /// Reads a configuration.
     ///
     /// # Errors
@@ -194,7 +197,7 @@
     /// The instance.
     pub instance: &'a id::Instance,
     /// Rises with each holder.
-    pub fence: u64,
+    pub fence: Fence,
 }
 
 /// What one instance does at the platform for all.
--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::history::{Fence, Lease};
 use coltsfoothall::forward::leader::Step;
 use coltsfoothall::forward::usage::{Count, Snapshot};
 use coltsfoothall_shell::event;
@@ -20,6 +21,9 @@
 const TERM: Duration = Duration::from_secs(6);
 /// Time between renewals of a registration.
 const RENEW: Duration = Duration::from_secs(2);
+/// Time over which registrations that have to be made anew are spread: 330 instances make 660
+/// writes a second then, a fifth of the store's rate, and callers keep addresses for longer.
+const SPREAD: Duration = Duration::from_millis(1_000);
 /// Time between looks at the election; a third of the shortest term.
 const LOOK: Duration = Duration::from_millis(300);
 /// Wait after a window's end until its counts have surely arrived here.
@@ -33,8 +37,14 @@
 
 /// Keeps this instance registered until it stops.
 pub async fn register(state: Rc<State>) {
-    let mut lease = None;
+    let mut lease: Option<Lease> = None;
     while !state.stopping.is_cancelled() {
+        let former = lease.take_if(|lease| Some(lease.era) < state.era());
+        if former.is_some() {
+            // All instances find their registration gone in the same moment.
+            pause(&state, SPREAD.mul_f64(rand::random())).await;
+            continue;
+        }
         let asked = state.now();
         let outcome = match lease {
             Some(lease) => {
@@ -65,10 +75,8 @@
                 LOOK * 3
             }
         };
-        tokio::select! {
-            () = tokio::time::sleep(wait) => {}
-            () = state.stopping.cancelled() => {}
-        }
+        state.look_at_era();
+        pause(&state, wait).await;
     }
     if let Some(lease) = lease
         && let Err(error) = state.border.end(lease).await
@@ -77,14 +85,23 @@
     }
 }
 
-async fn enter(state: &State) -> Result<u64, Error> {
+/// Waits until then, until the store came back from a copy, or until the stop.
+async fn pause(state: &State, wait: Duration) {
+    tokio::select! {
+        () = tokio::time::sleep(wait) => {}
+        () = state.risen.notified() => {}
+        () = state.stopping.cancelled() => {}
+    }
+}
+
+async fn enter(state: &State) -> Result<Lease, Error> {
     state.calls.count(Call::Lease);
     let lease = state.border.lease(TERM).await?;
     let profile = serde_json::to_vec(&state.profile())
         .map_err(|error| Error::Format("register", error.to_string()))?;
     let name = format!("live/{MEMBER}{}", state.name);
     let write = Write {
-        puts: vec![(name, profile.into(), lease)],
+        puts: vec![(name, profile.into(), Some(lease))],
         ..Write::default()
     };
     state.calls.count(Call::Write);
@@ -99,6 +116,7 @@
     let mut renew_at = Time::START;
     loop {
         tokio::time::sleep(LOOK).await;
+        state.look_at_era();
         let now = time::boot();
         let rank = {
             let peers = state.peers.borrow();
@@ -124,8 +142,7 @@
     let mut term: Option<Term> = None;
     loop {
         tokio::time::sleep(LOOK).await;
-        let fence = state.leader.borrow().fence(time::boot());
-        let Some(fence) = fence else {
+        let Some(fence) = state.fence() else {
             term = None;
             continue;
         };
@@ -141,13 +158,13 @@
 /// What the holder keeps in mind under one fence; the next one starts from the store.
 #[derive(Debug)]
 struct Term {
-    fence: u64,
+    fence: Fence,
     reporter: Reporter,
     buyer: Buyer,
 }
 
 impl Term {
-    fn new(fence: u64) -> Self {
+    fn new(fence: Fence) -> Self {
         Self {
             fence,
             reporter: Reporter::default(),
@@ -169,14 +186,15 @@
     };
     let key = format!("live/{LEADER}");
     let write = Write {
-        expect: vec![(key.clone(), 0)],
-        puts: vec![(key, Bytes::from(state.name.to_string()), lease)],
+        absent: vec![key.clone()],
+        puts: vec![(key, Bytes::from(state.name.to_string()), Some(lease))],
         deletes: Vec::new(),
     };
     state.calls.count(Call::Write);
     match state.border.write(write).await {
-        Ok(fence) => {
-            state.leader.borrow_mut().claimed(asked, lease, fence);
+        Ok(created) => {
+            state.leader.borrow_mut().claimed(asked, lease, created);
+            let fence = Fence::from(created);
             event::LEADER.emit(format_args!("state=holder fence={fence} lease={lease}"));
         }
         Err(error) => {
@@ -190,7 +208,7 @@
     }
 }
 
-async fn renew(state: &State, lease: u64) {
+async fn renew(state: &State, lease: Lease) {
     let asked = time::boot();
     state.calls.count(Call::Renew);
     match state.border.renew(lease).await {
@@ -205,7 +223,7 @@
     }
 }
 
-async fn release(state: &State, lease: u64) {
+async fn release(state: &State, lease: Lease) {
     state.leader.borrow_mut().lost();
     state.calls.count(Call::Lease);
     match state.border.end(lease).await {
@@ -217,8 +235,6 @@
 /// Reports the usage of each window once.
 #[derive(Debug, Default)]
 struct Reporter {
-    /// The last window that was reported.
-    done: Option<u64>,
     /// Whether the notes of the holder before were read.
     informed: bool,
     /// When the counts were noted last.
@@ -253,7 +269,7 @@
         let value = rmp_serde::to_vec(&snapshot)
             .map_err(|error| Error::Format("note counts", error.to_string()))?;
         let write = Write {
-            puts: vec![(format!("notes/{COUNTS}"), value.into(), 0)],
+            puts: vec![(format!("notes/{COUNTS}"), value.into(), None)],
             ..Write::default()
         };
         state.calls.count(Call::Write);
@@ -281,14 +297,14 @@
         let due = state.settings().bounds.usage_due.duration();
         let windows = (due.as_millis() / length.as_millis().max(1)) as u64 + 1;
         let first = current.saturating_sub(windows);
-        let from = self.done.map_or(first, |done| (done + 1).max(first));
+        let from = state.reported().map_or(first, |done| (done + 1).max(first));
         for window in from..current {
             let end = state.usage.borrow().end(window);
             if time < end + SETTLE {
                 return;
             }
             match self.send(state, window).await {
-                Ok(()) => self.done = Some(window),
+                Ok(()) => state.note_reported(window),
                 Err(error) => {
                     event::USAGE.emit(format_args!("window={window} reason={error:?}"));
                     if matches!(error, Error::Conflict(_)) {
@@ -303,13 +319,10 @@
     /// Notes at the store what is to be sent, then sends it; a note that stands goes first.
     async fn send(&mut self, state: &State, window: u64) -> Result<(), Error> {
         let counts = state.usage.borrow().sum(window);
-        let fence = state.leader.borrow().fence(time::boot());
-        let fence = fence.ok_or(Error::Conflict("report"))?;
+        let fence = state.fence().ok_or(Error::Conflict("report"))?;
         let counts = note(state, window, counts).await?;
         let fence = state
-            .leader
-            .borrow()
-            .fence(time::boot())
+            .fence()
             .filter(|now| *now == fence)
             .ok_or(Error::Conflict("report"))?;
         let actor = Actor {
@@ -329,8 +342,8 @@
     let value =
         serde_json::to_vec(&counts).map_err(|error| Error::Format("note", error.to_string()))?;
     let write = Write {
-        expect: vec![(key.clone(), 0)],
-        puts: vec![(key, value.into(), 0)],
+        absent: vec![key.clone()],
+        puts: vec![(key, value.into(), None)],
         deletes: vec![format!("notes/usage/{}", window.saturating_sub(NOTES))],
     };
     state.calls.count(Call::Write);
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -9,6 +9,7 @@
 
 use coltsfoothall::forward::allowance::Spent;
 use coltsfoothall::forward::gossip::Count as Counted;
+use coltsfoothall::forward::history::{Era, Place};
 use coltsfoothall::forward::node::Load;
 use coltsfoothall::forward::peer::{Profile, TOGETHER};
 use coltsfoothall::forward::roster::Ended;
@@ -55,6 +56,12 @@
     failed: Vec<Counted<u32>>,
     placed: Vec<Counted<u64>>,
     evidence: Vec<Evidence>,
+    /// The newest era of the store.
+    #[serde(default)]
+    era: Option<Era>,
+    /// The last usage window that was reported.
+    #[serde(default)]
+    reported: Option<u64>,
 }
 
 impl Heartbeat {
@@ -85,6 +92,8 @@
             failed: turn::due(&state.roster.borrow().failed(), rows, round),
             placed,
             evidence: state.docket.borrow().part(now, rows, round),
+            era: state.era(),
+            reported: state.reported(),
         }
     }
 }
@@ -177,6 +186,12 @@
     if boot == state.boot {
         return;
     }
+    if let Some(era) = heartbeat.era {
+        state.learn_era(era);
+    }
+    if let Some(window) = heartbeat.reported {
+        state.note_reported(window);
+    }
     {
         let mut peers = state.peers.borrow_mut();
         let replaced = peers.heard(now, heartbeat.profile);
@@ -193,7 +208,7 @@
     roster.hear_placed(now, &heartbeat.placed);
     drop(roster);
     for event in restarted {
-        state.note(Some(event), 0, "peer");
+        state.note(Some(event), Place::default(), "peer");
     }
     state.docket.borrow_mut().merge(now, &heartbeat.evidence);
     state.allowance.borrow_mut().hear(boot, &heartbeat.spent);
@@ -201,6 +216,6 @@
     state.hear_work(boot, &heartbeat.work);
     for ended in &heartbeat.ended {
         let event = state.roster.borrow_mut().ended(ended);
-        state.note(event, ended.revision, "peer");
+        state.note(event, ended.place, "peer");
     }
 }
--- a/coltsfoothall-forward/src/orders.rs
+++ b/coltsfoothall-forward/src/orders.rs
@@ -8,7 +8,6 @@
 
 use crate::border::{Actor, Error};
 use crate::state::State;
-use crate::time;
 
 /// Name of the duty in the settings.
 const DUTY: &str = "autoscale";
@@ -49,7 +48,7 @@
         let line = self.line(now, service, scaling, &found);
         let load = state.load(&service.name);
         for order in line.book.decide(now, load, &found) {
-            let Some(fence) = state.leader.borrow().fence(time::boot()) else {
+            let Some(fence) = state.fence() else {
                 return;
             };
             let actor = Actor {
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -12,6 +12,7 @@
 use coltsfoothall::forward::allowance::{self, Reach};
 use coltsfoothall::forward::choice;
 use coltsfoothall::forward::duration;
+use coltsfoothall::forward::history::{Era, Fence, Place};
 use coltsfoothall::forward::leader::Leader;
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
@@ -24,6 +25,7 @@
 use coltsfoothall_shell::event;
 use coltsfoothall_shell::metric::Board;
 use rand::Rng;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::border::{Border, Item};
@@ -115,6 +117,10 @@
     pub listed: RefCell<Vec<Item>>,
     /// Whether the store answers.
     pub health: Health,
+    era: Cell<Option<Era>>,
+    /// Wakes who waits when the store came back from an older copy.
+    pub risen: Notify,
+    reported: Cell<Option<u64>>,
     /// Calls to the store.
     pub calls: Calls,
     /// Evidence against requests that crash endpoints.
@@ -164,6 +170,9 @@
             leader: RefCell::new(Leader::new(settings.bounds.lease.duration())),
             listed: RefCell::default(),
             health: Health::default(),
+            era: Cell::default(),
+            risen: Notify::new(),
+            reported: Cell::default(),
             calls: Calls::default(),
             docket: RefCell::new(Docket::new(suspicion::Settings::default())),
             attempts: Cell::new(boot),
@@ -397,21 +406,21 @@
     }
 
     /// Acts on a change in the list of endpoints.
-    pub fn note(&self, event: Option<Event>, revision: u64, source: &str) {
+    pub fn note(&self, event: Option<Event>, place: Place, source: &str) {
         match event {
             None => {}
             Some(Event::Added(id)) => {
                 let roster = self.roster.borrow();
                 if let Some(entry) = roster.node(&id).map(|node| &node.entry) {
                     event::ENDPOINT.emit(format_args!(
-                        "endpoint={id} state=added service={} domain={} address={} slots={} reclaimable={} revision={revision} source={source}",
+                        "endpoint={id} state=added service={} domain={} address={} slots={} reclaimable={} place={place} source={source}",
                         entry.service, entry.domain, entry.address, entry.slots, entry.reclaimable
                     ));
                 }
             }
             Some(Event::Restarted(id)) => {
                 event::ENDPOINT.emit(format_args!(
-                    "endpoint={id} state=restarted revision={revision} source={source}"
+                    "endpoint={id} state=restarted place={place} source={source}"
                 ));
                 self.pool.borrow_mut().forget(&id);
                 let announced = self.was_leaving(&id);
@@ -419,18 +428,18 @@
             }
             Some(Event::Leaving(id)) => {
                 event::ENDPOINT.emit(format_args!(
-                    "endpoint={id} state=leaving revision={revision} source={source}"
+                    "endpoint={id} state=leaving place={place} source={source}"
                 ));
-                self.tell(id, revision);
+                self.tell(id, place);
             }
             Some(Event::Gone(id)) => {
                 event::ENDPOINT.emit(format_args!(
-                    "endpoint={id} state=gone revision={revision} source={source}"
+                    "endpoint={id} state=gone place={place} source={source}"
                 ));
                 self.pool.borrow_mut().forget(&id);
                 let announced = self.mercy().is_some() || self.was_leaving(&id);
                 self.died(&id, announced);
-                self.tell(id, revision);
+                self.tell(id, place);
             }
         }
     }
@@ -440,9 +449,9 @@
         self.news.borrow().iter().any(|news| news.ended.id == *id)
     }
 
-    fn tell(&self, id: id::Endpoint, revision: u64) {
+    fn tell(&self, id: id::Endpoint, place: Place) {
         let at = self.now();
-        let ended = Ended { id, revision };
+        let ended = Ended { id, place };
         self.news.borrow_mut().push(News { ended, at });
     }
 
@@ -460,6 +469,54 @@
         self.returned.set(Some(self.now()));
     }
 
+    /// The newest era of the store that this instance knows of.
+    #[must_use]
+    pub fn era(&self) -> Option<Era> {
+        self.era.get()
+    }
+
+    /// Learns the era of the store's answers.
+    pub fn look_at_era(&self) {
+        if let Some(era) = self.border.era() {
+            self.learn_era(era);
+        }
+    }
+
+    /// An answer of the store or another instance names an era. A later one than was known
+    /// ends what holds for the earlier: watches, leases, and that what is missing is gone.
+    pub fn learn_era(&self, era: Era) {
+        let known = self.era.get();
+        if known >= Some(era) {
+            return;
+        }
+        self.era.set(Some(era));
+        let Some(known) = known else {
+            return;
+        };
+        event::STORE_ERA.emit(format_args!("from={known} to={era}"));
+        self.leader.borrow_mut().rose(era);
+        self.store_returned();
+        self.risen.notify_waiters();
+    }
+
+    /// The number under which this instance may act for all now, if it may.
+    #[must_use]
+    pub fn fence(&self) -> Option<Fence> {
+        self.look_at_era();
+        self.leader.borrow().fence(time::boot())
+    }
+
+    /// The last usage window that any holder is known to have reported.
+    #[must_use]
+    pub fn reported(&self) -> Option<u64> {
+        self.reported.get()
+    }
+
+    /// A usage window was reported, and all before it.
+    pub fn note_reported(&self, window: u64) {
+        self.reported.set(self.reported.get().max(Some(window)));
+    }
+
     /// Time that a removed endpoint still has to register again.
     #[must_use]
     pub fn mercy(&self) -> Option<Duration> {
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::history::Place;
 use coltsfoothall::forward::peer::{Profile, TOGETHER};
 use coltsfoothall::id;
 use coltsfoothall::turn;
@@ -22,6 +23,8 @@
 /// Wait after a failed call, doubled up to [`LONGEST_PAUSE`]: refused calls are paid for, and
 /// the store's rate is shared by all instances.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Wait after an answer from another era than was asked for.
+const CONFUSED: Duration = Duration::from_millis(50);
 /// Longest wait: what the store says must be in force two seconds after it is back.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// A store that was away for so long may have let registrations lapse.
@@ -47,17 +50,23 @@
 /// Endpoints as one instance shows them to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Known {
-    /// Name, value and revision of each registration.
-    pub endpoints: Vec<(String, Bytes, u64)>,
+    /// Name, value and place of each registration.
+    pub endpoints: Vec<(String, Bytes, Place)>,
 }
 
 /// Follows one part of the store for as long as the process runs.
 pub async fn follow(state: Rc<State>, realm: Realm, rest: Duration) {
     let mut lost: Option<Time> = None;
-    let mut after: Option<u64> = None;
+    let mut after: Option<Place> = None;
     let mut pause = PAUSE;
     loop {
         let asked = state.now();
+        if after
+            .take_if(|after| Some(after.era) < state.era())
+            .is_some()
+        {
+            event::STORE.emit(format_args!("realm={realm:?} state=history_replaced"));
+        }
         let call = async {
             match after {
                 None => {
@@ -73,8 +82,16 @@
         let outcome = tokio::select! {
             outcome = call => outcome,
             () = state.health.back() => continue,
+            () = state.risen.notified() => continue,
         };
+        state.look_at_era();
         match outcome {
+            // It is from before the store came back, or goes on in a history that it does not
+            // begin in.
+            Ok(listing) if !is_current(&state, after, &listing) => {
+                after = None;
+                tokio::time::sleep(CONFUSED).await;
+            }
             Ok(listing) => {
                 pause = PAUSE;
                 if let Some(since) = lost.take() {
@@ -89,7 +106,7 @@
                 }
                 let whole = after.is_none();
                 let changed = !listing.items.is_empty();
-                after = Some(listing.revision);
+                after = Some(listing.place);
                 apply(&state, realm, listing, whole);
                 if changed {
                     // Changes come in groups; one call brings them all.
@@ -112,6 +129,12 @@
     }
 }
 
+/// Whether a listing is of the newest era, and of the one that it was asked in.
+fn is_current(state: &State, after: Option<Place>, listing: &Listing) -> bool {
+    let era = listing.place.era;
+    Some(era) >= state.era() && after.is_none_or(|after| after.era == era)
+}
+
 /// Notes whether the store answered a call, made then, whose answer was due at once.
 pub fn note(state: &State, asked: Time, answered: bool) {
     if !answered {
@@ -160,7 +183,7 @@
     let mut entries = Vec::new();
     for item in listing.items {
         if item.value.is_none() {
-            remove(state, &item.name, item.revision);
+            remove(state, &item.name, item.place);
             continue;
         }
         match state.border.entry(&item) {
@@ -169,7 +192,7 @@
                     .roster
                     .borrow_mut()
                     .registered(state.now(), entry.clone());
-                state.note(event, item.revision, source);
+                state.note(event, item.place, source);
                 entries.push(entry);
                 keep(state, item);
             }
@@ -181,7 +204,7 @@
                 ));
                 // Whoever wrote it, it names no endpoint to use, whatever its id was before.
                 if let Ok(id) = item.name.parse() {
-                    forget(state, &id, item.revision, source);
+                    forget(state, &id, item.place, source);
                 }
             }
         }
@@ -189,7 +212,7 @@
     if whole {
         let missing = state.roster.borrow().missing(&entries);
         for id in missing {
-            remove(state, id.as_str(), listing.revision);
+            remove(state, id.as_str(), listing.place);
         }
     }
 }
@@ -203,7 +226,7 @@
 }
 
 /// A registration is gone; after the store was away it may only have lapsed.
-fn remove(state: &Rc<State>, name: &str, revision: u64) {
+fn remove(state: &Rc<State>, name: &str, at: Place) {
     let Ok(id) = name.parse::<id::Endpoint>() else {
         event::STORE_FAILED.emit(format_args!("endpoint={name:?} reason=\"not a name\""));
         return;
@@ -214,18 +237,18 @@
         if let Some(mercy) = mercy {
             tokio::time::sleep(mercy).await;
         }
-        forget(&state, &id, revision, "store");
+        forget(&state, &id, at, "store");
     });
 }
 
-/// No endpoint is registered under an id, as of a revision.
-fn forget(state: &State, id: &id::Endpoint, revision: u64, source: &str) {
-    let event = state.roster.borrow_mut().removed(id, revision);
+/// No endpoint is registered under an id, as of then.
+fn forget(state: &State, id: &id::Endpoint, at: Place, source: &str) {
+    let event = state.roster.borrow_mut().removed(id, at);
     if event.is_some() {
         let mut listed = state.listed.borrow_mut();
         listed.retain(|item| item.name != id.as_str());
     }
-    state.note(event, revision, source);
+    state.note(event, at, source);
 }
 
 fn apply_live(state: &State, listing: &Listing, whole: bool) {
@@ -299,15 +322,15 @@
     match rmp_serde::from_slice::<Known>(&raw) {
         Ok(known) => {
             let items = known.endpoints.into_iter();
-            let items = items.map(|(name, value, revision)| Item {
+            let items = items.map(|(name, value, place)| Item {
                 name,
                 value: Some(value),
-                revision,
-                created: 0,
+                place,
+                created: Place::default(),
             });
             let listing = Listing {
                 items: items.collect(),
-                revision: 0,
+                place: Place::default(),
             };
             apply_endpoints(state, listing, false, "peer");
         }
@@ -354,7 +377,7 @@
             let listed = state.listed.borrow();
             let endpoints = listed.iter().filter_map(|item| {
                 let value = item.value.clone()?;
-                Some((item.name.clone(), value, item.revision))
+                Some((item.name.clone(), value, item.place))
             });
             let known = Known {
                 endpoints: endpoints.collect(),
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -138,6 +138,8 @@
     LIST_FAILED = 602 Warn "instance_list_failed";
     /// A part of the store is followed again, or is lost.
     STORE = 603 Info "store_followed";
+    /// The store came back from an older copy of itself.
+    STORE_ERA = 604 Warn "store_era";
     /// This instance acts for all, or ceased to.
     LEADER = 611 Info "leader";
     /// Usage of a window was reported, or could not be.
--- a/coltsfoothall-wire/src/client.rs
+++ b/coltsfoothall-wire/src/client.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use quick_error::quick_error;
@@ -66,6 +66,31 @@
     }
 }
 
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body of a success.
+    ///
+    /// # Errors
+    /// The status is another one.
+    pub fn success(self, step: &str, peer: &str) -> Result<Bytes, Error> {
+        if self.status.is_success() {
+            return Ok(self.body);
+        }
+        let status = self.status.as_u16();
+        Err(Error::Status(step.into(), peer.into(), status, self.body))
+    }
+}
+
 /// A client that keeps connections open.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -135,6 +160,23 @@
         body: Bytes,
         within: Duration,
     ) -> Result<Bytes, Error> {
+        let answer = self.ask(step, method, peer, path, body, within).await?;
+        answer.success(step, peer)
+    }
+
+    /// Calls `http://{peer}{path}` with a body and reads the whole answer, of any status.
+    ///
+    /// # Errors
+    /// As [`Client::send`].
+    pub async fn ask(
+        &self,
+        step: &str,
+        method: Method,
+        peer: &str,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+    ) -> Result<Answer, Error> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{peer}{path}"))
@@ -142,21 +184,15 @@
             .body(Full::new(body))
             .map_err(|error| Error::Call(step.into(), peer.into(), error.to_string()))?;
         let whole = async {
-            let answer = self.send(step, request, within).await?;
-            let status = answer.status();
-            let body = http::read(answer.into_body(), limit::FRAME)
+            let (head, body) = self.send(step, request, within).await?.into_parts();
+            let body = http::read(body, limit::FRAME)
                 .await
                 .map_err(|error| Error::Body(step.into(), peer.into(), error.to_string()))?;
-            if status.is_success() {
-                Ok(body)
-            } else {
-                Err(Error::Status(
-                    step.into(),
-                    peer.into(),
-                    status.as_u16(),
-                    body,
-                ))
-            }
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
         };
         match timeout(within, whole).await {
             Ok(result) => result,
--- a/coltsfoothall/benches/gossip.rs
+++ b/coltsfoothall/benches/gossip.rs
@@ -8,6 +8,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::{Ask, Part, Settings};
 use coltsfoothall::forward::gossip::Count;
+use coltsfoothall::forward::history::Place;
 use coltsfoothall::forward::node::{Entry, Load};
 use coltsfoothall::forward::roster::Roster;
 use coltsfoothall::forward::usage;
@@ -54,7 +55,7 @@
         leaving: false,
         leaves: None,
         reclaimable: true,
-        revision: 1,
+        place: Place::default(),
     }
 }
 
--- /dev/null
+++ b/coltsfoothall/src/forward/history.rs
@@ -0,0 +1,104 @@
+//! Places in the history of a store that may come back from an older copy of itself.
+//!
+//! Its revisions go back then and are given out again, so a revision says nothing without
+//! the copy that it is from.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+quick_error! {
+    /// Text that names no era.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Error {
+        /// It is not a number.
+        Number(text: String) {
+            display("era {text:?} is not a whole number")
+        }
+    }
+}
+
+/// Number of a copy of the store; it rises each time the store comes back from one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Era {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let number = text.trim().parse();
+        number.map(Self).map_err(|_| Error::Number(text.into()))
+    }
+}
+
+impl Era {
+    /// The one before.
+    #[must_use]
+    pub fn before(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+}
+
+/// A change in the store's history; those of a later era come after all of an earlier one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Place {
+    /// The copy that it was made in.
+    pub era: Era,
+    /// Its revision there.
+    pub revision: u64,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
+
+/// Bits of a fence that hold the revision: the store makes 3,200 changes a second at most, so
+/// they last for ten years. The era has the 13 above them; a larger number would not be exact
+/// where it is read as a double.
+const REVISION_BITS: u32 = 40;
+/// The last era that a fence can tell.
+const LAST_ERA: u64 = (1 << 13) - 1;
+
+/// The number that goes with each act for all. It rises with each claim, across eras too.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fence(u64);
+
+impl fmt::Display for Fence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl From<Place> for Fence {
+    /// The fence of the claim that was made at this place.
+    fn from(place: Place) -> Self {
+        let last = (1 << REVISION_BITS) - 1;
+        Self(place.era.0.min(LAST_ERA) << REVISION_BITS | place.revision.min(last))
+    }
+}
+
+/// A lease at the store. Its number is given out again in another era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lease {
+    /// Its number.
+    pub id: u64,
+    /// The copy that it was taken in.
+    pub era: Era,
+}
+
+impl fmt::Display for Lease {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.id)
+    }
+}
--- a/coltsfoothall/src/forward/leader.rs
+++ b/coltsfoothall/src/forward/leader.rs
@@ -1,17 +1,20 @@
 //! Who acts for all: the holder of a leased key at the store.
 //!
-//! The key's creation number rises with each holder and goes with every act, so that an
-//! act of a former holder is refused. A holder acts only while its lease surely runs.
+//! The fence made from the key's creation rises with each holder and goes with every act, so
+//! that an act of a former holder is refused. A holder acts only while its lease surely runs,
+//! and while the store has not come back from an older copy, which may hold neither key nor lease.
 
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::forward::history::{Era, Fence, Lease, Place};
 
 /// A lease that this instance holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Held {
-    lease: u64,
-    fence: u64,
+    lease: Lease,
+    /// When the key was created.
+    created: Place,
     /// Until when the lease surely runs.
     until: Time,
 }
@@ -22,9 +25,9 @@
     /// Try to become the holder.
     Claim,
     /// Renew this lease.
-    Renew(u64),
+    Renew(Lease),
     /// Give this lease up.
-    Release(u64),
+    Release(Lease),
     /// Nothing.
     Rest,
 }
@@ -55,11 +58,11 @@
         }
     }
 
-    /// The key stands at the store, under this creation number.
-    pub fn taken(&mut self, fence: u64) {
+    /// The key stands at the store, and was created then.
+    pub fn taken(&mut self, created: Place) {
         self.taken = true;
         // Another holder's key means that ours is gone.
-        if self.held.is_some_and(|held| held.fence != fence) {
+        if self.held.is_some_and(|held| held.created != created) {
             self.held = None;
         }
     }
@@ -72,17 +75,17 @@
     }
 
     /// A claim succeeded; the lease was asked for at `asked`.
-    pub fn claimed(&mut self, asked: Time, lease: u64, fence: u64) {
+    pub fn claimed(&mut self, asked: Time, lease: Lease, created: Place) {
         self.taken = true;
         self.held = Some(Held {
             lease,
-            fence,
+            created,
             until: asked + self.term,
         });
     }
 
     /// A renewal asked for at `asked` succeeded.
-    pub fn renewed(&mut self, asked: Time, lease: u64) {
+    pub fn renewed(&mut self, asked: Time, lease: Lease) {
         if let Some(held) = &mut self.held
             && held.lease == lease
         {
@@ -95,6 +98,14 @@
         self.held = None;
     }
 
+    /// The store came back from a copy. A lease of an earlier one may have gone with what was
+    /// written since; its holder acts no more until it has claimed again.
+    pub fn rose(&mut self, era: Era) {
+        if self.held.is_some_and(|held| held.lease.era < era) {
+            self.held = None;
+        }
+    }
+
     /// This instance stops: it gives the lease up and claims no more.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -102,10 +113,10 @@
 
     /// The number under which this instance may act now, if it is the holder.
     #[must_use]
-    pub fn fence(&self, now: Time) -> Option<u64> {
+    pub fn fence(&self, now: Time) -> Option<Fence> {
         let held = self.held?;
         // A quarter of the term is left for the act to arrive and for clocks that differ.
-        (now + self.term / 4 < held.until).then_some(held.fence)
+        (now + self.term / 4 < held.until).then_some(Fence::from(held.created))
     }
 
     /// What to do now, for the instance with so many ready ones before it.
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod duration;
 pub mod gossip;
+pub mod history;
 pub mod leader;
 pub mod node;
 pub mod order;
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::Time;
 use crate::forward::gossip::Count;
+use crate::forward::history::Place;
 use crate::id;
 use crate::size::Millis;
 
@@ -47,8 +48,8 @@
     pub leaves: Option<Duration>,
     /// Whether it can be reclaimed.
     pub reclaimable: bool,
-    /// Revision of the registration.
-    pub revision: u64,
+    /// When the registration was written.
+    pub place: Place,
 }
 
 /// Work open at an endpoint.
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -7,6 +7,7 @@
 use crate::clock::Time;
 use crate::forward::choice::{Ask, Pick, Settings, chains, pairs};
 use crate::forward::gossip::{PLACED_AGAIN, Placed, Told};
+use crate::forward::history::Place;
 use crate::forward::node::{Entry, Listing, Load, NEWEST, Node, Open, SLOWNESS, SUCCESS};
 use crate::forward::pace::{Pace, Sample};
 use crate::id;
@@ -56,13 +57,13 @@
     Gone(id::Endpoint),
 }
 
-/// An endpoint that was leaving or gone at a revision of the store.
+/// An endpoint that was leaving or gone at a place in the store's history.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// Its name.
     pub id: id::Endpoint,
-    /// The revision; a later registration that does not leave is believed again.
-    pub revision: u64,
+    /// When; a later registration that does not leave is believed again.
+    pub place: Place,
 }
 
 /// All endpoints.
@@ -84,7 +85,7 @@
     paces: Vec<(id::Service, Pace)>,
     /// The pace of engines that gave no answer yet.
     assumed: Pace,
-    /// Endpoints that were leaving or gone at a revision; sorted by id.
+    /// Endpoints that were leaving or gone at a place in the store's history; sorted by id.
     ended: Vec<Ended>,
 }
 
@@ -124,9 +125,9 @@
     /// An endpoint registered, or its registration changed.
     pub fn registered(&mut self, now: Time, entry: Entry) -> Option<Event> {
         let id = entry.id.clone();
-        let leaving = entry.leaving || self.is_ended(&id, entry.revision);
+        let leaving = entry.leaving || self.is_ended(&id, entry.place);
         if leaving {
-            self.note_ended(&id, entry.revision);
+            self.note_ended(&id, entry.place);
         }
         let entry = Entry { leaving, ..entry };
         match self.place(&id) {
@@ -142,7 +143,7 @@
             }
             Ok(place) => {
                 let node = &mut self.nodes[place];
-                if entry.revision < node.entry.revision || entry.born < node.entry.born {
+                if entry.place < node.entry.place || entry.born < node.entry.born {
                     return None;
                 }
                 if entry.born > node.entry.born {
@@ -165,26 +166,26 @@
         }
     }
 
-    /// Another instance says that an endpoint left or was leaving at a revision.
+    /// Another instance says that an endpoint left or was leaving.
     pub fn ended(&mut self, ended: &Ended) -> Option<Event> {
-        if self.is_ended(&ended.id, ended.revision) {
+        if self.is_ended(&ended.id, ended.place) {
             return None;
         }
-        self.note_ended(&ended.id, ended.revision);
+        self.note_ended(&ended.id, ended.place);
         let place = self.place(&ended.id).ok()?;
         let node = &mut self.nodes[place];
-        if node.entry.leaving || node.entry.revision > ended.revision {
+        if node.entry.leaving || node.entry.place > ended.place {
             return None;
         }
         node.entry.leaving = true;
         Some(Event::Leaving(ended.id.clone()))
     }
 
-    /// A registration was removed at a revision.
-    pub fn removed(&mut self, id: &id::Endpoint, revision: u64) -> Option<Event> {
-        self.note_ended(id, revision);
+    /// A registration was removed then.
+    pub fn removed(&mut self, id: &id::Endpoint, at: Place) -> Option<Event> {
+        self.note_ended(id, at);
         let place = self.place(id).ok()?;
-        if self.nodes[place].entry.revision > revision {
+        if self.nodes[place].entry.place > at {
             return None;
         }
         self.nodes.remove(place);
@@ -363,13 +364,13 @@
         self.node(id).map_or(0.0, |node| node.unsound(now))
     }
 
-    /// Whether an endpoint was leaving or gone at `revision` or later.
-    fn is_ended(&self, id: &id::Endpoint, revision: u64) -> bool {
+    /// Whether an endpoint was leaving or gone then or later.
+    fn is_ended(&self, id: &id::Endpoint, at: Place) -> bool {
         let found = self.ended.binary_search_by(|ended| ended.id.cmp(id));
-        found.is_ok_and(|place| self.ended[place].revision >= revision)
+        found.is_ok_and(|place| self.ended[place].place >= at)
     }
 
-    fn note_ended(&mut self, id: &id::Endpoint, revision: u64) {
+    fn note_ended(&mut self, id: &id::Endpoint, at: Place) {
         if self.ended.len() >= ENDED {
             let nodes = &self.nodes;
             self.ended
@@ -378,11 +379,11 @@
         match self.ended.binary_search_by(|ended| ended.id.cmp(id)) {
             Ok(place) => {
                 let ended = &mut self.ended[place];
-                ended.revision = ended.revision.max(revision);
+                ended.place = ended.place.max(at);
             }
             Err(place) => {
                 let id = id.clone();
-                self.ended.insert(place, Ended { id, revision });
+                self.ended.insert(place, Ended { id, place: at });
             }
         }
     }
--- a/coltsfoothall/tests/forward_gossip.rs
+++ b/coltsfoothall/tests/forward_gossip.rs
@@ -7,6 +7,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::Settings;
 use coltsfoothall::forward::gossip::Count;
+use coltsfoothall::forward::history::{Era, Place};
 use coltsfoothall::forward::node::{Entry, Load};
 use coltsfoothall::forward::roster::Roster;
 use coltsfoothall::id;
@@ -21,6 +22,11 @@
     format!("e-{number:04}").parse().unwrap()
 }
 
+fn place(revision: u64) -> Place {
+    let era = Era(0);
+    Place { era, revision }
+}
+
 fn entry(number: usize, born: u64, revision: u64) -> Entry {
     Entry {
         id: id(number),
@@ -32,7 +38,7 @@
         leaving: false,
         leaves: None,
         reclaimable: false,
-        revision,
+        place: place(revision),
     }
 }
 
@@ -128,7 +134,7 @@
                     told.iter_mut().for_each(|told| told[endpoint] = 0);
                 }
                 Step::Lapses { endpoint } => {
-                    roster.removed(&id(endpoint), revision);
+                    roster.removed(&id(endpoint), place(revision));
                     roster.registered(at(revision), entry(endpoint, born[endpoint], revision + 1));
                     revision += 1;
                     told.iter_mut().for_each(|told| told[endpoint] = 0);
--- a/coltsfoothall/tests/forward_leader.rs
+++ b/coltsfoothall/tests/forward_leader.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::history::{Era, Fence, Lease, Place};
 use coltsfoothall::forward::leader::{Leader, Step};
 
 const TERM: Duration = Duration::from_secs(3);
@@ -11,6 +12,16 @@
     Time::START + Duration::from_millis(millis)
 }
 
+fn place(revision: u64) -> Place {
+    let era = Era(1);
+    Place { era, revision }
+}
+
+fn lease(id: u64) -> Lease {
+    let era = Era(1);
+    Lease { id, era }
+}
+
 #[test]
 fn store_first() {
     let mut leader = Leader::new(TERM);
@@ -30,7 +41,7 @@
     assert_eq!(leader.step(at(1_000), 2), Step::Rest);
     assert_eq!(leader.step(at(1_700), 2), Step::Rest);
     assert_eq!(leader.step(at(1_750), 2), Step::Claim);
-    leader.taken(5);
+    leader.taken(place(5));
     assert_eq!(leader.step(at(9_000), 2), Step::Rest);
 }
 
@@ -38,12 +49,12 @@
 fn acts_within_lease() {
     let mut leader = Leader::new(TERM);
     leader.freed(at(0));
-    leader.claimed(at(0), 7, 12);
-    assert_eq!(leader.fence(at(2_000)), Some(12));
+    leader.claimed(at(0), lease(7), place(12));
+    assert_eq!(leader.fence(at(2_000)), Some(Fence::from(place(12))));
     assert_eq!(leader.fence(at(2_250)), None, "the margin is kept");
-    leader.renewed(at(1_000), 7);
-    assert_eq!(leader.fence(at(3_000)), Some(12));
-    leader.renewed(at(3_000), 99);
+    leader.renewed(at(1_000), lease(7));
+    assert_eq!(leader.fence(at(3_000)), Some(Fence::from(place(12))));
+    leader.renewed(at(3_000), lease(99));
     assert_eq!(
         leader.fence(at(3_300)),
         None,
@@ -54,14 +65,14 @@
 #[test]
 fn frozen_holder_silent() {
     let mut leader = Leader::new(TERM);
-    leader.claimed(at(0), 7, 12);
+    leader.claimed(at(0), lease(7), place(12));
     assert_eq!(
         leader.fence(at(60_000)),
         None,
         "time that it stood still counts"
     );
-    leader.taken(15);
-    leader.renewed(at(60_000), 7);
+    leader.taken(place(15));
+    leader.renewed(at(60_000), lease(7));
     assert_eq!(
         leader.fence(at(60_000)),
         None,
@@ -73,9 +84,9 @@
 #[test]
 fn stop_releases() {
     let mut leader = Leader::new(TERM);
-    leader.claimed(at(0), 7, 12);
+    leader.claimed(at(0), lease(7), place(12));
     leader.stop();
-    assert_eq!(leader.step(at(1), 0), Step::Release(7));
+    assert_eq!(leader.step(at(1), 0), Step::Release(lease(7)));
     leader.lost();
     leader.freed(at(2));
     assert_eq!(
@@ -84,3 +95,38 @@
         "who stops claims no more"
     );
 }
+
+/// The store came back from a copy that holds neither the key nor the lease.
+#[test]
+fn claims_anew() {
+    let mut leader = Leader::new(TERM);
+    leader.claimed(at(0), lease(7), place(900));
+    leader.rose(Era(1));
+    assert_eq!(leader.fence(at(100)), Some(Fence::from(place(900))));
+    leader.rose(Era(2));
+    assert_eq!(leader.fence(at(100)), None, "not before a new claim");
+    leader.renewed(at(100), lease(7));
+    assert_eq!(leader.fence(at(200)), None, "a late answer renews nothing");
+    leader.freed(at(200));
+    assert_eq!(leader.step(at(200), 0), Step::Claim);
+    let (era, lower) = (Era(2), 13);
+    let created = Place {
+        era,
+        revision: lower,
+    };
+    leader.claimed(at(200), Lease { id: 7, era }, created);
+    assert!(leader.fence(at(300)) > Some(Fence::from(place(900))));
+}
+
+/// A lease that was taken before the rise, and a key that was written after it.
+#[test]
+fn claim_over_rise() {
+    let mut leader = Leader::new(TERM);
+    let created = Place {
+        era: Era(2),
+        revision: 3,
+    };
+    leader.claimed(at(0), lease(7), created);
+    leader.rose(Era(2));
+    assert_eq!(leader.fence(at(1)), None);
+}
--- a/coltsfoothall/tests/forward_parts.rs
+++ b/coltsfoothall/tests/forward_parts.rs
@@ -6,6 +6,7 @@
 
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::{Ask, Part, Settings};
+use coltsfoothall::forward::history::{Era, Place};
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::roster::{End, Roster};
 use coltsfoothall::id;
@@ -28,6 +29,11 @@
     format!("e{number}").parse().unwrap()
 }
 
+fn place(revision: u64) -> Place {
+    let era = Era(0);
+    Place { era, revision }
+}
+
 fn entry(number: u64, revision: u64) -> Entry {
     Entry {
         id: id(number),
@@ -39,7 +45,7 @@
         leaving: false,
         leaves: None,
         reclaimable: false,
-        revision,
+        place: place(revision),
     }
 }
 
@@ -77,7 +83,7 @@
 
     fn remove(&mut self, number: u64) {
         for roster in &mut self.rosters {
-            roster.removed(&id(number), 1_000 + number);
+            roster.removed(&id(number), place(1_000 + number));
         }
         self.read.retain(|(endpoint, _)| *endpoint != id(number));
     }
--- a/coltsfoothall/tests/forward_roster.rs
+++ b/coltsfoothall/tests/forward_roster.rs
@@ -7,6 +7,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::{Ask, Nobody, Part, Settings};
 use coltsfoothall::forward::gossip::Count;
+use coltsfoothall::forward::history::{Era, Place};
 use coltsfoothall::forward::node::{Entry, Load};
 use coltsfoothall::forward::roster::{End, Ended, Event, Roster};
 use coltsfoothall::id;
@@ -21,6 +22,11 @@
     name.parse().unwrap()
 }
 
+fn place(revision: u64) -> Place {
+    let era = Era(0);
+    Place { era, revision }
+}
+
 fn entry(name: &str, domain: &str, revision: u64) -> Entry {
     Entry {
         id: id(name),
@@ -32,7 +38,7 @@
         leaving: false,
         leaves: None,
         reclaimable: false,
-        revision,
+        place: place(revision),
     }
 }
 
@@ -118,7 +124,7 @@
     let mut roster = roster(&[]);
     let ended = Ended {
         id: id("a"),
-        revision: 5,
+        place: place(5),
     };
     assert_eq!(roster.ended(&ended), None, "nothing is known of it yet");
     let event = roster.registered(at(0), entry("a", "north", 4));
@@ -129,7 +135,10 @@
 fn lapsed_comes_back() {
     let case = Case::new();
     let mut roster = roster(&["a"]);
-    assert_eq!(roster.removed(&id("a"), 7), Some(Event::Gone(id("a"))));
+    assert_eq!(
+        roster.removed(&id("a"), place(7)),
+        Some(Event::Gone(id("a")))
+    );
     assert_eq!(roster.choose(at(0), &case.ask(&[])), Err(Nobody::Absent));
     assert_eq!(
         roster.registered(at(1), entry("a", "north", 9)),
@@ -137,7 +146,7 @@
     );
     assert!(roster.choose(at(1), &case.ask(&[])).is_ok());
     assert_eq!(
-        roster.removed(&id("a"), 7),
+        roster.removed(&id("a"), place(7)),
         None,
         "the removal is older than the return"
     );
@@ -355,7 +364,7 @@
             match kind {
                 0 => drop(roster.registered(at(0), entry("a", "north", revision))),
                 1 => drop(roster.registered(at(0), leaving("a", revision))),
-                _ => drop(roster.ended(&Ended { id: id("a"), revision })),
+                _ => drop(roster.ended(&Ended { id: id("a"), place: place(revision) })),
             }
         }
         let works = roster.choose(at(0), &Case::new().ask(&[])).is_ok();
@@ -519,12 +528,12 @@
             match step {
                 0 => drop(roster.registered(at(0), reborn("a", 1_000, 1))),
                 1 => drop(roster.registered(at(0), Entry { leaving: true, ..reborn("a", 1_000, 2) })),
-                2 => drop(roster.removed(&id("a"), 3)),
+                2 => drop(roster.removed(&id("a"), place(3))),
                 3 => drop(roster.registered(at(0), reborn("a", 2_000, 4))),
                 4 => drop(roster.hear(at(0), 7, &[said(1_000, 5)])),
                 5 => drop(roster.hear(at(0), 8, &[said(2_000, 2)])),
                 6 => roster.hear_failures(at(0), 7, &[failed(1_000)]),
-                _ => drop(roster.ended(&Ended { id: id("a"), revision: 2 })),
+                _ => drop(roster.ended(&Ended { id: id("a"), place: place(2) })),
             }
         }
         // Heartbeats hold all that their sender says, and the next one follows soon.
@@ -537,3 +546,38 @@
         prop_assert_eq!(roster.doubt(at(1), &id("a")), 0.0);
     }
 }
+
+/// The store came back from an older copy, whose revisions are lower.
+#[test]
+fn later_era_counts() {
+    let mut roster = roster(&[]);
+    roster.registered(at(0), entry("a", "north", 90));
+    let again = |era, revision| Entry {
+        place: Place {
+            era: Era(era),
+            revision,
+        },
+        ..entry("a", "north", 0)
+    };
+    let ended = Ended {
+        id: id("a"),
+        place: place(95),
+    };
+    assert_eq!(roster.ended(&ended), Some(Event::Leaving(id("a"))));
+    assert_eq!(
+        roster.registered(at(1), again(0, 40)),
+        None,
+        "from the copy"
+    );
+    assert!(roster.node(&id("a")).unwrap().entry.leaving);
+    assert_eq!(roster.registered(at(2), again(1, 41)), None);
+    assert!(
+        !roster.node(&id("a")).unwrap().entry.leaving,
+        "written since"
+    );
+    let gone = Place {
+        era: Era(1),
+        revision: 42,
+    };
+    assert_eq!(roster.removed(&id("a"), gone), Some(Event::Gone(id("a"))));
+}
