--- a/coltsfoothall/src/forward/gossip.rs
+++ b/coltsfoothall/src/forward/gossip.rs
@@ -119,8 +119,7 @@
         if born <= node.entry.born {
             return None;
         }
-        self.listings += 1;
-        *node = node.reborn(born, self.listings, now);
+        *node = node.reborn(born, self.listings.advance(), now);
         Some(Event::Restarted(id.clone()))
     }
 
--- a/coltsfoothall/src/forward/history.rs
+++ b/coltsfoothall/src/forward/history.rs
@@ -36,7 +36,9 @@
 
     fn from_str(text: &str) -> Result<Self, Error> {
         let number = text.trim().parse();
-        number.map(Self).map_err(|_| Error::Number(text.into()))
+        number
+            .map(Self)
+            .map_err(|_error| Error::Number(text.into()))
     }
 }
 
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -102,9 +102,11 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Listing(u64);
 
-impl std::ops::AddAssign<u64> for Listing {
-    fn add_assign(&mut self, more: u64) {
-        self.0 += more;
+impl Listing {
+    /// The next one, which becomes this.
+    pub(super) fn advance(&mut self) -> Self {
+        self.0 += 1;
+        *self
     }
 }
 
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -132,8 +132,7 @@
         let entry = Entry { leaving, ..entry };
         match self.place(&id) {
             Err(place) => {
-                self.listings += 1;
-                let node = Node::new(entry, self.listings, now);
+                let node = Node::new(entry, self.listings.advance(), now);
                 self.nodes.insert(place, node);
                 Some(if leaving {
                     Event::Leaving(id)
@@ -147,8 +146,7 @@
                     return None;
                 }
                 if entry.born > node.entry.born {
-                    self.listings += 1;
-                    *node = Node::new(entry, self.listings, now);
+                    *node = Node::new(entry, self.listings.advance(), now);
                     return Some(if leaving {
                         Event::Leaving(id)
                     } else {
--- a/coltsfoothall/src/forward/usage.rs
+++ b/coltsfoothall/src/forward/usage.rs
@@ -29,10 +29,13 @@
 pub struct Snapshot {
     /// Sorted.
     workspaces: Vec<id::Workspace>,
-    /// For each window its boots, each with its runs by workspace.
-    windows: Vec<(u64, Vec<(u64, Vec<u64>)>)>,
+    /// Each window with its boots.
+    windows: Vec<(u64, Vec<Boot>)>,
 }
 
+/// A boot and its runs, in the order of the workspaces.
+type Boot = (u64, Vec<u64>);
+
 /// Runs by workspace, sorted.
 type Runs = Vec<(id::Workspace, u64)>;
 
