An attempt that breaks says why in the log

engines_misbehave (known red) ended once with four attempts broken, and nothing told what broke each.

--- a/coltsfoothall-entry/src/endpoint.rs
+++ b/coltsfoothall-entry/src/endpoint.rs
@@ -13,6 +13,7 @@
 
 use coltsfoothall::record::{Answer, Class, Header, Intake, Part, Work};
 use coltsfoothall::step::Input;
+use coltsfoothall_shell::event;
 use coltsfoothall_wire::caller::DONE;
 use coltsfoothall_wire::client::{Client, Error};
 use coltsfoothall_wire::engine::{Chunk, Generate, Refusal};
@@ -100,17 +101,17 @@
         };
         match self.client.send("attempt", request, self.silence).await {
             Err(Error::Connect(..)) => Ended::Unsent,
-            Err(_sent) => Ended::Broke,
+            Err(sent) => broke(job, &sent.to_string()),
             Ok(answer) => match &job.intake.work {
-                Work::Completion { .. } => self.stream(answer, inputs).await,
+                Work::Completion { .. } => self.stream(job, answer, inputs).await,
                 Work::Call { .. } => self.answer(job, answer, inputs).await,
             },
         }
     }
 
-    async fn stream(&self, answer: Response<Incoming>, inputs: &Sender<Input>) -> Ended {
+    async fn stream(&self, job: &Job, answer: Response<Incoming>, inputs: &Sender<Input>) -> Ended {
         if !answer.status().is_success() {
-            return refusal(answer).await;
+            return refusal(job, answer).await;
         }
         let mut body = answer.into_body();
         let mut events = Decoder::new(limit::EVENT);
@@ -119,15 +120,16 @@
                 if event.data == DONE {
                     return Ended::Whole;
                 }
-                let Ok(chunk) = http::parse::<Chunk>(event.data.as_bytes()) else {
-                    return Ended::Broke;
+                let chunk = match http::parse::<Chunk>(event.data.as_bytes()) {
+                    Ok(chunk) => chunk,
+                    Err(error) => return broke(job, &error.to_string()),
                 };
                 if inputs.send(input(chunk)).await.is_err() {
                     return Ended::Unheard;
                 }
             }
             if events.overflown() {
-                return Ended::Broke;
+                return broke(job, "an event is too long");
             }
             match timeout(self.silence, body.frame()).await {
                 Ok(Some(Ok(frame))) => {
@@ -135,7 +137,9 @@
                         events.push(bytes);
                     }
                 }
-                Ok(None | Some(Err(_))) | Err(_) => return Ended::Broke,
+                Ok(None) => return broke(job, "the stream ended without its end marker"),
+                Ok(Some(Err(error))) => return broke(job, &error.to_string()),
+                Err(_elapsed) => return broke(job, "no sign of life"),
             }
         }
     }
@@ -148,8 +152,10 @@
         let status = answer.status().as_u16();
         let headers = passed_on(answer.headers());
         let body = http::read(answer.into_body(), limit::ANSWER);
-        let Ok(Ok(body)) = timeout(self.silence, body).await else {
-            return Ended::Broke;
+        let body = match timeout(self.silence, body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return broke(job, &error.to_string()),
+            Err(_elapsed) => return broke(job, "no sign of life"),
         };
         let answer = Box::new(Answer {
             status,
@@ -283,9 +289,23 @@
         .ok()
 }
 
-async fn refusal(answer: Response<Incoming>) -> Ended {
+async fn refusal(job: &Job, answer: Response<Incoming>) -> Ended {
+    let status = answer.status();
     match http::read_json::<Refusal, _>(answer.into_body(), limit::EVENT).await {
         Ok(Refusal { started: false, .. }) => Ended::Refused,
-        Ok(_) | Err(_) => Ended::Broke,
+        Ok(refusal) => broke(
+            job,
+            &format!("{status} after it began: {}", refusal.message),
+        ),
+        Err(error) => broke(job, &format!("{status}: {error}")),
     }
 }
+
+/// An attempt broke for this reason.
+fn broke(job: &Job, reason: &str) -> Ended {
+    event::BROKE_OFF.emit(format_args!(
+        "request={} attempt={} address={} reason={reason:?}",
+        job.intake.name.key, job.attempt, job.address
+    ));
+    Ended::Broke
+}
--- a/coltsfoothall/tests/forward_gossip.rs
+++ b/coltsfoothall/tests/forward_gossip.rs
@@ -105,7 +105,7 @@
     fn last_told_counts(steps in prop::collection::vec(step(), 1..60)) {
         let mut roster = Roster::new(Settings::default());
         let mut born = [1_u64; 4];
-        let mut told = vec![[0_u32; 4]; 3];
+        let mut told = [[0_u32; 4]; 3];
         let mut revision = 1;
         for number in 0..4 {
             roster.registered(at(0), entry(number, 1, 1));
