--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -27,13 +27,6 @@
 use crate::state::State;
 use crate::{duty, gossip, stop, watch};
 
-/// Rest between two readings of endpoints' registrations: a sixth of the time in which
-/// leaving endpoints must get no more work, to save calls while heartbeats change them.
-const ENDPOINTS_REST: Duration = Duration::from_millis(350);
-/// Rest after a change of the configuration, for several in quick succession.
-const CONFIGURATION_REST: Duration = Duration::from_millis(50);
-/// Rest after a change of the members.
-const LIVE_REST: Duration = Duration::from_millis(200);
 /// Time between two log lines that count what went well.
 const SUM: Duration = Duration::from_secs(10);
 /// Time between readings of the settings file without a signal.
@@ -112,10 +105,10 @@
 }
 
 fn start(state: &Rc<State>, socket: &Rc<UdpSocket>) {
-    let follow = |realm, rest| watch::follow(Rc::clone(state), realm, rest);
-    tokio::task::spawn_local(follow(Realm::Configuration, CONFIGURATION_REST));
-    tokio::task::spawn_local(follow(Realm::Endpoints, ENDPOINTS_REST));
-    tokio::task::spawn_local(follow(Realm::Live, LIVE_REST));
+    let follow = |realm| watch::follow(Rc::clone(state), realm);
+    tokio::task::spawn_local(follow(Realm::Configuration));
+    tokio::task::spawn_local(follow(Realm::Endpoints));
+    tokio::task::spawn_local(follow(Realm::Live));
     tokio::task::spawn_local(watch::ask_peers(Rc::clone(state)));
     tokio::task::spawn_local(gossip::speak(Rc::clone(state), Rc::clone(socket)));
     tokio::task::spawn_local(gossip::listen(Rc::clone(state), Rc::clone(socket)));
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -8,6 +8,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::history::Place;
 use coltsfoothall::forward::peer::{Profile, TOGETHER};
+use coltsfoothall::forward::rest;
 use coltsfoothall::id;
 use coltsfoothall::turn;
 use coltsfoothall_shell::event;
@@ -29,7 +30,12 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// A store that was away for so long may have let registrations lapse.
 const AWAY: Duration = Duration::from_millis(900);
-/// Most by which a rest grows, but for that of endpoints.
+/// Rest between two readings of endpoints' registrations: a sixth of the time in which
+/// leaving endpoints must get no more work, to save calls while heartbeats change them.
+const ENDPOINTS_REST: Duration = Duration::from_millis(350);
+/// Rest after a change of the configuration, for several in quick succession.
+const CONFIGURATION_REST: Duration = Duration::from_millis(50);
+/// Most by which that rest grows.
 const LONGEST_REST: u32 = 3;
 /// Part of the time in which leaving endpoints must get no more work that an instance may
 /// rest: the call after it and news from others have the other half.
@@ -55,7 +61,7 @@
 }
 
 /// Follows one part of the store for as long as the process runs.
-pub async fn follow(state: Rc<State>, realm: Realm, rest: Duration) {
+pub async fn follow(state: Rc<State>, realm: Realm) {
     let mut lost: Option<Time> = None;
     let mut after: Option<Place> = None;
     let mut pause = PAUSE;
@@ -110,7 +116,7 @@
                 apply(&state, realm, listing, whole);
                 if changed {
                     // Changes come in groups; one call brings them all.
-                    tokio::time::sleep(longer(&state, realm, rest)).await;
+                    tokio::time::sleep(rest(&state, realm)).await;
                 }
             }
             Err(Error::Dropped(_)) => {
@@ -153,15 +159,22 @@
     }
 }
 
-/// How long an instance of a large fleet rests. What one reads in its rest the others have
-/// told it, and each call is paid for: a fleet of 64 made 5,900 in 76 s.
-fn longer(state: &State, realm: Realm, rest: Duration) -> Duration {
+/// How long an instance rests after a change, longer in a large fleet. What one reads in its
+/// rest the others have told it, and each call is paid for: a fleet of 64 made 5,900 in 76 s.
+fn rest(state: &State, realm: Realm) -> Duration {
     let turns = turn::turns(state.reach().members as usize, TOGETHER) as u32;
-    let longest = match realm {
-        Realm::Endpoints => state.settings().bounds.drain.duration() / RESTED_OF_DRAIN,
-        Realm::Configuration | Realm::Live | Realm::Notes => rest * LONGEST_REST,
-    };
-    (rest * turns).min(longest.max(rest))
+    match realm {
+        Realm::Configuration => CONFIGURATION_REST * turns.min(LONGEST_REST),
+        Realm::Endpoints => {
+            let longest = state.settings().bounds.drain.duration() / RESTED_OF_DRAIN;
+            (ENDPOINTS_REST * turns).min(longest.max(ENDPOINTS_REST))
+        }
+        Realm::Live => {
+            let rank = state.peers.borrow().rank(state.now());
+            rest::Settings::default().of(rank, state.fence().is_some())
+        }
+        Realm::Notes => Duration::ZERO,
+    }
 }
 
 fn apply(state: &Rc<State>, realm: Realm, listing: Listing, whole: bool) {
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -14,6 +14,7 @@
 pub mod order;
 pub mod pace;
 pub mod peer;
+pub mod rest;
 pub mod roster;
 pub mod stop;
 pub mod table;
