While the store turns an instance away its renewals alone try again

Watches waited 0.25 to 0.8 s each and tried again beside the renewals. They wait for a renewal that is answered now, or 2 s.

--- a/coltsfoothall-forward/src/health.rs
+++ b/coltsfoothall-forward/src/health.rs
@@ -10,6 +10,9 @@
 use coltsfoothall::clock::Time;
 use tokio::sync::Notify;
 
+/// Time for which failing renewals stand for all calls: two of them are made in it.
+const TRUSTED: Duration = Duration::from_secs(2);
+
 /// What is known of the store's answers.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -33,6 +36,16 @@
         Some(now.since(since))
     }
 
+    /// Waits before a call that failed is made again: while renewals fail too, they alone find
+    /// out when the store is back.
+    pub async fn pause(&self, pause: Duration) {
+        tokio::time::sleep(pause).await;
+        if self.silent.get().is_some() {
+            // The call itself is the test if a renewal has not answered by then.
+            let _elapsed = tokio::time::timeout(TRUSTED, self.back()).await;
+        }
+    }
+
     /// Waits until the store answers again after it was away.
     pub async fn back(&self) {
         self.back.notified().await;
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -128,7 +128,7 @@
                     lost = Some(asked);
                     event::STORE.emit(format_args!("realm={realm:?} state=lost reason={error:?}"));
                 }
-                tokio::time::sleep(pause).await;
+                state.health.pause(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
