A few instances of each failure domain read endpoints' registrations for the others

Each instance watched each beat of each endpoint. In a fleet over 48 (read_alone) the first three ready instances of a domain, by name, read now; the others ask one of them every 0.5 s for what changed, beats that say the same left out. A reader tells how old its knowledge is; one that does not answer, or is too old for the bound of leaving endpoints, is given up at once for 3 s, and its follower reads for itself. Ruled out: longer rests (bytes stay), lists in place of watches (0.9 MB each), news in heartbeats alone (bounded rows, and no sign of a gap). A page of a list may take 4 s, as all list at once when a fleet starts.

--- /dev/null
+++ b/coltsfoothall-forward/src/ask.rs
@@ -0,0 +1,44 @@
+//! Questions to other instances, at their control addresses.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfoothall::forward::peer::Profile;
+use coltsfoothall_shell::event;
+use coltsfoothall_wire::client::Client;
+use hyper::Method;
+
+use crate::state::State;
+
+/// Time in which another instance must answer.
+const ANSWER: Duration = Duration::from_millis(800);
+/// Path at which an instance shows the configuration in force.
+pub const CONFIGURATION: &str = "/v1/configuration";
+/// Path at which an instance shows the endpoints that it knows.
+pub const ENDPOINTS: &str = "/v1/endpoints";
+
+/// Asks another instance for what it shows under a path.
+pub async fn ask(state: &State, client: &Client, peer: &Profile, path: &str) -> Option<Bytes> {
+    let port = state.settings().listen.control?.port();
+    let address = SocketAddr::new(peer.front.ip(), port).to_string();
+    let call = client.call(
+        "ask a peer",
+        Method::GET,
+        &address,
+        path,
+        Bytes::new(),
+        ANSWER,
+    );
+    match call.await {
+        Ok(raw) => Some(raw),
+        Err(error) => {
+            event::LINK_FAILED.emit(format_args!(
+                "peer={} reason={:?}",
+                peer.name,
+                error.to_string()
+            ));
+            None
+        }
+    }
+}
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -8,12 +8,14 @@
 //! [`relay`] passes the answer back. [`watch`], [`gossip`] and [`duty`] keep [`state`] up to
 //! date beside it; [`stop`] ends it all.
 
+pub mod ask;
 pub mod attempt;
 pub mod border;
 pub mod calls;
 pub mod connection;
 pub mod dispatch;
 pub mod duty;
+pub mod follower;
 pub mod gossip;
 pub mod health;
 pub mod intake;
@@ -21,7 +23,9 @@
 pub mod listen;
 pub mod orders;
 pub mod outgoing;
+pub mod passed;
 pub mod refusal;
+pub mod registrations;
 pub mod relay;
 pub mod report;
 pub mod retries;
--- /dev/null
+++ b/coltsfoothall-forward/src/passed.rs
@@ -0,0 +1,140 @@
+//! Registrations as they were read, for instances that hear of them from this one.
+
+use bytes::Bytes;
+use coltsfoothall::forward::history::Place;
+use coltsfoothall::forward::node::Entry;
+use serde::{Deserialize, Serialize};
+
+use crate::border::Item;
+
+/// Most removed registrations remembered; one that is forgotten was removed long ago.
+const REMOVED: usize = 4096;
+
+/// A registration as one instance tells another; without a value it was removed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Row {
+    /// Name of the endpoint.
+    pub name: String,
+    /// Its registration.
+    pub value: Option<Bytes>,
+    /// When it was written or removed.
+    pub place: Place,
+}
+
+/// What changed after a number.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Part {
+    /// The process that counts so.
+    pub boot: u64,
+    /// The number to go on from.
+    pub next: u64,
+    /// The last change at the store that the reader knows of.
+    pub place: Place,
+    /// Age in milliseconds of what the reader knows; none if the store does not answer it.
+    pub age_ms: Option<u64>,
+    /// The changes.
+    pub rows: Vec<Row>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    row: Row,
+    /// What it says.
+    entry: Option<Entry>,
+    /// Number of its last change of any account.
+    number: u64,
+}
+
+/// All registrations, with changes numbered. An endpoint that writes again what stood there
+/// has not changed.
+#[derive(Debug, Default)]
+pub struct Passed {
+    /// Sorted by name.
+    kept: Vec<Kept>,
+    number: u64,
+    place: Place,
+}
+
+impl Passed {
+    /// A registration was read.
+    pub fn put(&mut self, item: &Item, entry: &Entry) {
+        let row = Row {
+            name: item.name.clone(),
+            value: item.value.clone(),
+            place: item.place,
+        };
+        let says = Entry {
+            place: Place::default(),
+            ..entry.clone()
+        };
+        match self.find(&item.name) {
+            Ok(place) if self.kept[place].entry.as_ref() == Some(&says) => {
+                self.kept[place].row = row;
+            }
+            found => self.change(found, row, Some(says)),
+        }
+    }
+
+    /// A registration is gone, as of then.
+    pub fn remove(&mut self, name: &str, at: Place) {
+        let row = Row {
+            name: name.to_owned(),
+            value: None,
+            place: at,
+        };
+        let found = self.find(name);
+        if found.is_ok_and(|place| self.kept[place].row.place > at) {
+            return;
+        }
+        self.change(found, row, None);
+        self.forget_old();
+    }
+
+    /// All changes at the store up to there are in here.
+    pub fn read_to(&mut self, place: Place) {
+        self.place = self.place.max(place);
+    }
+
+    /// The last change at the store that is in here.
+    #[must_use]
+    pub fn place(&self) -> Place {
+        self.place
+    }
+
+    /// What changed after a number, and the number to go on from. All that is there, if nothing
+    /// was told before.
+    #[must_use]
+    pub fn since(&self, after: u64) -> (u64, Vec<Row>) {
+        let news = self
+            .kept
+            .iter()
+            .filter(|kept| kept.number > after && (after > 0 || kept.row.value.is_some()));
+        (self.number, news.map(|kept| kept.row.clone()).collect())
+    }
+
+    fn change(&mut self, found: Result<usize, usize>, row: Row, entry: Option<Entry>) {
+        self.number += 1;
+        let number = self.number;
+        let kept = Kept { row, entry, number };
+        match found {
+            Ok(place) => self.kept[place] = kept,
+            Err(place) => self.kept.insert(place, kept),
+        }
+    }
+
+    fn forget_old(&mut self) {
+        let removed = |kept: &&Kept| kept.row.value.is_none();
+        if self.kept.iter().filter(removed).count() <= REMOVED {
+            return;
+        }
+        let oldest = self.kept.iter().filter(removed).map(|kept| kept.number);
+        if let Some(oldest) = oldest.min() {
+            self.kept.retain(|kept| kept.number != oldest);
+        }
+    }
+
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.kept
+            .binary_search_by(|kept| kept.row.name.as_str().cmp(name))
+    }
+}
--- /dev/null
+++ b/coltsfoothall-forward/src/registrations.rs
@@ -0,0 +1,227 @@
+//! Endpoints' registrations: read at the store, or heard from an instance that reads there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfoothall::forward::history::Place;
+use coltsfoothall::forward::peer::Profile;
+use coltsfoothall::forward::reader::{Reading, Source};
+use coltsfoothall::id;
+use coltsfoothall_shell::event;
+use coltsfoothall_wire::client::Client;
+
+use crate::ask::{self, ENDPOINTS};
+use crate::border::{Item, Listing, Realm};
+use crate::follower::{self, Follower, News};
+use crate::passed::{Part, Row};
+use crate::state::State;
+
+/// Time between two questions to a reader.
+const POLL: Duration = Duration::from_millis(500);
+/// Part of the time in which leaving endpoints must get no more work that a reader's knowledge
+/// may be old.
+const OLD_OF_DRAIN: f64 = 0.75;
+/// Age that it may have in any case: endpoints write again within 1.2 s, and a reader rests.
+const YOUNG: Duration = Duration::from_millis(1_750);
+
+/// What an instance has heard of its reader.
+#[derive(Debug, Default)]
+struct Heard {
+    reader: Option<id::Instance>,
+    boot: u64,
+    /// The number to go on from.
+    next: u64,
+}
+
+/// Follows the registrations for as long as the process runs.
+pub async fn follow(state: Rc<State>) {
+    let client = Client::new();
+    let mut reading = Reading::default();
+    let mut follower = Follower::new(Realm::Endpoints);
+    let mut heard = Heard::default();
+    loop {
+        match source(&state, &reading) {
+            Source::Store => {
+                heard = Heard::default();
+                let Some(News { listing, whole }) = follower.step(&state).await else {
+                    continue;
+                };
+                let changed = !listing.items.is_empty();
+                apply(&state, listing, whole, "store");
+                if changed {
+                    // Heartbeats change them all the time; one call brings many.
+                    tokio::time::sleep(follower::rest(&state, Realm::Endpoints)).await;
+                }
+            }
+            Source::Reader(name) => {
+                follower = Follower::new(Realm::Endpoints);
+                state.fresh.set(None);
+                if hear(&state, &client, &name, &mut heard).await {
+                    tokio::time::sleep(POLL).await;
+                } else {
+                    event::STORE.emit(format_args!("realm=Endpoints reader={name} state=lost"));
+                    reading.failed(state.now());
+                }
+            }
+        }
+    }
+}
+
+fn source(state: &State, reading: &Reading) -> Source {
+    let peers = state.peers.borrow();
+    let near = peers.near(state.now(), &state.domain);
+    let near: Vec<&id::Instance> = near.iter().map(|profile| &profile.name).collect();
+    let members = state.reach().members as usize;
+    let alone = state.settings().read_alone;
+    reading.source(state.now(), &state.name, &near, members, alone)
+}
+
+/// Takes over what a reader knows; false if it does not answer, or knows nothing new enough.
+async fn hear(state: &Rc<State>, client: &Client, name: &id::Instance, heard: &mut Heard) -> bool {
+    if heard.reader.as_ref() != Some(name) {
+        *heard = Heard {
+            reader: Some(name.clone()),
+            ..Heard::default()
+        };
+    }
+    let profile = {
+        let peers = state.peers.borrow();
+        let near = peers.near(state.now(), &state.domain);
+        near.into_iter()
+            .find(|profile| profile.name == *name)
+            .cloned()
+    };
+    let Some(profile) = profile else {
+        return false;
+    };
+    let Some(part) = ask(state, client, &profile, heard.next).await else {
+        return false;
+    };
+    let drain = state.settings().bounds.drain.duration();
+    let oldest = drain.mul_f64(OLD_OF_DRAIN).max(YOUNG);
+    let age = part.age_ms.map(Duration::from_millis);
+    let is_new = age.is_some_and(|age| age <= oldest);
+    if !is_new {
+        return false;
+    }
+    if heard.next > 0 && part.boot != heard.boot {
+        // It counts anew since it started again; all of it is asked for at once.
+        heard.next = 0;
+        return Box::pin(hear(state, client, name, heard)).await;
+    }
+    let whole = heard.next == 0;
+    (heard.boot, heard.next) = (part.boot, part.next);
+    take(state, part, whole);
+    true
+}
+
+/// Asks another instance for the registrations that changed there after a number.
+pub async fn ask(state: &State, client: &Client, peer: &Profile, after: u64) -> Option<Part> {
+    let path = format!("{ENDPOINTS}?after={after}");
+    let raw = ask::ask(state, client, peer, &path).await?;
+    match rmp_serde::from_slice(&raw) {
+        Ok(part) => Some(part),
+        Err(error) => {
+            let reason = error.to_string();
+            event::LINK_FAILED.emit(format_args!("peer={} reason={reason:?}", peer.name));
+            None
+        }
+    }
+}
+
+/// Takes over what another instance told.
+pub fn take(state: &Rc<State>, part: Part, whole: bool) {
+    let item = |row: Row| Item {
+        name: row.name,
+        value: row.value,
+        place: row.place,
+        created: Place::default(),
+    };
+    let listing = Listing {
+        items: part.rows.into_iter().map(item).collect(),
+        place: part.place,
+    };
+    apply(state, listing, whole, "peer");
+}
+
+/// What this instance tells others of the registrations.
+pub fn show(state: &State, query: Option<&str>) -> Option<Bytes> {
+    let after = query.and_then(|query| query.strip_prefix("after="));
+    let after = after.and_then(|after| after.parse().ok()).unwrap_or(0);
+    let passed = state.passed.borrow();
+    let (next, rows) = passed.since(after);
+    let age = state.fresh.get().map(|fresh| state.now().since(fresh));
+    let part = Part {
+        boot: state.boot,
+        next,
+        place: passed.place(),
+        age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+        rows,
+    };
+    rmp_serde::to_vec(&part).ok().map(Bytes::from)
+}
+
+/// Takes over registrations; a whole list also shows which ones are gone.
+pub fn apply(state: &Rc<State>, listing: Listing, whole: bool, source: &'static str) {
+    let mut entries = Vec::new();
+    for item in listing.items {
+        if item.value.is_none() {
+            remove(state, &item.name, item.place);
+            continue;
+        }
+        match state.border.entry(&item) {
+            Ok(entry) => {
+                let event = state
+                    .roster
+                    .borrow_mut()
+                    .registered(state.now(), entry.clone());
+                state.note(event, item.place, source);
+                state.passed.borrow_mut().put(&item, &entry);
+                entries.push(entry);
+            }
+            Err(error) => {
+                event::STORE_FAILED.emit(format_args!(
+                    "endpoint={} reason={:?}",
+                    item.name,
+                    error.to_string()
+                ));
+                // Whoever wrote it, it names no endpoint to use, whatever its id was before.
+                if let Ok(id) = item.name.parse() {
+                    state.passed.borrow_mut().remove(&item.name, item.place);
+                    forget(state, &id, item.place, source);
+                }
+            }
+        }
+    }
+    state.passed.borrow_mut().read_to(listing.place);
+    if whole {
+        let missing = state.roster.borrow().missing(&entries);
+        for id in missing {
+            remove(state, id.as_str(), listing.place);
+        }
+    }
+}
+
+/// A registration is gone; after the store was away it may only have lapsed.
+fn remove(state: &Rc<State>, name: &str, at: Place) {
+    let Ok(id) = name.parse::<id::Endpoint>() else {
+        event::STORE_FAILED.emit(format_args!("endpoint={name:?} reason=\"not a name\""));
+        return;
+    };
+    state.passed.borrow_mut().remove(name, at);
+    let mercy = state.mercy();
+    let state = Rc::clone(state);
+    tokio::task::spawn_local(async move {
+        if let Some(mercy) = mercy {
+            tokio::time::sleep(mercy).await;
+        }
+        forget(&state, &id, at, "store");
+    });
+}
+
+/// No endpoint is registered under an id, as of then.
+fn forget(state: &State, id: &id::Endpoint, at: Place, source: &str) {
+    let event = state.roster.borrow_mut().removed(id, at);
+    state.note(event, at, source);
+}
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -25,7 +25,7 @@
 use crate::outgoing::{Outgoing, answer, plain};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{duty, gossip, stop, watch};
+use crate::{duty, gossip, registrations, stop, watch};
 
 /// Time between two log lines that count what went well.
 const SUM: Duration = Duration::from_secs(10);
@@ -107,7 +107,7 @@
 fn start(state: &Rc<State>, socket: &Rc<UdpSocket>) {
     let follow = |realm| watch::follow(Rc::clone(state), realm);
     tokio::task::spawn_local(follow(Realm::Configuration));
-    tokio::task::spawn_local(follow(Realm::Endpoints));
+    tokio::task::spawn_local(registrations::follow(Rc::clone(state)));
     tokio::task::spawn_local(follow(Realm::Live));
     tokio::task::spawn_local(watch::ask_peers(Rc::clone(state)));
     tokio::task::spawn_local(gossip::speak(Rc::clone(state), Rc::clone(socket)));
@@ -223,7 +223,7 @@
             }
         };
     }
-    match watch::show(state, path) {
+    match watch::show(state, path, query) {
         Some(bytes) => json(bytes),
         None => plain(StatusCode::NOT_FOUND),
     }
--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use coltsfoothall::forward::reader;
 use coltsfoothall::id;
 use coltsfoothall::size::Millis;
 use coltsfoothall_shell::journal::Log;
@@ -79,6 +80,9 @@
     pub cloud: Option<SocketAddr>,
     /// Duties that one instance does for all.
     pub duties: Vec<String>,
+    /// Most members of a fleet in which each instance reads endpoints' registrations for
+    /// itself; in a larger one a few of each failure domain read for the others.
+    pub read_alone: usize,
     /// Promised limits.
     pub bounds: Bounds,
     /// The log.
@@ -96,6 +100,7 @@
             store: None,
             cloud: None,
             duties: Vec::new(),
+            read_alone: reader::ALONE,
             bounds: Bounds::default(),
             log: Log::default(),
         }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -28,10 +28,11 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::border::{Border, Item};
+use crate::border::Border;
 use crate::calls::Calls;
 use crate::health::Health;
 use crate::kept::Pool;
+use crate::passed::Passed;
 use crate::retries::Retries;
 use crate::settings::Settings;
 use crate::time::{self, Clock};
@@ -114,7 +115,10 @@
     /// The election of who acts for all.
     pub leader: RefCell<Leader>,
     /// Registrations of endpoints as they were read, for instances that lack them.
-    pub listed: RefCell<Vec<Item>>,
+    pub passed: RefCell<Passed>,
+    /// When the store last showed that the registrations known here are its own; none while
+    /// it does not answer, or is not asked.
+    pub fresh: Cell<Option<Time>>,
     /// Whether the store answers.
     pub health: Health,
     era: Cell<Option<Era>>,
@@ -168,7 +172,8 @@
             )),
             peers: RefCell::new(Peers::new(name.clone(), peer::Settings::default())),
             leader: RefCell::new(Leader::new(settings.bounds.lease.duration())),
-            listed: RefCell::default(),
+            passed: RefCell::default(),
+            fresh: Cell::default(),
             health: Health::default(),
             era: Cell::default(),
             risen: Notify::new(),
@@ -469,6 +474,12 @@
         self.returned.set(Some(self.now()));
     }
 
+    /// Whether the fleet is so small that each instance reads registrations for itself alone.
+    #[must_use]
+    pub fn reads_alone(&self) -> bool {
+        self.reach().members as usize <= self.settings().read_alone
+    }
+
     /// The newest era of the store that this instance knows of.
     #[must_use]
     pub fn era(&self) -> Option<Era> {
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -14,6 +14,7 @@
 pub mod order;
 pub mod pace;
 pub mod peer;
+pub mod reader;
 pub mod rest;
 pub mod roster;
 pub mod stop;
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -202,6 +202,15 @@
         heard.map(|peer| &peer.profile).collect()
     }
 
+    /// Those of a failure domain that are heard and take callers.
+    #[must_use]
+    pub fn near(&self, now: Time, domain: &id::Domain) -> Vec<&Profile> {
+        let near = self.peers.iter().filter(|peer| {
+            peer.profile.ready && peer.profile.domain == *domain && self.is_heard(now, peer)
+        });
+        near.map(|peer| &peer.profile).collect()
+    }
+
     /// The heard instance with the newest configuration above `version`.
     #[must_use]
     pub fn newest(&self, now: Time, version: u64) -> Option<&Profile> {
