--- a/coltsfoothall-forward/src/follower.rs
+++ b/coltsfoothall-forward/src/follower.rs
@@ -32,6 +32,7 @@
 /// Part of the time in which leaving endpoints must get no more work that an instance may
 /// rest: the call after it and news from others have the other half.
 const RESTED_OF_DRAIN: u32 = 2;
+
 /// What a call brought.
 #[derive(Debug)]
 pub struct News {
