--- a/coltsfoothall/tests/forward_rest.rs
+++ b/coltsfoothall/tests/forward_rest.rs
@@ -7,7 +7,7 @@
 /// Registrations change all the time, as in a rolling replacement, so each instance reads
 /// again as soon as its rest is over. Readings a second of a fleet of 195 and of 330.
 #[test]
-fn rolling_replacement() {
+fn members_replaced() {
     for members in [195, 330] {
         let calls = |rank| 1.0 / Settings::default().of(rank, rank == 0).as_secs_f64();
         let calls: f64 = (0..members).map(calls).sum();
