--- a/coltsfoothall/src/forward/history.rs
+++ b/coltsfoothall/src/forward/history.rs
@@ -104,3 +104,53 @@
         write!(f, "{}.{}", self.era, self.id)
     }
 }
+
+/// The eras of a store's answers so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Eras {
+    newest: Option<Era>,
+    /// Whether the newest one followed another that was seen here.
+    rose: bool,
+    /// The store's revision as first seen in the newest era.
+    first: Option<u64>,
+}
+
+impl Eras {
+    /// The newest era that an answer was from.
+    #[must_use]
+    pub fn newest(&self) -> Option<Era> {
+        self.newest
+    }
+
+    /// An answer names its era, or none. Returns the era that it is from: without a name the
+    /// newest that is known.
+    pub fn saw(&mut self, named: Option<Era>) -> Era {
+        let era = named.or(self.newest).unwrap_or_default();
+        if self.newest.is_none_or(|known| known < era) {
+            *self = Self {
+                newest: Some(era),
+                rose: self.newest.is_some(),
+                first: None,
+            };
+        }
+        era
+    }
+
+    /// An answer of this era tells the store's revision.
+    pub fn at(&mut self, era: Era, revision: u64) -> Place {
+        if self.newest == Some(era) {
+            self.first.get_or_insert(revision);
+        }
+        Place { era, revision }
+    }
+
+    /// When a value was written that an answer of this era holds. What the copy held, and what
+    /// may have been written before the first answer, is dated to the era before.
+    #[must_use]
+    pub fn written(&self, era: Era, revision: u64) -> Place {
+        let first = self.first.unwrap_or(0);
+        let old = self.newest == Some(era) && self.rose && revision <= first;
+        let era = if old { era.before() } else { era };
+        Place { era, revision }
+    }
+}
--- a/coltsfoothall/tests/forward_history.rs
+++ b/coltsfoothall/tests/forward_history.rs
@@ -1,6 +1,6 @@
 //! Places in a store's history, and the fences made from them.
 
-use coltsfoothall::forward::history::{Era, Fence, Place};
+use coltsfoothall::forward::history::{Era, Eras, Fence, Place};
 use proptest::prelude::*;
 
 fn place() -> impl Strategy<Value = Place> {
@@ -40,3 +40,19 @@
     let error = "-3".parse::<Era>().expect_err("a negative number");
     assert_eq!(error.to_string(), "era \"-3\" is not a whole number");
 }
+
+/// The store comes back at revision 40; what it holds up to there may be from before.
+#[test]
+fn copy_dated_before() {
+    let mut eras = Eras::default();
+    let first = eras.saw(Some(Era(3)));
+    assert_eq!(eras.at(first, 90).revision, 90);
+    assert_eq!(eras.written(first, 20).era, Era(3), "no return was seen");
+    let next = eras.saw(Some(Era(4)));
+    assert!(eras.at(next, 40) > eras.at(first, 90));
+    assert_eq!(eras.written(next, 40).era, Era(3));
+    assert_eq!(eras.written(next, 41).era, Era(4));
+    assert_eq!(eras.saw(None), Era(4), "the newest, if none is named");
+    assert_eq!(eras.saw(Some(Era(3))), Era(3), "an answer that comes late");
+    assert_eq!(eras.newest(), Some(Era(4)));
+}
