Followers go on from what they read themselves, and a fleet that starts reads at the store

Cause: a follower's first question asked for all 2,997 registrations, 1 MB over a reader's 20 Mbit/s for each of some 20 followers, was given up after 0.8 s, and asked anew after a list of its own. A follower that has read up to a place asks for what changed after it, and goes on from there at the store when its reader fails. Endpoints are asked of other instances only where the store does not answer, and then of any ready one: all asked the first one.

--- a/coltsfoothall-forward/src/follower.rs
+++ b/coltsfoothall-forward/src/follower.rs
@@ -54,17 +54,23 @@
 }
 
 impl Follower {
-    /// One that has read nothing.
+    /// One that goes on from a place up to which all is known; none if nothing is.
     #[must_use]
-    pub fn new(realm: Realm) -> Self {
+    pub fn new(realm: Realm, after: Option<Place>) -> Self {
         Self {
             realm,
             lost: None,
-            after: None,
+            after,
             pause: PAUSE,
         }
     }
 
+    /// The place up to which all is known.
+    #[must_use]
+    pub fn after(&self) -> Option<Place> {
+        self.after
+    }
+
     /// Makes one call; what it brings, if it brings anything.
     pub async fn step(&mut self, state: &State) -> Option<News> {
         let realm = self.realm;
@@ -110,6 +116,7 @@
                 }
                 if realm == Realm::Endpoints {
                     state.fresh.set(None);
+                    state.unread.set(true);
                 }
                 state.health.pause(self.pause).await;
                 self.pause = (self.pause * 2).min(LONGEST_PAUSE);
@@ -133,6 +140,7 @@
         }
         if realm == Realm::Endpoints {
             state.fresh.set(Some(state.now()));
+            state.unread.set(false);
         }
         let whole = self.after.is_none();
         self.after = Some(listing.place);
--- a/coltsfoothall-forward/src/passed.rs
+++ b/coltsfoothall-forward/src/passed.rs
@@ -43,6 +43,17 @@
     entry: Option<Entry>,
     /// Number of its last change of any account.
     number: u64,
+    /// When that was written, or earlier.
+    changed: Place,
+}
+
+/// From where an instance goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum After {
+    /// From a number that this process told.
+    Number(u64),
+    /// From a place in the store's history up to which it has read itself.
+    Place(Place),
 }
 
 /// All registrations, with changes numbered. An endpoint that writes again what stood there
@@ -101,21 +112,29 @@
         self.place
     }
 
-    /// What changed after a number, and the number to go on from. All that is there, if nothing
-    /// was told before.
+    /// What changed since then, and the number to go on from. After the number 0 it is all that
+    /// is there.
     #[must_use]
-    pub fn since(&self, after: u64) -> (u64, Vec<Row>) {
-        let news = self
-            .kept
-            .iter()
-            .filter(|kept| kept.number > after && (after > 0 || kept.row.value.is_some()));
+    pub fn since(&self, after: After) -> (u64, Vec<Row>) {
+        let is_news = |kept: &&Kept| match after {
+            After::Number(0) => kept.row.value.is_some(),
+            After::Number(number) => kept.number > number,
+            After::Place(place) => kept.changed > place,
+        };
+        let news = self.kept.iter().filter(is_news);
         (self.number, news.map(|kept| kept.row.clone()).collect())
     }
 
     fn change(&mut self, found: Result<usize, usize>, row: Row, entry: Option<Entry>) {
         self.number += 1;
         let number = self.number;
-        let kept = Kept { row, entry, number };
+        let changed = row.place;
+        let kept = Kept {
+            row,
+            entry,
+            number,
+            changed,
+        };
         match found {
             Ok(place) => self.kept[place] = kept,
             Err(place) => self.kept.insert(place, kept),
--- a/coltsfoothall-forward/src/registrations.rs
+++ b/coltsfoothall-forward/src/registrations.rs
@@ -14,9 +14,12 @@
 use crate::ask::{self, ENDPOINTS};
 use crate::border::{Item, Listing, Realm};
 use crate::follower::{self, Follower, News};
-use crate::passed::{Part, Row};
+use crate::passed::{After, Part, Row};
 use crate::state::State;
 
+/// Fields of a question: the number, or the place, to go on from.
+const AFTER: &str = "after";
+const PLACE: &str = "place";
 /// Time between two questions to a reader.
 const POLL: Duration = Duration::from_millis(500);
 /// Part of the time in which leaving endpoints must get no more work that a reader's knowledge
@@ -26,24 +29,41 @@
 const YOUNG: Duration = Duration::from_millis(1_750);
 
 /// What an instance has heard of its reader.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Heard {
-    reader: Option<id::Instance>,
+    reader: id::Instance,
     boot: u64,
-    /// The number to go on from.
-    next: u64,
+    /// The number to go on from, once it was told one.
+    next: Option<u64>,
 }
 
 /// Follows the registrations for as long as the process runs.
 pub async fn follow(state: Rc<State>) {
     let client = Client::new();
     let mut reading = Reading::default();
-    let mut follower = Follower::new(Realm::Endpoints);
-    let mut heard = Heard::default();
+    let mut follower = Follower::new(Realm::Endpoints, None);
+    let mut heard: Option<Heard> = None;
     loop {
-        match source(&state, &reading) {
-            Source::Store => {
-                heard = Heard::default();
+        match (source(&state, &reading), follower.after()) {
+            // What was read from the store once is not sent over a reader's link.
+            (Source::Reader(reader), Some(known)) => {
+                state.fresh.set(None);
+                let had = heard.take().filter(|had| had.reader == reader);
+                let had = had.unwrap_or(Heard {
+                    reader,
+                    boot: 0,
+                    next: None,
+                });
+                if let Some((now, place)) = hear(&state, &client, had, known).await {
+                    heard = Some(now);
+                    follower = Follower::new(Realm::Endpoints, Some(place));
+                    tokio::time::sleep(POLL).await;
+                } else {
+                    reading.failed(state.now());
+                }
+            }
+            (Source::Store, _) | (Source::Reader(_), None) => {
+                heard = None;
                 let Some(News { listing, whole }) = follower.step(&state).await else {
                     continue;
                 };
@@ -54,16 +74,6 @@
                     tokio::time::sleep(follower::rest(&state, Realm::Endpoints)).await;
                 }
             }
-            Source::Reader(name) => {
-                follower = Follower::new(Realm::Endpoints);
-                state.fresh.set(None);
-                if hear(&state, &client, &name, &mut heard).await {
-                    tokio::time::sleep(POLL).await;
-                } else {
-                    event::STORE.emit(format_args!("realm=Endpoints reader={name} state=lost"));
-                    reading.failed(state.now());
-                }
-            }
         }
     }
 }
@@ -77,48 +87,60 @@
     reading.source(state.now(), &state.name, &near, members, alone)
 }
 
-/// Takes over what a reader knows; false if it does not answer, or knows nothing new enough.
-async fn hear(state: &Rc<State>, client: &Client, name: &id::Instance, heard: &mut Heard) -> bool {
-    if heard.reader.as_ref() != Some(name) {
-        *heard = Heard {
-            reader: Some(name.clone()),
-            ..Heard::default()
-        };
-    }
+/// Takes over what a reader knows, and the place up to which all is known then; none if it does
+/// not answer, or knows nothing new enough.
+async fn hear(
+    state: &Rc<State>,
+    client: &Client,
+    had: Heard,
+    known: Place,
+) -> Option<(Heard, Place)> {
+    let lost = |reason: &str| {
+        let reader = &had.reader;
+        event::STORE.emit(format_args!(
+            "realm=Endpoints reader={reader} state=lost reason={reason:?}"
+        ));
+    };
     let profile = {
         let peers = state.peers.borrow();
         let near = peers.near(state.now(), &state.domain);
-        near.into_iter()
-            .find(|profile| profile.name == *name)
-            .cloned()
-    };
-    let Some(profile) = profile else {
-        return false;
+        let found = near.into_iter().find(|peer| peer.name == had.reader);
+        found.cloned()?
     };
-    let Some(part) = ask(state, client, &profile, heard.next).await else {
-        return false;
+    let by_place = After::Place(known);
+    let after = had.next.map_or(by_place, After::Number);
+    let mut part = ask(state, client, &profile, after).await;
+    if part.as_ref().is_some_and(|part| part.boot != had.boot) && after != by_place {
+        // It counts anew since it started again.
+        part = ask(state, client, &profile, by_place).await;
+    }
+    let Some(part) = part else {
+        lost("no answer");
+        return None;
     };
     let drain = state.settings().bounds.drain.duration();
     let oldest = drain.mul_f64(OLD_OF_DRAIN).max(YOUNG);
     let age = part.age_ms.map(Duration::from_millis);
-    let is_new = age.is_some_and(|age| age <= oldest);
-    if !is_new {
-        return false;
-    }
-    if heard.next > 0 && part.boot != heard.boot {
-        // It counts anew since it started again; all of it is asked for at once.
-        heard.next = 0;
-        return Box::pin(hear(state, client, name, heard)).await;
+    if age.is_none_or(|age| age > oldest) {
+        lost("its knowledge is old");
+        return None;
     }
-    let whole = heard.next == 0;
-    (heard.boot, heard.next) = (part.boot, part.next);
-    take(state, part, whole);
-    true
+    let now = Heard {
+        boot: part.boot,
+        next: Some(part.next),
+        ..had
+    };
+    let place = known.max(part.place);
+    take(state, part);
+    Some((now, place))
 }
 
-/// Asks another instance for the registrations that changed there after a number.
-pub async fn ask(state: &State, client: &Client, peer: &Profile, after: u64) -> Option<Part> {
-    let path = format!("{ENDPOINTS}?after={after}");
+/// Asks another instance for the registrations that changed there since then.
+pub async fn ask(state: &State, client: &Client, peer: &Profile, after: After) -> Option<Part> {
+    let path = match after {
+        After::Number(number) => format!("{ENDPOINTS}?{AFTER}={number}"),
+        After::Place(place) => format!("{ENDPOINTS}?{PLACE}={place}"),
+    };
     let raw = ask::ask(state, client, peer, &path).await?;
     match rmp_serde::from_slice(&raw) {
         Ok(part) => Some(part),
@@ -131,7 +153,7 @@
 }
 
 /// Takes over what another instance told.
-pub fn take(state: &Rc<State>, part: Part, whole: bool) {
+pub fn take(state: &Rc<State>, part: Part) {
     let item = |row: Row| Item {
         name: row.name,
         value: row.value,
@@ -142,13 +164,17 @@
         items: part.rows.into_iter().map(item).collect(),
         place: part.place,
     };
-    apply(state, listing, whole, "peer");
+    apply(state, listing, false, "peer");
 }
 
 /// What this instance tells others of the registrations.
 pub fn show(state: &State, query: Option<&str>) -> Option<Bytes> {
-    let after = query.and_then(|query| query.strip_prefix("after="));
-    let after = after.and_then(|after| after.parse().ok()).unwrap_or(0);
+    let after = match query.and_then(|query| query.split_once('=')) {
+        Some((AFTER, number)) => After::Number(number.parse().ok()?),
+        Some((PLACE, place)) => After::Place(place.parse().ok()?),
+        Some(_) => return None,
+        None => After::Number(0),
+    };
     let passed = state.passed.borrow();
     let (next, rows) = passed.since(after);
     let age = state.fresh.get().map(|fresh| state.now().since(fresh));
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -119,6 +119,8 @@
     /// When the store last showed that the registrations known here are its own; none while
     /// it does not answer, or is not asked.
     pub fresh: Cell<Option<Time>>,
+    /// Whether the store did not answer the last call for registrations.
+    pub unread: Cell<bool>,
     /// Whether the store answers.
     pub health: Health,
     era: Cell<Option<Era>>,
@@ -174,6 +176,7 @@
             leader: RefCell::new(Leader::new(settings.bounds.lease.duration())),
             passed: RefCell::default(),
             fresh: Cell::default(),
+            unread: Cell::default(),
             health: Health::default(),
             era: Cell::default(),
             risen: Notify::new(),
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -8,10 +8,12 @@
 use coltsfoothall::forward::peer::Profile;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::client::Client;
+use rand::seq::IteratorRandom;
 
 use crate::ask::{CONFIGURATION, ENDPOINTS, ask};
 use crate::border::{Item, Listing, Realm};
 use crate::follower::{self, AWAY, Follower, News};
+use crate::passed::After;
 use crate::registrations;
 use crate::state::State;
 use crate::time;
@@ -25,7 +27,7 @@
 
 /// Follows one part of the store for as long as the process runs.
 pub async fn follow(state: Rc<State>, realm: Realm) {
-    let mut follower = Follower::new(realm);
+    let mut follower = Follower::new(realm, None);
     loop {
         let Some(news) = follower.step(&state).await else {
             continue;
@@ -122,7 +124,8 @@
         {
             state.adopt(&raw, peer.name.as_str());
         }
-        if state.roster.borrow().nodes().is_empty() {
+        // While the store answers, each reads there: others' links are narrower.
+        if state.unread.get() && state.roster.borrow().nodes().is_empty() {
             ask_endpoints(&state, &client).await;
         }
     }
@@ -131,17 +134,15 @@
 async fn ask_endpoints(state: &Rc<State>, client: &Client) {
     let peer = {
         let peers = state.peers.borrow();
-        let ready = peers
-            .profiles(state.now())
-            .into_iter()
-            .find(|peer| peer.ready);
-        ready.cloned()
+        let ready = peers.profiles(state.now()).into_iter();
+        let ready = ready.filter(|peer| peer.ready);
+        ready.choose(&mut rand::rng()).cloned()
     };
     let Some(peer) = peer else {
         return;
     };
-    if let Some(part) = registrations::ask(state, client, &peer, 0).await {
-        registrations::take(state, part, false);
+    if let Some(part) = registrations::ask(state, client, &peer, After::Number(0)).await {
+        registrations::take(state, part);
     }
 }
 
--- a/coltsfoothall/src/forward/history.rs
+++ b/coltsfoothall/src/forward/history.rs
@@ -10,13 +10,17 @@
 use serde::{Deserialize, Serialize};
 
 quick_error! {
-    /// Text that names no era.
+    /// Text that names no era or place.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum Error {
         /// It is not a number.
         Number(text: String) {
             display("era {text:?} is not a whole number")
         }
+        /// It is not an era and a revision.
+        Place(text: String) {
+            display("place {text:?} is not an era, a dot and a revision")
+        }
     }
 }
 
@@ -65,6 +69,20 @@
     }
 }
 
+impl FromStr for Place {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let wrong = || Error::Place(text.into());
+        let (era, revision) = text.split_once('.').ok_or_else(wrong)?;
+        let revision = revision.parse().map_err(|_error| wrong())?;
+        Ok(Self {
+            era: era.parse()?,
+            revision,
+        })
+    }
+}
+
 /// Bits of a fence that hold the revision: the store makes 3,200 changes a second at most, so
 /// they last for ten years. The era has the 13 above them; a larger number would not be exact
 /// where it is read as a double.
--- a/coltsfoothall/tests/forward_history.rs
+++ b/coltsfoothall/tests/forward_history.rs
@@ -25,6 +25,14 @@
     }
 }
 
+proptest! {
+    /// A place is read as it was written.
+    #[test]
+    fn place_from_text(place in place()) {
+        prop_assert_eq!(place.to_string().parse(), Ok(place));
+    }
+}
+
 #[test]
 fn one_copy_alone() {
     let place = Place {
