The log tells for how long an instance lacks a configuration that others have

A late instance's log had no line between two adoptions, so a watch that nobody answers and a long transfer looked alike. No change of logic.

--- a/coltsfoothall-forward/src/follower.rs
+++ b/coltsfoothall-forward/src/follower.rs
@@ -114,9 +114,13 @@
                     self.lost = Some(asked);
                     event::STORE.emit(format_args!("realm={realm:?} state=lost reason={error:?}"));
                 }
-                if realm == Realm::Endpoints {
-                    state.fresh.set(None);
-                    state.unread.set(true);
+                match realm {
+                    Realm::Configuration => state.config_lost.set(true),
+                    Realm::Endpoints => {
+                        state.fresh.set(None);
+                        state.unread.set(true);
+                    }
+                    Realm::Live | Realm::Notes => {}
                 }
                 state.health.pause(self.pause).await;
                 self.pause = (self.pause * 2).min(LONGEST_PAUSE);
@@ -138,9 +142,13 @@
                 state.store_returned();
             }
         }
-        if realm == Realm::Endpoints {
-            state.fresh.set(Some(state.now()));
-            state.unread.set(false);
+        match realm {
+            Realm::Configuration => state.config_lost.set(false),
+            Realm::Endpoints => {
+                state.fresh.set(Some(state.now()));
+                state.unread.set(false);
+            }
+            Realm::Live | Realm::Notes => {}
         }
         let whole = self.after.is_none();
         self.after = Some(listing.place);
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -192,6 +192,7 @@
     if let Some(window) = heartbeat.reported {
         state.note_reported(window);
     }
+    state.hear_version(heartbeat.profile.version);
     {
         let mut peers = state.peers.borrow_mut();
         let replaced = peers.heard(now, heartbeat.profile);
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -13,6 +13,7 @@
 use coltsfoothall::forward::choice;
 use coltsfoothall::forward::duration;
 use coltsfoothall::forward::history::{Era, Fence, Place};
+use coltsfoothall::forward::lag::Lag;
 use coltsfoothall::forward::leader::Leader;
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
@@ -121,6 +122,10 @@
     pub fresh: Cell<Option<Time>>,
     /// Whether the store did not answer the last call for registrations.
     pub unread: Cell<bool>,
+    /// Newer configurations that others have.
+    pub lag: RefCell<Lag>,
+    /// Whether the store did not answer the last call for the configuration.
+    pub config_lost: Cell<bool>,
     /// Whether the store answers.
     pub health: Health,
     era: Cell<Option<Era>>,
@@ -177,6 +182,8 @@
             passed: RefCell::default(),
             fresh: Cell::default(),
             unread: Cell::default(),
+            lag: RefCell::default(),
+            config_lost: Cell::default(),
             health: Health::default(),
             era: Cell::default(),
             risen: Notify::new(),
@@ -270,9 +277,21 @@
         let version = table.version;
         let mut allowance = self.allowance.borrow_mut();
         allowance.configure(self.now(), table.workspaces());
+        let bytes = raw.len();
         let (raw, table) = (raw.clone(), Rc::new(table));
         *self.configuration.borrow_mut() = Some(Configuration { raw, table });
-        event::ADOPTED.emit(format_args!("version={version} had={had} source={source}"));
+        let behind = self.lag.borrow_mut().reach(self.now(), version);
+        event::ADOPTED.emit(format_args!(
+            "version={version} had={had} source={source} bytes={bytes} behind_ms={}",
+            behind.unwrap_or_default().as_millis()
+        ));
+    }
+
+    /// Another instance has this configuration in force.
+    pub fn hear_version(&self, version: u64) {
+        if version > self.version() {
+            self.lag.borrow_mut().hear(self.now(), version);
+        }
     }
 
     /// Whether this instance takes callers.
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -115,6 +115,7 @@
     let client = Client::new();
     loop {
         tokio::time::sleep(LOOK).await;
+        report_lag(&state);
         let newest = {
             let peers = state.peers.borrow();
             peers.newest(state.now(), state.version()).cloned()
@@ -131,6 +132,18 @@
     }
 }
 
+fn report_lag(state: &State) {
+    let overdue = state.lag.borrow_mut().overdue(state.now());
+    if let Some((newest, age)) = overdue {
+        event::BEHIND.emit(format_args!(
+            "version={} newest={newest} behind_ms={} store_lost={}",
+            state.version(),
+            age.as_millis(),
+            state.config_lost.get()
+        ));
+    }
+}
+
 async fn ask_endpoints(state: &Rc<State>, client: &Client) {
     let peer = {
         let peers = state.peers.borrow();
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -132,6 +132,8 @@
     BAD_CATALOG = 503 Error "config_bad";
     /// The key-value service had lost the configuration in force and got it back.
     RESTORED = 504 Warn "config_restored";
+    /// A newer configuration is known to exist and is still not in force.
+    BEHIND = 505 Warn "config_behind";
     /// A call of the key-value service failed.
     STORE_FAILED = 601 Warn "store_failed";
     /// The instance list or the notices could not be read.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -88,6 +88,7 @@
     endpoints: Gauge<u64>,
     members: Gauge<u64>,
     revision: Gauge<u64>,
+    behind: Gauge<u64>,
     slots: Gauge<u64>,
     queued: Gauge<u64>,
     broken: Counter<u64>,
@@ -148,6 +149,11 @@
             endpoints: level(&meter, "endpoints", "Endpoints, by state"),
             members: level(&meter, "members", "Entry instances that are members"),
             revision: level(&meter, "revision", "Revision of the configuration in force"),
+            behind: level(
+                &meter,
+                "configuration_behind_milliseconds",
+                "How long a newer configuration is known to exist",
+            ),
             slots: level(&meter, "slots", "Slots that this instance owns"),
             queued: level(&meter, "queued", "Requests that wait for an endpoint"),
             broken: count(&meter, "broken_rules", "Invariants found broken, by rule"),
@@ -246,6 +252,12 @@
         self.revision.record(revision, &[]);
     }
 
+    /// How long a newer configuration than the one in force has been known to exist.
+    pub fn behind(&self, age: Duration) {
+        let millis = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        self.behind.record(millis, &[]);
+    }
+
     /// Count of slots that this instance owns.
     pub fn slots(&self, count: u64) {
         self.slots.record(count, &[]);
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -9,6 +9,7 @@
 pub mod duration;
 pub mod gossip;
 pub mod history;
+pub mod lag;
 pub mod leader;
 pub mod node;
 pub mod order;
--- /dev/null
+++ b/coltsfoothall/tests/forward_lag.rs
@@ -0,0 +1,61 @@
+//! How long an instance has known that it lacks the newest configuration.
+
+use std::time::Duration;
+
+use coltsfoothall::clock::Time;
+use coltsfoothall::forward::lag::Lag;
+
+fn at(millis: u64) -> Time {
+    Time::START + Duration::from_millis(millis)
+}
+
+fn millis(millis: u64) -> Option<Duration> {
+    Some(Duration::from_millis(millis))
+}
+
+#[test]
+fn oldest_counts() {
+    let mut lag = Lag::default();
+    assert_eq!(lag.age(at(0)), None);
+    lag.hear(at(100), 5);
+    lag.hear(at(300), 7);
+    lag.hear(at(400), 5);
+    assert_eq!(lag.age(at(1_000)), millis(900), "since version 5");
+    assert_eq!(lag.reach(at(1_000), 5), millis(900));
+    assert_eq!(
+        lag.age(at(1_000)),
+        millis(700),
+        "version 7 is still missing"
+    );
+    assert_eq!(lag.reach(at(1_100), 9), millis(800), "a later one holds it");
+    assert_eq!(lag.age(at(1_100)), None);
+}
+
+#[test]
+fn overdue_once() {
+    let mut lag = Lag::default();
+    lag.hear(at(0), 5);
+    lag.hear(at(500), 6);
+    assert_eq!(lag.overdue(at(1_900)), None);
+    assert_eq!(
+        lag.overdue(at(2_100)),
+        Some((6, Duration::from_millis(2_100)))
+    );
+    assert_eq!(lag.overdue(at(3_000)), None, "told before");
+    lag.reach(at(3_000), 6);
+    lag.hear(at(4_000), 8);
+    assert!(lag.overdue(at(7_000)).is_some(), "another lag");
+}
+
+#[test]
+fn versions_bounded() {
+    let mut lag = Lag::default();
+    for version in 1..=1_000 {
+        lag.hear(at(version), version);
+    }
+    assert_eq!(lag.age(at(2_000)), millis(1_999));
+    lag.reach(at(2_000), 999);
+    assert!(lag.age(at(2_000)).is_some(), "the newest is remembered");
+    lag.reach(at(2_000), 1_000);
+    assert_eq!(lag.age(at(2_000)), None);
+}
