An instance that lags reads the newest configuration alone

Cause: a watch goes on from the last change that it brought and brings each version since, whole. Class: a reader of state that is made to replay a log.

Change: when a version is known, from heartbeats or in force from a peer, that the store has not brought, the value that stands in the store is read and no history. The configuration is followed in a module of its own.

--- a/coltsfoothall-forward/src/follower.rs
+++ b/coltsfoothall-forward/src/follower.rs
@@ -71,6 +71,11 @@
         self.after
     }
 
+    /// The next call reads the values that stand there now, and no history.
+    pub fn read_anew(&mut self) {
+        self.after = None;
+    }
+
     /// Makes one call; what it brings, if it brings anything.
     pub async fn step(&mut self, state: &State) -> Option<News> {
         let realm = self.realm;
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -5,13 +5,14 @@
 //!
 //! Data flows one way: [`listen`] accepts, [`intake`] reads and admits a request,
 //! [`dispatch`] sends it, each [`attempt`] to an endpoint that the decision library chose, and
-//! [`relay`] passes the answer back. [`watch`], [`registrations`], [`gossip`] and [`duty`] keep
+//! [`relay`] passes the answer back. [`watch`], [`configuration`], [`registrations`], [`gossip`] and [`duty`] keep
 //! [`state`] up to date beside it; [`stop`] ends it all.
 
 pub mod ask;
 pub mod attempt;
 pub mod border;
 pub mod calls;
+pub mod configuration;
 pub mod connection;
 pub mod dispatch;
 pub mod duty;
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -25,7 +25,7 @@
 use crate::outgoing::{Outgoing, answer, plain};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{duty, gossip, registrations, stop, watch};
+use crate::{configuration, duty, gossip, registrations, stop, watch};
 
 /// Time between two log lines that count what went well.
 const SUM: Duration = Duration::from_secs(10);
@@ -106,10 +106,11 @@
 
 fn start(state: &Rc<State>, socket: &Rc<UdpSocket>) {
     let follow = |realm| watch::follow(Rc::clone(state), realm);
-    tokio::task::spawn_local(follow(Realm::Configuration));
+    tokio::task::spawn_local(configuration::follow(Rc::clone(state)));
+    tokio::task::spawn_local(configuration::ask_peers(Rc::clone(state)));
     tokio::task::spawn_local(registrations::follow(Rc::clone(state)));
     tokio::task::spawn_local(follow(Realm::Live));
-    tokio::task::spawn_local(watch::ask_peers(Rc::clone(state)));
+    tokio::task::spawn_local(watch::ask_endpoints(Rc::clone(state)));
     tokio::task::spawn_local(gossip::speak(Rc::clone(state), Rc::clone(socket)));
     tokio::task::spawn_local(gossip::listen(Rc::clone(state), Rc::clone(socket)));
     tokio::task::spawn_local(duty::register(Rc::clone(state)));
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -257,24 +257,30 @@
         configuration.as_ref().map_or(0, |have| have.table.version)
     }
 
-    /// Takes over a configuration unless it is older than the one in force.
-    pub fn adopt(&self, raw: &Bytes, source: &str) {
+    /// The newest version of the configuration that is known to exist.
+    #[must_use]
+    pub fn newest_version(&self) -> u64 {
+        let heard = self.lag.borrow().newest().unwrap_or(0);
+        self.version().max(heard)
+    }
+
+    /// Takes over a configuration unless it is older than the one in force. Returns its version
+    /// if it can be read.
+    pub fn adopt(&self, raw: &Bytes, source: &str) -> Option<u64> {
         let table = match self.border.table(raw) {
             Ok(table) => table,
             Err(error) => {
                 event::BAD_CATALOG.emit(format_args!("source={source} reason={error:?}"));
-                return;
+                return None;
             }
         };
-        let had = self.version();
-        if table.version <= had {
-            if table.version < had {
-                let version = table.version;
+        let (version, had) = (table.version, self.version());
+        if version <= had {
+            if version < had {
                 event::OLDER.emit(format_args!("version={version} had={had} source={source}"));
             }
-            return;
+            return Some(version);
         }
-        let version = table.version;
         let mut allowance = self.allowance.borrow_mut();
         allowance.configure(self.now(), table.workspaces());
         let bytes = raw.len();
@@ -285,6 +291,7 @@
             "version={version} had={had} source={source} bytes={bytes} behind_ms={}",
             behind.unwrap_or_default().as_millis()
         ));
+        Some(version)
     }
 
     /// Another instance has this configuration in force.
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -10,7 +10,7 @@
 use coltsfoothall_wire::client::Client;
 use rand::seq::IteratorRandom;
 
-use crate::ask::{CONFIGURATION, ENDPOINTS, ask};
+use crate::ask::{CONFIGURATION, ENDPOINTS};
 use crate::border::{Item, Listing, Realm};
 use crate::follower::{self, AWAY, Follower, News};
 use crate::passed::After;
@@ -18,7 +18,7 @@
 use crate::state::State;
 use crate::time;
 
-/// Time between looks for a newer configuration at other instances.
+/// Time between questions to other instances.
 const LOOK: Duration = Duration::from_millis(250);
 /// Start of the names under which instances register.
 pub const MEMBER: &str = "member/";
@@ -65,11 +65,8 @@
 fn apply(state: &Rc<State>, realm: Realm, news: News) {
     let News { listing, whole } = news;
     match realm {
-        Realm::Configuration => {
-            for raw in listing.items.iter().filter_map(|item| item.value.as_ref()) {
-                state.adopt(raw, "store");
-            }
-        }
+        // Followed by a task of its own.
+        Realm::Configuration => {}
         Realm::Endpoints => registrations::apply(state, listing, whole, "store"),
         Realm::Live => apply_live(state, &listing, whole),
         // Read by who acts for all, and never followed.
@@ -110,41 +107,19 @@
     }
 }
 
-/// Asks other instances for a newer configuration, and for endpoints while none are known.
-pub async fn ask_peers(state: Rc<State>) {
+/// Asks other instances for endpoints while none are known.
+pub async fn ask_endpoints(state: Rc<State>) {
     let client = Client::new();
     loop {
         tokio::time::sleep(LOOK).await;
-        report_lag(&state);
-        let newest = {
-            let peers = state.peers.borrow();
-            peers.newest(state.now(), state.version()).cloned()
-        };
-        if let Some(peer) = newest
-            && let Some(raw) = ask(&state, &client, &peer, CONFIGURATION).await
-        {
-            state.adopt(&raw, peer.name.as_str());
-        }
         // While the store answers, each reads there: others' links are narrower.
         if state.unread.get() && state.roster.borrow().nodes().is_empty() {
-            ask_endpoints(&state, &client).await;
+            ask_one(&state, &client).await;
         }
     }
 }
 
-fn report_lag(state: &State) {
-    let overdue = state.lag.borrow_mut().overdue(state.now());
-    if let Some((newest, age)) = overdue {
-        event::BEHIND.emit(format_args!(
-            "version={} newest={newest} behind_ms={} store_lost={}",
-            state.version(),
-            age.as_millis(),
-            state.config_lost.get()
-        ));
-    }
-}
-
-async fn ask_endpoints(state: &Rc<State>, client: &Client) {
+async fn ask_one(state: &Rc<State>, client: &Client) {
     let peer = {
         let peers = state.peers.borrow();
         let ready = peers.profiles(state.now()).into_iter();
--- a/coltsfoothall/src/forward/lag.rs
+++ b/coltsfoothall/src/forward/lag.rs
@@ -1,4 +1,4 @@
-//! How long an instance has known that it lacks the newest configuration.
+//! How long an instance has known that it lacks the newest configuration, and how it catches up.
 
 use std::time::Duration;
 
@@ -50,12 +50,45 @@
         self.heard.first().map(|heard| now.since(heard.at))
     }
 
+    /// The newest version known to exist that is not in force.
+    #[must_use]
+    pub fn newest(&self) -> Option<u64> {
+        self.heard.last().map(|heard| heard.version)
+    }
+
     /// The newest version known to exist, and the age of the lag, once it is overdue; told once
     /// until the instance has caught up.
     pub fn overdue(&mut self, now: Time) -> Option<(u64, Duration)> {
         let age = self.age(now).filter(|age| *age > OVERDUE)?;
-        let newest = self.heard.last()?.version;
+        let newest = self.newest()?;
         let first = !std::mem::replace(&mut self.reported, true);
         first.then_some((newest, age))
     }
 }
+
+/// Whether the store's history may hold versions that nobody needs any more.
+///
+/// A watch brings each version since the last one that it brought, whole. If others have a newer
+/// one already, reading the value that stands there now is never more than that.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Backlog {
+    /// The newest version that the store brought.
+    brought: u64,
+    /// The newest version that was known when this was last asked.
+    known: u64,
+}
+
+impl Backlog {
+    /// The store brought a version.
+    pub fn brought(&mut self, version: u64) {
+        self.brought = self.brought.max(version);
+    }
+
+    /// Whether to read the value that stands in the store now, and no history, as a version is
+    /// known that the store has not brought. True once for each.
+    pub fn grew(&mut self, known: u64) -> bool {
+        let grew = known > self.brought.max(self.known);
+        self.known = self.known.max(known);
+        grew
+    }
+}
--- a/coltsfoothall/tests/forward_lag.rs
+++ b/coltsfoothall/tests/forward_lag.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coltsfoothall::clock::Time;
-use coltsfoothall::forward::lag::Lag;
+use coltsfoothall::forward::lag::{Backlog, Lag};
 
 fn at(millis: u64) -> Time {
     Time::START + Duration::from_millis(millis)
@@ -59,3 +59,18 @@
     lag.reach(at(2_000), 1_000);
     assert_eq!(lag.age(at(2_000)), None);
 }
+
+#[test]
+fn backlog_once() {
+    let mut backlog = Backlog::default();
+    backlog.brought(5);
+    assert!(!backlog.grew(5), "nothing is known that was not brought");
+    assert!(backlog.grew(8), "history would bring all between");
+    assert!(
+        !backlog.grew(8),
+        "the store may not have it, as after a copy"
+    );
+    assert!(backlog.grew(9));
+    backlog.brought(12);
+    assert!(!backlog.grew(12));
+}
