--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -9,6 +9,9 @@
 use coltsfoothall_shell::settings::{Check, Fault};
 use serde::{Deserialize, Serialize};
 
+/// Shortest history of the store with which watching it makes sense.
+const LEAST_HISTORY: Millis = Millis(1_000);
+
 /// Where an instance listens.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -76,6 +79,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The store.
     pub store: Option<SocketAddr>,
+    /// How long the store keeps the history of its changes.
+    pub store_history: Millis,
     /// The interface for usage reports and orders.
     pub cloud: Option<SocketAddr>,
     /// Duties that one instance does for all.
@@ -98,6 +103,7 @@
             peer_port: 7500,
             seeds: Vec::new(),
             store: None,
+            store_history: Millis(20_000),
             cloud: None,
             duties: Vec::new(),
             read_alone: reader::ALONE,
@@ -122,6 +128,12 @@
         if self.store.is_none() {
             return missing("store");
         }
+        if self.store_history.0 < LEAST_HISTORY.0 {
+            return Err(Fault::new(
+                "store_history",
+                "is under 1000 ms, less than a watch needs",
+            ));
+        }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             return Err(Fault::new("bounds.retry_ratio", "is not within 0 to 1"));
         }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -237,6 +237,7 @@
             listen: had.listen.clone(),
             peer_port: had.peer_port,
             store: had.store,
+            store_history: had.store_history,
             cloud: had.cloud,
             log: had.log.clone(),
             ..settings
