Answers of any size are read for as long as they go on

Cause: a peer's answer, 0.8 to 1 MB, had to be whole within 0.8 s, which a link of 10 Mbit/s carries in that time only if it carries nothing else; a page of the store's list in 4 s. Each failed transfer began anew 0.25 s later and took half of the link from the store's own answer. Class: a limit on a whole transfer that is set apart from its size, with a retry that keeps nothing.

Calls with small answers keep their limit on the whole.

--- a/coltsfoothall-forward/src/ask.rs
+++ b/coltsfoothall-forward/src/ask.rs
@@ -7,11 +7,10 @@
 use coltsfoothall::forward::peer::Profile;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::client::Client;
-use hyper::Method;
 
 use crate::state::State;
 
-/// Time in which another instance must answer.
+/// Time in which another instance must begin to answer.
 const ANSWER: Duration = Duration::from_millis(800);
 /// Path at which an instance shows the configuration in force.
 pub const CONFIGURATION: &str = "/v1/configuration";
@@ -22,15 +21,9 @@
 pub async fn ask(state: &State, client: &Client, peer: &Profile, path: &str) -> Option<Bytes> {
     let port = state.settings().listen.control?.port();
     let address = SocketAddr::new(peer.front.ip(), port).to_string();
-    let call = client.call(
-        "ask a peer",
-        Method::GET,
-        &address,
-        path,
-        Bytes::new(),
-        ANSWER,
-    );
-    match call.await {
+    let step = "ask a peer";
+    let answer = client.fetch(step, &address, path, ANSWER).await;
+    match answer.and_then(|answer| answer.success(step, &address)) {
         Ok(raw) => Some(raw),
         Err(error) => {
             event::LINK_FAILED.emit(format_args!(
--- a/coltsfoothall-standin/src/fault.rs
+++ b/coltsfoothall-standin/src/fault.rs
@@ -199,6 +199,7 @@
 pub fn malformed(error: &http::Error) -> Response<Body> {
     let status = match error {
         http::Error::Large(_limit) => 413,
+        http::Error::Stalled(_pause) => 408,
         http::Error::Broken(_) | http::Error::Json(_) => 400,
     };
     let mut answer = Response::new(serve::full(error.to_string()));
--- a/coltsfoothall-wire/src/client.rs
+++ b/coltsfoothall-wire/src/client.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -24,6 +25,11 @@
 const PROBES: u32 = 2;
 /// Bytes unacknowledged for so long mean that the peer is gone.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// Longest pause within an answer whose size is not known before: links that lose packets
+/// send them again within it.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Time in which an answer must be whole in any case.
+const LONGEST: Duration = Duration::from_secs(60);
 /// Idle connections kept for each peer.
 const IDLE: usize = 32;
 
@@ -177,22 +183,11 @@
         body: Bytes,
         within: Duration,
     ) -> Result<Answer, Error> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{peer}{path}"))
-            .header(hyper::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .map_err(|error| Error::Call(step.into(), peer.into(), error.to_string()))?;
+        let request = request(step, method, peer, path, body)?;
         let whole = async {
             let (head, body) = self.send(step, request, within).await?.into_parts();
-            let body = http::read(body, limit::FRAME)
-                .await
-                .map_err(|error| Error::Body(step.into(), peer.into(), error.to_string()))?;
-            Ok(Answer {
-                status: head.status,
-                headers: head.headers,
-                body,
-            })
+            let body = http::read(body, limit::FRAME).await;
+            answer(step, peer, head, body)
         };
         match timeout(within, whole).await {
             Ok(result) => result,
@@ -200,6 +195,30 @@
         }
     }
 
+    /// `GET` of an answer of any size and status: it must begin in time, and then go on. A limit
+    /// on the whole answer would be one on its size, and on what else the link carries.
+    ///
+    /// # Errors
+    /// As [`Client::send`], or the answer stalled.
+    pub async fn fetch(
+        &self,
+        step: &str,
+        peer: &str,
+        path: &str,
+        begins_within: Duration,
+    ) -> Result<Answer, Error> {
+        let request = request(step, Method::GET, peer, path, Bytes::new())?;
+        let whole = async {
+            let (head, body) = self.send(step, request, begins_within).await?.into_parts();
+            let body = http::read_steady(body, limit::FRAME, PAUSE).await;
+            answer(step, peer, head, body)
+        };
+        match timeout(begins_within + LONGEST, whole).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(Error::Timeout(step.into(), peer.into())),
+        }
+    }
+
     /// `GET` of a JSON value.
     ///
     /// # Errors
@@ -237,6 +256,35 @@
     }
 }
 
+fn request(
+    step: &str,
+    method: Method,
+    peer: &str,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, Error> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{peer}{path}"))
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|error| Error::Call(step.into(), peer.into(), error.to_string()))
+}
+
+fn answer(
+    step: &str,
+    peer: &str,
+    head: Parts,
+    body: Result<Bytes, http::Error>,
+) -> Result<Answer, Error> {
+    let body = body.map_err(|error| Error::Body(step.into(), peer.into(), error.to_string()))?;
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
 fn read<T: DeserializeOwned>(step: &str, peer: &str, body: &[u8]) -> Result<T, Error> {
     http::parse(body).map_err(|error| Error::Body(step.into(), peer.into(), error.to_string()))
 }
--- a/coltsfoothall-wire/src/http.rs
+++ b/coltsfoothall-wire/src/http.rs
@@ -1,11 +1,15 @@
 //! Small helpers around HTTP bodies, on both sides.
 
-use bytes::Bytes;
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Body;
 use quick_error::quick_error;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
 quick_error! {
     /// A body that cannot be read.
@@ -19,6 +23,10 @@
         Broken(message: String) {
             display("body ended early: {message}")
         }
+        /// No more of it came for so long.
+        Stalled(pause: Duration) {
+            display("body stalled for {pause:?}")
+        }
         /// It is not the JSON that was asked for.
         Json(message: String) {
             display("{message}")
@@ -41,9 +49,41 @@
     }
     match Limited::new(body, limit).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Error::Large(limit)),
-        Err(error) => Err(Error::Broken(error.to_string())),
+        Err(error) => Err(broken(error.as_ref(), limit)),
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes, as long as it goes on without a longer `pause`.
+///
+/// # Errors
+/// As [`read`], or the body stalled.
+pub async fn read_steady<B>(body: B, limit: usize, pause: Duration) -> Result<Bytes, Error>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Error::Large(limit));
+    }
+    let mut whole = BytesMut::new();
+    let mut body = pin!(Limited::new(body, limit));
+    loop {
+        let Ok(next) = timeout(pause, body.frame()).await else {
+            return Err(Error::Stalled(pause));
+        };
+        match next.transpose() {
+            Ok(None) => return Ok(whole.freeze()),
+            Ok(Some(frame)) => whole.extend(frame.into_data()),
+            Err(error) => return Err(broken(error.as_ref(), limit)),
+        }
+    }
+}
+
+fn broken(error: &(dyn std::error::Error + Send + Sync + 'static), limit: usize) -> Error {
+    if error.is::<LengthLimitError>() {
+        return Error::Large(limit);
     }
+    Error::Broken(error.to_string())
 }
 
 /// Reads a whole body as JSON.
