Questions for a configuration go to any instance that has it, and few at once

Cause: each instance asked the last by name of those with the newest version, at once, beside its own watch that brought the same. Class: a herd, all choosing the same source by the same rule.

Change: the source is drawn anew for each question among those with the newest version, of the own failure domain where three have it. An instance that follows the store waits a second for it first, and stops asking once the version is in force. Who is asked accepts as much as a narrow link carries in half a second and refuses the rest, so that each that was served serves others.

--- a/coltsfoothall-forward/src/configuration.rs
+++ b/coltsfoothall-forward/src/configuration.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use coltsfoothall::forward::lag::Backlog;
+use coltsfoothall::forward::peer::Profile;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::client::Client;
+use http::{Response, StatusCode};
+use rand::seq::IteratorRandom;
 
 use crate::ask::{CONFIGURATION, ask};
 use crate::border::{Listing, Realm};
 use crate::follower::{self, Follower, News};
+use crate::outgoing::{self, Outgoing};
 use crate::state::State;
 
 /// Time between looks for a newer configuration at other instances.
@@ -44,24 +48,54 @@
     values.find_map(|raw| state.adopt(raw, "store"))
 }
 
-/// Asks other instances for a newer configuration.
+/// Asks other instances for a newer configuration that the store does not bring in time.
 pub async fn ask_peers(state: Rc<State>) {
     let client = Client::new();
     loop {
         tokio::time::sleep(LOOK).await;
         report_lag(&state);
-        let newest = {
-            let peers = state.peers.borrow();
-            peers.newest(state.now(), state.version()).cloned()
-        };
-        if let Some(peer) = newest
-            && let Some(raw) = ask(&state, &client, &peer, CONFIGURATION).await
-        {
-            state.adopt(&raw, peer.name.as_str());
+        if let Some(peer) = source(&state) {
+            ask_one(&state, &client, &peer).await;
         }
     }
 }
 
+/// Who is asked now, drawn anew each time: one that is slow or busy is not asked by all.
+fn source(state: &State) -> Option<Profile> {
+    let now = state.now();
+    let waits = state.version() > 0 && !state.config_lost.get();
+    if !state.lag.borrow().asks_peer(now, waits) {
+        return None;
+    }
+    let peers = state.peers.borrow();
+    let ahead = peers.ahead(now, state.version(), &state.domain);
+    ahead.into_iter().choose(&mut rand::rng()).cloned()
+}
+
+/// Asks until the answer is there, or it is of no more use.
+async fn ask_one(state: &Rc<State>, client: &Client, peer: &Profile) {
+    tokio::select! {
+        raw = ask(state, client, peer, CONFIGURATION) => {
+            if let Some(raw) = raw {
+                state.adopt(&raw, peer.name.as_str());
+            }
+        }
+        () = state.reached(peer.version) => {}
+    }
+}
+
+/// Shows the configuration in force to another instance, or refuses while others read it.
+pub fn show(state: &State) -> Response<Outgoing> {
+    let Some(have) = state.configuration() else {
+        return outgoing::plain(StatusCode::NOT_FOUND);
+    };
+    let now = state.now();
+    if !state.outflow.borrow_mut().admit(now, have.raw.len()) {
+        return outgoing::plain(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    outgoing::json(Outgoing::whole(have.raw))
+}
+
 fn report_lag(state: &State) {
     let overdue = state.lag.borrow_mut().overdue(state.now());
     if let Some((newest, age)) = overdue {
--- a/coltsfoothall-forward/src/outgoing.rs
+++ b/coltsfoothall-forward/src/outgoing.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::stream::LocalBoxStream;
+use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
@@ -124,3 +125,11 @@
 pub fn plain(status: StatusCode) -> Response<Outgoing> {
     answer(status, HeaderMap::new(), Outgoing::whole(Bytes::new()))
 }
+
+/// An answer of JSON.
+#[must_use]
+pub fn json(body: Outgoing) -> Response<Outgoing> {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer(StatusCode::OK, headers, body)
+}
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use coltsfoothall::id;
 use coltsfoothall_shell::metric::Board;
 use coltsfoothall_shell::{event, settings, stop as signals};
@@ -18,11 +17,12 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
+use crate::ask::{CONFIGURATION, ENDPOINTS};
 use crate::border::{Border, Realm};
 use crate::connection::Connection;
 use crate::intake::Front;
 use crate::listen::{self, Connections, Handler, Limits};
-use crate::outgoing::{Outgoing, answer, plain};
+use crate::outgoing::{Outgoing, answer, json, plain};
 use crate::settings::Settings;
 use crate::state::State;
 use crate::{configuration, duty, gossip, registrations, stop, watch};
@@ -212,7 +212,7 @@
             return plain(StatusCode::SERVICE_UNAVAILABLE);
         }
         let keep = state.settings().bounds.addresses.duration();
-        return json(border.addresses(&fronts, keep));
+        return json(Outgoing::whole(border.addresses(&fronts, keep)));
     }
     if path == METRICS {
         state.gauge();
@@ -224,15 +224,13 @@
             }
         };
     }
-    match watch::show(state, path, query) {
-        Some(bytes) => json(bytes),
+    let endpoints = match path {
+        CONFIGURATION => return configuration::show(state),
+        ENDPOINTS => registrations::show(state, query),
+        _ => None,
+    };
+    match endpoints {
+        Some(bytes) => json(Outgoing::whole(bytes)),
         None => plain(StatusCode::NOT_FOUND),
     }
 }
-
-fn json(bytes: Bytes) -> Response<Outgoing> {
-    let mut headers = HeaderMap::new();
-    let kind = http::HeaderValue::from_static("application/json");
-    headers.insert(http::header::CONTENT_TYPE, kind);
-    answer(StatusCode::OK, headers, Outgoing::whole(bytes))
-}
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -16,6 +16,7 @@
 use coltsfoothall::forward::lag::Lag;
 use coltsfoothall::forward::leader::Leader;
 use coltsfoothall::forward::order::{self, Meter};
+use coltsfoothall::forward::outflow::Outflow;
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::roster::{End, Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
@@ -139,6 +140,9 @@
     attempts: Cell<u64>,
     /// Requests under way.
     pub open: Cell<usize>,
+    /// What others were sent of the configuration.
+    pub outflow: RefCell<Outflow>,
+    adopted: Notify,
     /// Counters and histograms for a scrape.
     pub board: Board,
     pub(crate) served: Cell<u64>,
@@ -192,6 +196,8 @@
             docket: RefCell::new(Docket::new(suspicion::Settings::default())),
             attempts: Cell::new(boot),
             open: Cell::new(0),
+            outflow: RefCell::default(),
+            adopted: Notify::new(),
             board,
             served: Cell::new(0),
             configuration: RefCell::default(),
@@ -292,9 +298,17 @@
             "version={version} had={had} source={source} bytes={bytes} behind_ms={}",
             behind.unwrap_or_default().as_millis()
         ));
+        self.adopted.notify_waiters();
         Some(version)
     }
 
+    /// Waits until this version of the configuration or a later one is in force.
+    pub async fn reached(&self, version: u64) {
+        while self.version() < version {
+            self.adopted.notified().await;
+        }
+    }
+
     /// Another instance has this configuration in force.
     pub fn hear_version(&self, version: u64) {
         if version > self.version() {
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -3,14 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::peer::Profile;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::client::Client;
 use rand::seq::IteratorRandom;
 
-use crate::ask::{CONFIGURATION, ENDPOINTS};
 use crate::border::{Item, Listing, Realm};
 use crate::follower::{self, AWAY, Follower, News};
 use crate::passed::After;
@@ -133,13 +131,3 @@
         registrations::take(state, part);
     }
 }
-
-/// What this instance shows to others under a path.
-#[must_use]
-pub fn show(state: &State, path: &str, query: Option<&str>) -> Option<Bytes> {
-    match path {
-        CONFIGURATION => state.configuration().map(|have| have.raw),
-        ENDPOINTS => registrations::show(state, query),
-        _ => None,
-    }
-}
--- a/coltsfoothall/src/forward/lag.rs
+++ b/coltsfoothall/src/forward/lag.rs
@@ -6,6 +6,9 @@
 
 /// Versions that are remembered with the time at which each was heard of.
 const REMEMBERED: usize = 32;
+/// Time for which an instance that follows the store waits for the newest configuration from
+/// there: most of them get it so, and a peer's answer would share the link with the store's.
+const PATIENCE: Duration = Duration::from_secs(1);
 /// Time after which a configuration that is known elsewhere counts as overdue here.
 const OVERDUE: Duration = Duration::from_secs(2);
 
@@ -50,6 +53,14 @@
         self.heard.first().map(|heard| now.since(heard.at))
     }
 
+    /// Whether to ask a peer for the newest configuration. `waits` if there is one in force and the
+    /// store answered the last call for it.
+    #[must_use]
+    pub fn asks_peer(&self, now: Time, waits: bool) -> bool {
+        let patience = if waits { PATIENCE } else { Duration::ZERO };
+        self.age(now).is_some_and(|age| age >= patience)
+    }
+
     /// The newest version known to exist that is not in force.
     #[must_use]
     pub fn newest(&self) -> Option<u64> {
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -13,6 +13,7 @@
 pub mod leader;
 pub mod node;
 pub mod order;
+pub mod outflow;
 pub mod pace;
 pub mod peer;
 pub mod reader;
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -211,12 +211,22 @@
         near.map(|peer| &peer.profile).collect()
     }
 
-    /// The heard instance with the newest configuration above `version`.
+    /// The heard instances with the newest configuration above `version`: those of this failure
+    /// domain where there are some, as bytes between domains are paid for.
     #[must_use]
-    pub fn newest(&self, now: Time, version: u64) -> Option<&Profile> {
+    pub fn ahead(&self, now: Time, version: u64, domain: &id::Domain) -> Vec<&Profile> {
         let heard = self.peers.iter().filter(|peer| self.is_heard(now, peer));
-        let newest = heard.max_by_key(|peer| peer.profile.version)?;
-        (newest.profile.version > version).then_some(&newest.profile)
+        let profiles = heard.map(|peer| &peer.profile);
+        let newest = profiles.clone().map(|profile| profile.version).max();
+        let Some(newest) = newest.filter(|newest| *newest > version) else {
+            return Vec::new();
+        };
+        let ahead: Vec<&Profile> = profiles
+            .filter(|profile| profile.version == newest)
+            .collect();
+        let near = ahead.iter().filter(|profile| profile.domain == *domain);
+        let near: Vec<&Profile> = near.copied().collect();
+        if near.len() < ENOUGH { ahead } else { near }
     }
 
     /// Members that share the rates, and those heard, this instance included.
@@ -306,5 +316,8 @@
     }
 }
 
+/// Instances of a failure domain that have a configuration, from which on the others of the
+/// domain ask these alone.
+const ENOUGH: usize = 3;
 /// Most addresses that one answer holds.
 const FRONTS: usize = 64;
--- a/coltsfoothall/tests/forward_lag.rs
+++ b/coltsfoothall/tests/forward_lag.rs
@@ -74,3 +74,14 @@
     backlog.brought(12);
     assert!(!backlog.grew(12));
 }
+
+/// A peer's answer would share the link with the store's, which brings most configurations.
+#[test]
+fn store_first() {
+    let mut lag = Lag::default();
+    assert!(!lag.asks_peer(at(0), false), "nothing is missing");
+    lag.hear(at(100), 5);
+    assert!(!lag.asks_peer(at(200), true), "the store brings it");
+    assert!(lag.asks_peer(at(200), false), "the store does not answer");
+    assert!(lag.asks_peer(at(1_200), true), "nor did it in time");
+}
--- /dev/null
+++ b/coltsfoothall/tests/forward_outflow.rs
@@ -0,0 +1,61 @@
+//! How a large value spreads from one instance to a fleet.
+
+use std::time::Duration;
+
+use coltsfoothall::clock::Time;
+use coltsfoothall::forward::outflow::Outflow;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+
+/// Instances of the fleet.
+const FLEET: usize = 64;
+/// Milliseconds between two questions of an instance.
+const LOOK: u64 = 250;
+/// Bytes of the value.
+const VALUE: usize = 150_000;
+/// Milliseconds until whatever an instance accepted has been carried by a narrow link.
+const CARRIED: u64 = 500;
+/// Milliseconds in which a configuration has to be in force everywhere.
+const IN_FORCE: u64 = 3_000;
+
+fn at(millis: u64) -> Time {
+    Time::START + Duration::from_millis(millis)
+}
+
+#[test]
+fn refused_while_busy() {
+    let mut outflow = Outflow::default();
+    let admitted = (0..20).filter(|_| outflow.admit(at(0), VALUE)).count();
+    assert!((2..5).contains(&admitted), "{admitted} at once");
+    assert!(outflow.admit(at(1_000), VALUE), "others later");
+    let mut large = Outflow::default();
+    assert!(large.admit(at(0), 16 << 20), "one of any size");
+    assert!(!large.admit(at(1_000), 1));
+}
+
+/// One instance has the value, all others ask any that has it, again and again.
+#[test]
+fn fleet_served() {
+    for seed in 0..50 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut outflows = vec![Outflow::default(); FLEET];
+        let mut since: Vec<Option<u64>> = vec![None; FLEET];
+        since[0] = Some(0);
+        let mut now = 0;
+        while since.iter().any(Option::is_none) {
+            now += LOOK;
+            assert!(now < IN_FORCE, "seed {seed}: not all are served");
+            let have = |since: &Option<u64>| since.is_some_and(|since| since <= now);
+            let sources: Vec<usize> = (0..FLEET).filter(|at| have(&since[*at])).collect();
+            for since in since.iter_mut().filter(|since| since.is_none()) {
+                let source = sources[random.next_u64() as usize % sources.len()];
+                if outflows[source].admit(at(now), VALUE) {
+                    *since = Some(now + CARRIED);
+                }
+            }
+        }
+        let last = since.iter().flatten().max();
+        let in_time = last.is_some_and(|last| *last <= IN_FORCE);
+        assert!(in_time, "seed {seed}: {last:?}");
+    }
+}
--- a/coltsfoothall/tests/forward_peer.rs
+++ b/coltsfoothall/tests/forward_peer.rs
@@ -2,7 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use coltsfoothall::clock::Time;
@@ -147,14 +147,37 @@
     };
     peers.heard(at(0), profile(2, 1, "north"));
     peers.heard(at(0), newer);
-    assert_eq!(peers.newest(at(0), 4).map(|peer| peer.version), Some(9));
-    assert!(peers.newest(at(0), 9).is_none());
+    assert_eq!(ahead(&peers, at(0), 4), [3], "the newest alone");
+    assert!(ahead(&peers, at(0), 9).is_empty());
     assert!(
-        peers.newest(at(3_000), 4).is_none(),
+        ahead(&peers, at(3_000), 4).is_empty(),
         "a silent one cannot be asked"
     );
 }
 
+/// Who can be asked for a newer configuration by an instance in the north.
+fn ahead(peers: &Peers, now: Time, version: u64) -> Vec<u8> {
+    let ahead = peers.ahead(now, version, &"north".parse().unwrap());
+    let last = |profile: &Profile| match profile.front.ip() {
+        IpAddr::V4(ip) => ip.octets()[3],
+        IpAddr::V6(_) => 0,
+    };
+    ahead.into_iter().map(last).collect()
+}
+
+/// All instances of a fleet asked the same one for a configuration: the last by name.
+#[test]
+fn questions_spread() {
+    let mut peers = peers();
+    for last in 2..8 {
+        let domain = if last < 4 { "north" } else { "south" };
+        peers.heard(at(0), profile(last, 1, domain));
+    }
+    assert_eq!(ahead(&peers, at(0), 0), [2, 3, 4, 5, 6, 7], "few are near");
+    peers.heard(at(0), profile(8, 1, "north"));
+    assert_eq!(ahead(&peers, at(0), 0), [2, 3, 8], "enough are near");
+}
+
 /// All are told in their turn, and never so many at once that a slow link drops some.
 #[test]
 fn told_in_turns() {
