An endpoint's silence ends no answer that nobody else can give

Cause: after a second without an event the endpoint was given up first, and only then it was asked whether a retry was left and another endpoint had room. The same before the first event of a stream and for plain answers: 502 after twice the route's aim. Class: what one has is given up for what one may get.

Change: a silent endpoint is given up only if another one has room for the request now and a retry is left, which is taken then; until that holds it is looked at again each second, or each patience.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one endpoint after another until one has run it.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use coltsfoothall_shell::event;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::attempt::{self, Job, Sent};
+use crate::attempt::{self, Job, Sent, Share};
 use crate::kept::Fault;
 use crate::refusal::{Refusal, broken, full};
 use crate::state::State;
@@ -64,6 +65,42 @@
     job.route.kind.repeats() && trail.runs < job.route.attempts && state.may_retry(&job.service)
 }
 
+/// Whether to give up an endpoint that is silent and may still answer: only if another one has
+/// room for the request now, and a retry is left, which is taken.
+pub fn takes_over(state: &State, job: &Job, trail: &Trail, silent: &id::Endpoint) -> bool {
+    let others = {
+        let mut exclude = trail.exclude.clone();
+        exclude.push(silent.clone());
+        let ask = job.ask(&state.domain, &exclude);
+        state.roster.borrow().choose(state.now(), &ask).is_ok()
+    };
+    others && may_repeat(state, job, trail)
+}
+
+/// Sends a request to one endpoint; none if that is silent and another one takes over.
+async fn send(
+    state: &Rc<State>,
+    job: &Job,
+    pick: &Pick,
+    trail: &mut Trail,
+    after: Option<&str>,
+) -> Option<Result<Sent, (Fault, Share)>> {
+    let exclude = trail.exclude.clone();
+    let patience = patience(job, trail, pick);
+    let mut sending = pin!(attempt::send(state, job, pick, &exclude, after));
+    trail.runs += 1;
+    loop {
+        match tokio::time::timeout(patience, sending.as_mut()).await {
+            Ok(outcome) => {
+                trail.runs -= 1;
+                return Some(outcome);
+            }
+            Err(_elapsed) if takes_over(state, job, trail, &pick.endpoint) => return None,
+            Err(_elapsed) => {}
+        }
+    }
+}
+
 /// Logs where a request goes: each second sending, and the first of one request in
 /// [`SAMPLE`], the same ones at all instances.
 fn tell_choice(state: &State, job: &Job, trail: &Trail, pick: &Pick) {
@@ -117,20 +154,15 @@
         }
         trail.sendings += 1;
         tell_choice(state, job, trail, &pick);
-        let sending = attempt::send(state, job, &pick, &trail.exclude, after);
-        let Ok(outcome) = tokio::time::timeout(patience(job, trail, &pick), sending).await else {
-            trail.runs += 1;
-            trail.exclude.push(pick.endpoint.clone());
+        let Some(outcome) = send(state, job, &pick, trail, after).await else {
             event::BROKE_OFF.emit(format_args!(
                 "request={} endpoint={} reason=silent expected_ms={}",
                 job.id(),
                 pick.endpoint,
                 pick.wait.as_millis(),
             ));
-            if may_repeat(state, job, trail) {
-                continue;
-            }
-            return Err(broken("the endpoint stays silent"));
+            trail.exclude.push(pick.endpoint);
+            continue;
         };
         let reason = match outcome {
             Ok(sent) if sent.reply.stranger => {
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -245,7 +245,8 @@
         loop {
             let stall = self.stall_limit();
             let endpoint = self.share.as_ref().map(|share| share.endpoint.clone());
-            let reason = match tokio::time::timeout_at(stall.min(due), self.read()).await {
+            let (reason, goes_on) = match tokio::time::timeout_at(stall.min(due), self.read()).await
+            {
                 Ok(Next::Events(bytes)) => return Some(Ok(bytes)),
                 Ok(Next::End) => {
                     self.close();
@@ -253,11 +254,16 @@
                 }
                 Ok(Next::Broken(reason)) => {
                     self.finish(End::Failed);
-                    reason
+                    let goes_on = dispatch::may_repeat(&self.state, &self.job, &self.trail);
+                    (reason, goes_on)
                 }
                 Err(_elapsed) if tokio::time::Instant::now() < due => {
+                    if !self.is_taken_over() {
+                        continue;
+                    }
                     self.finish(End::Failed);
-                    "no event came".into()
+                    self.trail.exclude.extend(endpoint.clone());
+                    ("no event came".into(), true)
                 }
                 Err(_elapsed) => return Some(Err(self.give_up("its time is over"))),
             };
@@ -267,6 +273,9 @@
                 endpoint.as_ref().map_or("-", id::Endpoint::as_str),
                 self.splitter.events()
             ));
+            if !goes_on {
+                return Some(Err(self.give_up("nobody goes on with it")));
+            }
             match tokio::time::timeout_at(due, self.resume()).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_refusal)) => return Some(Err(self.give_up("nobody goes on with it"))),
@@ -285,12 +294,17 @@
         now + STALL
     }
 
+    /// Whether another endpoint goes on in place of this one, which is silent.
+    fn is_taken_over(&self) -> bool {
+        let share = self.share.as_ref();
+        share.is_some_and(|share| {
+            dispatch::takes_over(&self.state, &self.job, &self.trail, &share.endpoint)
+        })
+    }
+
     /// Goes on behind the last event at another endpoint.
     async fn resume(&mut self) -> Result<(), Refusal> {
         self.splitter.discard();
-        if !dispatch::may_repeat(&self.state, &self.job, &self.trail) {
-            return Err(refusal::broken("may not be repeated"));
-        }
         let after = self.splitter.last().map(ToOwned::to_owned);
         let state = Rc::clone(&self.state);
         let sent = dispatch::next(&state, &self.job, &mut self.trail, after.as_deref()).await?;
