--- a/coltsfoothall-forward/src/configuration.rs
+++ b/coltsfoothall-forward/src/configuration.rs
@@ -65,8 +65,8 @@
 /// Who is asked now, drawn anew each time: one that is slow or busy is not asked by all.
 fn source(state: &State) -> Option<Profile> {
     let now = state.now();
-    let waits = state.version() > 0 && !state.config_lost.get();
-    if !state.lag.borrow().asks_peer(now, waits) {
+    let waits = state.version() > 0 && !state.adoption.store_lost.get();
+    if !state.adoption.lag.borrow().asks_peer(now, waits) {
         return None;
     }
     let peers = state.peers.borrow();
@@ -117,7 +117,12 @@
         return outgoing::plain(StatusCode::NOT_FOUND);
     };
     let packed = have.packed.get_or_init(|| pack::pack(&have.raw));
-    if !state.outflow.borrow_mut().admit(state.now(), packed.len()) {
+    if !state
+        .adoption
+        .outflow
+        .borrow_mut()
+        .admit(state.now(), packed.len())
+    {
         return outgoing::plain(StatusCode::SERVICE_UNAVAILABLE);
     }
     outgoing::answer(
@@ -128,13 +133,13 @@
 }
 
 fn report_lag(state: &State) {
-    let overdue = state.lag.borrow_mut().overdue(state.now());
+    let overdue = state.adoption.lag.borrow_mut().overdue(state.now());
     if let Some((newest, age)) = overdue {
         event::BEHIND.emit(format_args!(
             "version={} newest={newest} behind_ms={} store_lost={}",
             state.version(),
             age.as_millis(),
-            state.config_lost.get()
+            state.adoption.store_lost.get()
         ));
     }
 }
--- a/coltsfoothall-forward/src/follower.rs
+++ b/coltsfoothall-forward/src/follower.rs
@@ -120,7 +120,7 @@
                     event::STORE.emit(format_args!("realm={realm:?} state=lost reason={error:?}"));
                 }
                 match realm {
-                    Realm::Configuration => state.config_lost.set(true),
+                    Realm::Configuration => state.adoption.store_lost.set(true),
                     Realm::Endpoints => {
                         state.fresh.set(None);
                         state.unread.set(true);
@@ -148,7 +148,7 @@
             }
         }
         match realm {
-            Realm::Configuration => state.config_lost.set(false),
+            Realm::Configuration => state.adoption.store_lost.set(false),
             Realm::Endpoints => {
                 state.fresh.set(Some(state.now()));
                 state.unread.set(false);
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`relay`] passes the answer back. [`watch`], [`configuration`], [`registrations`], [`gossip`] and [`duty`] keep
 //! [`state`] up to date beside it; [`stop`] ends it all.
 
+pub mod adoption;
 pub mod ask;
 pub mod attempt;
 pub mod border;
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -69,7 +69,12 @@
             .endpoints("ready", roster.nodes().len() as u64 - leaving);
         self.board.members(u64::from(self.reach().members));
         self.board.revision(self.version());
-        let behind = self.lag.borrow().age(self.now()).unwrap_or_default();
+        let behind = self
+            .adoption
+            .lag
+            .borrow()
+            .age(self.now())
+            .unwrap_or_default();
         self.board.behind(behind);
     }
 }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -2,25 +2,22 @@
 //!
 //! No borrow of a cell lives across a wait, so none can be found taken.
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::allowance::{self, Reach};
 use coltsfoothall::forward::choice;
 use coltsfoothall::forward::duration;
 use coltsfoothall::forward::history::{Era, Fence, Place};
-use coltsfoothall::forward::lag::Lag;
 use coltsfoothall::forward::leader::Leader;
 use coltsfoothall::forward::order::{self, Meter};
-use coltsfoothall::forward::outflow::Outflow;
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::roster::{End, Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
-use coltsfoothall::forward::table::{Route, Table};
+use coltsfoothall::forward::table::Route;
 use coltsfoothall::forward::usage;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::{self, Docket, Print};
@@ -30,6 +27,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::adoption::Adoption;
 use crate::border::Border;
 use crate::calls::Calls;
 use crate::health::Health;
@@ -74,17 +72,6 @@
     at: Time,
 }
 
-/// The configuration in force, as it was written and as it is read.
-#[derive(Debug, Clone)]
-pub struct Configuration {
-    /// Its bytes, for operators who ask.
-    pub raw: Bytes,
-    /// Its bytes compressed, for instances that lack it; made when the first one asks.
-    pub packed: Rc<OnceCell<Bytes>>,
-    /// Indexed for requests.
-    pub table: Rc<Table>,
-}
-
 /// All state of an instance.
 pub struct State {
     settings: RefCell<Rc<Settings>>,
@@ -125,10 +112,8 @@
     pub fresh: Cell<Option<Time>>,
     /// Whether the store did not answer the last call for registrations.
     pub unread: Cell<bool>,
-    /// Newer configurations that others have.
-    pub lag: RefCell<Lag>,
-    /// Whether the store did not answer the last call for the configuration.
-    pub config_lost: Cell<bool>,
+    /// The configuration in force, and what is known of newer ones.
+    pub adoption: Adoption,
     /// Whether the store answers.
     pub health: Health,
     era: Cell<Option<Era>>,
@@ -142,13 +127,9 @@
     attempts: Cell<u64>,
     /// Requests under way.
     pub open: Cell<usize>,
-    /// What others were sent of the configuration.
-    pub outflow: RefCell<Outflow>,
-    adopted: Notify,
     /// Counters and histograms for a scrape.
     pub board: Board,
     pub(crate) served: Cell<u64>,
-    configuration: RefCell<Option<Configuration>>,
     retries: RefCell<Retries>,
     news: RefCell<Vec<News>>,
     returned: Cell<Option<Time>>,
@@ -188,8 +169,7 @@
             passed: RefCell::default(),
             fresh: Cell::default(),
             unread: Cell::default(),
-            lag: RefCell::default(),
-            config_lost: Cell::default(),
+            adoption: Adoption::default(),
             health: Health::default(),
             era: Cell::default(),
             risen: Notify::new(),
@@ -198,11 +178,8 @@
             docket: RefCell::new(Docket::new(suspicion::Settings::default())),
             attempts: Cell::new(boot),
             open: Cell::new(0),
-            outflow: RefCell::default(),
-            adopted: Notify::new(),
             board,
             served: Cell::new(0),
-            configuration: RefCell::default(),
             retries: RefCell::new(Retries::new(
                 settings.bounds.retry_ratio,
                 settings.bounds.retry_slack,
@@ -253,79 +230,11 @@
         event::RELOADED.emit(format_args!("seeds={:?}", self.settings().seeds));
     }
 
-    /// The configuration in force, if any is known.
-    #[must_use]
-    pub fn configuration(&self) -> Option<Configuration> {
-        self.configuration.borrow().clone()
-    }
-
-    /// Version of the configuration in force; 0 if none is known.
-    #[must_use]
-    pub fn version(&self) -> u64 {
-        let configuration = self.configuration.borrow();
-        configuration.as_ref().map_or(0, |have| have.table.version)
-    }
-
-    /// The newest version of the configuration that is known to exist.
-    #[must_use]
-    pub fn newest_version(&self) -> u64 {
-        let heard = self.lag.borrow().newest().unwrap_or(0);
-        self.version().max(heard)
-    }
-
-    /// Takes over a configuration unless it is older than the one in force. Returns its version
-    /// if it can be read.
-    pub fn adopt(&self, raw: &Bytes, source: &str) -> Option<u64> {
-        let table = match self.border.table(raw) {
-            Ok(table) => table,
-            Err(error) => {
-                event::BAD_CATALOG.emit(format_args!("source={source} reason={error:?}"));
-                return None;
-            }
-        };
-        let (version, had) = (table.version, self.version());
-        if version <= had {
-            if version < had {
-                event::OLDER.emit(format_args!("version={version} had={had} source={source}"));
-            }
-            return Some(version);
-        }
-        let mut allowance = self.allowance.borrow_mut();
-        allowance.configure(self.now(), table.workspaces());
-        let bytes = raw.len();
-        *self.configuration.borrow_mut() = Some(Configuration {
-            raw: raw.clone(),
-            packed: Rc::default(),
-            table: Rc::new(table),
-        });
-        let behind = self.lag.borrow_mut().reach(self.now(), version);
-        event::ADOPTED.emit(format_args!(
-            "version={version} had={had} source={source} bytes={bytes} behind_ms={}",
-            behind.unwrap_or_default().as_millis()
-        ));
-        self.adopted.notify_waiters();
-        Some(version)
-    }
-
-    /// Waits until this version of the configuration or a later one is in force.
-    pub async fn reached(&self, version: u64) {
-        while self.version() < version {
-            self.adopted.notified().await;
-        }
-    }
-
-    /// Another instance has this configuration in force.
-    pub fn hear_version(&self, version: u64) {
-        if version > self.version() {
-            self.lag.borrow_mut().hear(self.now(), version);
-        }
-    }
-
     /// Whether this instance takes callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         !self.stopping.is_cancelled()
-            && self.configuration.borrow().is_some()
+            && self.configuration().is_some()
             && !self.roster.borrow().nodes().is_empty()
     }
 
