A suspect runs at no endpoint that is on trial

Cause: between the break of the request to blame and the finding on its endpoint (15 ms in the log) that endpoint had no attempt of this instance, so it passed for the empty one that a suspect needs. The innocent one was sent there, and the finding that it was dead counted against it. The log shows just that: one E202 of it, at the first engine, none at the second, where E302 names four suspects.

Ruled out: the docket's counting, which takes what runs at the time of a death as evidence, as meant.

Change: endpoints on trial are unfit for a request that has to run alone; it waits for the finding.

Test: trial_awaited, without processes; before, engine-2 was chosen while on trial.

--- a/coltsfoothall-entry/src/death.rs
+++ b/coltsfoothall-entry/src/death.rs
@@ -284,6 +284,11 @@
         self.dead.iter().map(|dead| &dead.endpoint)
     }
 
+    /// Endpoints on trial, sorted.
+    pub fn tried(&self) -> impl Iterator<Item = &id::Endpoint> {
+        self.trials.iter().map(|trial| &trial.endpoint)
+    }
+
     /// Forgets dead endpoints that are no longer listed.
     pub fn keep(&mut self, listed: impl Fn(&id::Endpoint) -> bool) {
         self.dead.retain(|dead| listed(&dead.endpoint));
--- a/coltsfoothall-entry/src/dispatch.rs
+++ b/coltsfoothall-entry/src/dispatch.rs
@@ -371,6 +371,8 @@
         let mut unfit = pick.exclude.clone();
         unfit.extend(self.judge.dead().cloned());
         if alone {
+            // If one of them is dead already, that would count against this request.
+            unfit.extend(self.judge.tried().cloned());
             let at = |endpoint: &id::Endpoint| self.attempts.at(endpoint);
             self.rooms.unfit(now, &pick.ticket.service, &at, &mut unfit);
         } else {
--- a/coltsfoothall-entry/tests/dispatch.rs
+++ b/coltsfoothall-entry/tests/dispatch.rs
@@ -7,6 +7,7 @@
 use coltsfoothall::catalog::Workspace;
 use coltsfoothall::choice::Endpoint;
 use coltsfoothall::clock::Time;
+use coltsfoothall::id::Endpoint as Id;
 use coltsfoothall::limit::Number;
 use coltsfoothall::load::Report;
 use coltsfoothall::record::{Class, Intake, Name, Work};
@@ -345,3 +346,54 @@
         assert_eq!(begun, idempotent);
     }
 }
+
+/// A request that may be to blame for a death was sent alone to an endpoint that had just broken
+/// another one off, died there with that one's endpoint, and was condemned for it.
+#[test]
+fn trial_awaited() {
+    let mut world = World::new(1);
+    // Of three endpoints this instance may use the first and the last for requests alone.
+    world.dispatch.set_endpoints((0..3).map(endpoint).collect());
+    let (blamed, innocent) = (world.asking("blamed"), world.asking("innocent"));
+    assert_eq!(world.chosen(&blamed, 1, &[1, 2]), Some(endpoint(0).id));
+    assert_eq!(world.chosen(&innocent, 2, &[1, 2]), Some(endpoint(0).id));
+    world.dispatch.ended(world.now, 1, Ended::Broke);
+    world.dispatch.ended(world.now, 2, Ended::Broke);
+    let dead = Found::Dead { domain: false };
+    assert!(world.dispatch.rule(world.now, &endpoint(0).id, dead));
+    world.dispatch.died(world.now, &endpoint(0).id, false);
+    world.now = world.now + Duration::from_secs(1);
+    assert_eq!(world.chosen(&blamed, 3, &[]), Some(endpoint(2).id), "alone");
+    world.dispatch.ended(world.now, 3, Ended::Broke);
+    assert_eq!(world.chosen(&innocent, 4, &[]), None, "it is on trial");
+    assert!(
+        !world
+            .dispatch
+            .rule(world.now, &endpoint(2).id, Found::Alive)
+    );
+    assert_eq!(world.chosen(&innocent, 5, &[]), Some(endpoint(2).id));
+}
+
+impl World {
+    fn asking(&mut self, text: &str) -> Intake {
+        let mut intake = self.intake();
+        if let Work::Completion { prompt, .. } = &mut intake.work {
+            *prompt = text.into();
+        }
+        intake
+    }
+
+    /// The endpoint chosen for an attempt, if there is one, without these.
+    fn chosen(&mut self, intake: &Intake, attempt: u64, without: &[usize]) -> Option<Id> {
+        let exclude = without.iter().map(|at| endpoint(*at).id).collect();
+        let deadline = self.now + Duration::from_secs(20);
+        let (reply, mut heard) = unbounded_channel();
+        let pick = Pick::new(intake, "", attempt, exclude, deadline);
+        self.dispatch.pick(self.now, pick, reply);
+        match heard.try_recv() {
+            Ok(Input::Picked { endpoint, .. }) => Some(endpoint),
+            Ok(Input::NoPick { .. }) => None,
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+}
