--- a/coltsfoothall-forward/src/configuration.rs
+++ b/coltsfoothall-forward/src/configuration.rs
@@ -117,19 +117,12 @@
         return outgoing::plain(StatusCode::NOT_FOUND);
     };
     let packed = have.packed.get_or_init(|| pack::pack(&have.raw));
-    if !state
-        .adoption
-        .outflow
-        .borrow_mut()
-        .admit(state.now(), packed.len())
-    {
+    let mut outflow = state.adoption.outflow.borrow_mut();
+    if !outflow.admit(state.now(), packed.len()) {
         return outgoing::plain(StatusCode::SERVICE_UNAVAILABLE);
     }
-    outgoing::answer(
-        StatusCode::OK,
-        HeaderMap::new(),
-        Outgoing::whole(packed.clone()),
-    )
+    let body = Outgoing::whole(packed.clone());
+    outgoing::answer(StatusCode::OK, HeaderMap::new(), body)
 }
 
 fn report_lag(state: &State) {
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -88,16 +88,16 @@
     let exclude = trail.exclude.clone();
     let patience = patience(job, trail, pick);
     let mut sending = pin!(attempt::send(state, job, pick, &exclude, after));
-    trail.runs += 1;
     loop {
-        match tokio::time::timeout(patience, sending.as_mut()).await {
-            Ok(outcome) => {
-                trail.runs -= 1;
-                return Some(outcome);
-            }
-            Err(_elapsed) if takes_over(state, job, trail, &pick.endpoint) => return None,
-            Err(_elapsed) => {}
+        if let Ok(outcome) = tokio::time::timeout(patience, sending.as_mut()).await {
+            return Some(outcome);
+        }
+        // It may run there.
+        trail.runs += 1;
+        if takes_over(state, job, trail, &pick.endpoint) {
+            return None;
         }
+        trail.runs -= 1;
     }
 }
 
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -5,8 +5,8 @@
 //!
 //! Data flows one way: [`listen`] accepts, [`intake`] reads and admits a request,
 //! [`dispatch`] sends it, each [`attempt`] to an endpoint that the decision library chose, and
-//! [`relay`] passes the answer back. [`watch`], [`configuration`], [`registrations`], [`gossip`] and [`duty`] keep
-//! [`state`] up to date beside it; [`stop`] ends it all.
+//! [`relay`] passes the answer back. [`watch`], [`configuration`], [`registrations`], [`gossip`]
+//! and [`duty`] keep [`state`] up to date beside it; [`stop`] ends it all.
 
 pub mod adoption;
 pub mod ask;
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -69,12 +69,7 @@
             .endpoints("ready", roster.nodes().len() as u64 - leaving);
         self.board.members(u64::from(self.reach().members));
         self.board.revision(self.version());
-        let behind = self
-            .adoption
-            .lag
-            .borrow()
-            .age(self.now())
-            .unwrap_or_default();
-        self.board.behind(behind);
+        let behind = self.adoption.lag.borrow().age(self.now());
+        self.board.behind(behind.unwrap_or_default());
     }
 }
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -224,14 +224,13 @@
             }
         };
     }
-    let endpoints = match path {
-        CONFIGURATION => return configuration::show(state),
-        PACKED => return configuration::show_packed(state),
-        ENDPOINTS => registrations::show(state, query),
-        _ => None,
-    };
-    match endpoints {
-        Some(bytes) => json(Outgoing::whole(bytes)),
-        None => plain(StatusCode::NOT_FOUND),
+    match path {
+        CONFIGURATION => configuration::show(state),
+        PACKED => configuration::show_packed(state),
+        ENDPOINTS => match registrations::show(state, query) {
+            Some(bytes) => json(Outgoing::whole(bytes)),
+            None => plain(StatusCode::NOT_FOUND),
+        },
+        _ => plain(StatusCode::NOT_FOUND),
     }
 }
