--- a/coltsfoothall-entry/tests/command.rs
+++ b/coltsfoothall-entry/tests/command.rs
@@ -155,7 +155,7 @@
     assert_eq!(refused.code, Some(1), "{refused:?}");
     assert!(refused.out.contains("wrote nothing"), "{refused:?}");
     system
-        .fault(&system.store, r#"{"lose_then_down":true}"#)
+        .fault(&system.store, r#"{"lose_then_down":"catalog"}"#)
         .await;
     let unknown = run(&system, &[0], &["confirm", "a.plan"]).await;
     assert_eq!(unknown.code, Some(4), "{unknown:?}");
--- a/coltsfoothall-entry/tests/config.rs
+++ b/coltsfoothall-entry/tests/config.rs
@@ -200,7 +200,7 @@
     }
     // The write takes effect, its answer is lost, and reading fails as well.
     system
-        .fault(&system.store, r#"{"lose_then_down":true}"#)
+        .fault(&system.store, r#"{"lose_then_down":"catalog"}"#)
         .await;
     let verdict = system.settle(1, &made).await;
     assert!(
--- a/coltsfoothall-standin/src/cloudserver.rs
+++ b/coltsfoothall-standin/src/cloudserver.rs
@@ -65,7 +65,7 @@
         }
         let writes = matches!(*request.method(), Method::POST | Method::DELETE);
         let answer = self.apply(request).await;
-        let lost = writes && answer.status().is_success() && self.gate.lost();
+        let lost = writes && answer.status().is_success() && self.gate.lost(None);
         self.gate.leave().await;
         if lost {
             return serve::hang_up();
--- a/coltsfoothall-standin/src/fault.rs
+++ b/coltsfoothall-standin/src/fault.rs
@@ -45,9 +45,9 @@
     pub lose_answers: u64,
     /// The same for every so many-th write; 0 for none.
     pub lose_every: u64,
-    /// The next write that takes effect is the last: it gets no answer, and the
+    /// The next write of this key that takes effect is the last: it gets no answer, and the
     /// service is down from then on.
-    pub lose_then_down: bool,
+    pub lose_then_down: Option<String>,
     /// Reads of a key show the value before its last, if it had one.
     pub stale_reads: bool,
     /// Starts of instances that are refused.
@@ -138,9 +138,10 @@
         }
     }
 
-    /// Counts a write that took effect and says whether its answer gets lost.
+    /// Counts a write that took effect, of a key if it has one, and says whether its answer
+    /// gets lost.
     #[must_use]
-    pub fn lost(&self) -> bool {
+    pub fn lost(&self, key: Option<&str>) -> bool {
         let mut nth = 0;
         self.writes.send_modify(|writes| {
             *writes += 1;
@@ -151,7 +152,8 @@
             let counted = fault.lose_answers > 0;
             fault.lose_answers = fault.lose_answers.saturating_sub(1);
             lost = counted || (fault.lose_every > 0 && nth.is_multiple_of(fault.lose_every));
-            if std::mem::take(&mut fault.lose_then_down) {
+            if key.is_some() && fault.lose_then_down.as_deref() == key {
+                fault.lose_then_down = None;
                 fault.down = true;
                 lost = true;
             }
--- a/coltsfoothall-standin/src/kvserver.rs
+++ b/coltsfoothall-standin/src/kvserver.rs
@@ -129,6 +129,20 @@
         }
     }
 
+    /// The key that it writes a value of.
+    fn put_key(&self) -> Option<String> {
+        match self {
+            Self::Put(key) => Some(key.clone()),
+            Self::Get(_)
+            | Self::List(_)
+            | Self::Watch(_)
+            | Self::Delete(..)
+            | Self::Grant
+            | Self::Renew(_)
+            | Self::Revoke(_) => None,
+        }
+    }
+
     fn count<'a>(&self, counts: &'a mut Counts) -> &'a mut u64 {
         match self {
             Self::Get(_) => &mut counts.gets,
@@ -268,9 +282,10 @@
         if !self.with(|state, now| state.admit(now, &call)) {
             return serve::empty(429);
         }
-        let writes = call.writes();
+        let (writes, key) = (call.writes(), call.put_key());
         let answer = self.apply(call, request).await;
-        let lost = writes && answer.status().is_success() && self.gate.lost();
+        let done = writes && answer.status().is_success();
+        let lost = done && self.gate.lost(key.as_deref());
         self.gate.leave().await;
         if lost {
             self.lock().counts.lost += 1;
--- a/coltsfoothall-standin/src/weights.rs
+++ b/coltsfoothall-standin/src/weights.rs
@@ -104,7 +104,7 @@
             return outage;
         }
         let answer = self.apply(&request);
-        let lost = answer.status().is_success() && self.gate.lost();
+        let lost = answer.status().is_success() && self.gate.lost(None);
         self.gate.leave().await;
         if lost {
             return serve::hang_up();
