Readers tell that an endpoint leaves in a line, compressed

Cause: a reclaim takes all endpoints of a failure domain at once, and a reader told each follower the whole registration of each, again at every beat, as the time that is left changes. At 99 instances that is 332 registrations for each of 11 followers over links of 10 Mbit/s, at 300 a thousand for 33. Followers gave up ("its knowledge is old") and read at the store, which adds to the load.

Ruled out: the reader's rest and the followers' pause alone.

Change: a row says that an endpoint leaves and in which time, once; parts are compressed like configurations.

--- a/coltsfoothall-forward/src/passed.rs
+++ b/coltsfoothall-forward/src/passed.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use coltsfoothall::forward::history::Place;
 use coltsfoothall::forward::node::Entry;
+use coltsfoothall::size::Millis;
 use serde::{Deserialize, Serialize};
 
 use crate::border::Item;
@@ -10,14 +11,29 @@
 /// Most removed registrations remembered; one that is forgotten was removed long ago.
 const REMOVED: usize = 4096;
 
-/// A registration as one instance tells another; without a value it was removed.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+/// What became of a registration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// It says this, and that its endpoint takes work.
+    Registered(Bytes),
+    /// Its endpoint is about to leave. When a domain is reclaimed all of its endpoints leave at
+    /// once, and what else they say would take narrow links seconds.
+    Leaving {
+        /// Time left until it is taken away, as of the registration, if it said so.
+        leaves: Option<Millis>,
+    },
+    /// It was removed.
+    Removed,
+}
+
+/// A registration as one instance tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Name of the endpoint.
     pub name: String,
-    /// Its registration.
-    pub value: Option<Bytes>,
-    /// When it was written or removed.
+    /// What became of it.
+    pub change: Change,
+    /// When that was written.
     pub place: Place,
 }
 
@@ -39,7 +55,7 @@
 #[derive(Debug)]
 struct Kept {
     row: Row,
-    /// What it says.
+    /// What it says, if it takes work.
     entry: Option<Entry>,
     /// Number of its last change of any account.
     number: u64,
@@ -69,9 +85,13 @@
 impl Passed {
     /// A registration was read.
     pub fn put(&mut self, item: &Item, entry: &Entry) {
+        if entry.leaving {
+            self.left(&item.name, entry.leaves.map(Millis::from), item.place);
+            return;
+        }
         let row = Row {
             name: item.name.clone(),
-            value: item.value.clone(),
+            change: Change::Registered(item.value.clone().unwrap_or_default()),
             place: item.place,
         };
         let says = Entry {
@@ -86,11 +106,28 @@
         }
     }
 
+    /// An endpoint is about to leave, as of then; that it still is when it writes again is no
+    /// change.
+    pub fn left(&mut self, name: &str, leaves: Option<Millis>, at: Place) {
+        let row = Row {
+            name: name.to_owned(),
+            change: Change::Leaving { leaves },
+            place: at,
+        };
+        match self.find(name) {
+            Ok(place) if self.kept[place].row.place > at => {}
+            Ok(place) if matches!(self.kept[place].row.change, Change::Leaving { .. }) => {
+                self.kept[place].row.place = at;
+            }
+            found => self.change(found, row, None),
+        }
+    }
+
     /// A registration is gone, as of then.
     pub fn remove(&mut self, name: &str, at: Place) {
         let row = Row {
             name: name.to_owned(),
-            value: None,
+            change: Change::Removed,
             place: at,
         };
         let found = self.find(name);
@@ -117,7 +154,7 @@
     #[must_use]
     pub fn since(&self, after: After) -> (u64, Vec<Row>) {
         let is_news = |kept: &&Kept| match after {
-            After::Number(0) => kept.row.value.is_some(),
+            After::Number(0) => kept.row.change != Change::Removed,
             After::Number(number) => kept.number > number,
             After::Place(place) => kept.changed > place,
         };
@@ -142,7 +179,7 @@
     }
 
     fn forget_old(&mut self) {
-        let removed = |kept: &&Kept| kept.row.value.is_none();
+        let removed = |kept: &&Kept| kept.row.change == Change::Removed;
         if self.kept.iter().filter(removed).count() <= REMOVED {
             return;
         }
--- a/coltsfoothall-forward/src/registrations.rs
+++ b/coltsfoothall-forward/src/registrations.rs
@@ -5,18 +5,24 @@
 
 use bytes::Bytes;
 use coltsfoothall::forward::history::Place;
+use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::peer::Profile;
 use coltsfoothall::forward::reader::{Reading, Source};
 use coltsfoothall::id;
+use coltsfoothall::size::Millis;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::client::Client;
 
 use crate::ask::{self, ENDPOINTS};
 use crate::border::{Item, Listing, Realm};
 use crate::follower::{self, Follower, News};
-use crate::passed::{After, Part, Row};
+use crate::pack;
+use crate::passed::{After, Change, Part, Row};
 use crate::state::State;
 
+/// Where a change was heard of, as the log names it.
+const STORE: &str = "store";
+const PEER: &str = "peer";
 /// Fields of a question: the number, or the place, to go on from.
 const AFTER: &str = "after";
 const PLACE: &str = "place";
@@ -68,7 +74,7 @@
                     continue;
                 };
                 let changed = !listing.items.is_empty();
-                apply(&state, listing, whole, "store");
+                apply(&state, listing, whole);
                 if changed {
                     // Heartbeats change them all the time; one call brings many.
                     tokio::time::sleep(follower::rest(&state, Realm::Endpoints)).await;
@@ -142,10 +148,11 @@
         After::Place(place) => format!("{ENDPOINTS}?{PLACE}={place}"),
     };
     let raw = ask::ask(state, client, peer, &path).await?;
-    match rmp_serde::from_slice(&raw) {
+    let read = pack::unpack(&raw).map_err(|error| error.to_string());
+    let read = read.and_then(|raw| rmp_serde::from_slice(&raw).map_err(|error| error.to_string()));
+    match read {
         Ok(part) => Some(part),
-        Err(error) => {
-            let reason = error.to_string();
+        Err(reason) => {
             event::LINK_FAILED.emit(format_args!("peer={} reason={reason:?}", peer.name));
             None
         }
@@ -154,20 +161,30 @@
 
 /// Takes over what another instance told.
 pub fn take(state: &Rc<State>, part: Part) {
-    let item = |row: Row| Item {
-        name: row.name,
-        value: row.value,
-        place: row.place,
-        created: Place::default(),
-    };
-    let listing = Listing {
-        items: part.rows.into_iter().map(item).collect(),
-        place: part.place,
-    };
-    apply(state, listing, false, "peer");
+    for row in part.rows {
+        let Row {
+            name,
+            change,
+            place,
+        } = row;
+        match change {
+            Change::Registered(value) => {
+                let item = Item {
+                    name,
+                    value: Some(value),
+                    place,
+                    created: Place::default(),
+                };
+                register(state, &item, PEER);
+            }
+            Change::Leaving { leaves } => leave(state, &name, leaves, place),
+            Change::Removed => remove(state, &name, place),
+        }
+    }
+    state.passed.borrow_mut().read_to(part.place);
 }
 
-/// What this instance tells others of the registrations.
+/// What this instance tells others of the registrations, compressed.
 pub fn show(state: &State, query: Option<&str>) -> Option<Bytes> {
     let after = match query.and_then(|query| query.split_once('=')) {
         Some((AFTER, number)) => After::Number(number.parse().ok()?),
@@ -185,39 +202,17 @@
         age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
         rows,
     };
-    rmp_serde::to_vec(&part).ok().map(Bytes::from)
+    rmp_serde::to_vec(&part).ok().map(|raw| pack::pack(&raw))
 }
 
-/// Takes over registrations; a whole list also shows which ones are gone.
-pub fn apply(state: &Rc<State>, listing: Listing, whole: bool, source: &'static str) {
+/// Takes over registrations from the store; a whole list also shows which ones are gone.
+pub fn apply(state: &Rc<State>, listing: Listing, whole: bool) {
     let mut entries = Vec::new();
     for item in listing.items {
         if item.value.is_none() {
             remove(state, &item.name, item.place);
-            continue;
-        }
-        match state.border.entry(&item) {
-            Ok(entry) => {
-                let event = state
-                    .roster
-                    .borrow_mut()
-                    .registered(state.now(), entry.clone());
-                state.note(event, item.place, source);
-                state.passed.borrow_mut().put(&item, &entry);
-                entries.push(entry);
-            }
-            Err(error) => {
-                event::STORE_FAILED.emit(format_args!(
-                    "endpoint={} reason={:?}",
-                    item.name,
-                    error.to_string()
-                ));
-                // Whoever wrote it, it names no endpoint to use, whatever its id was before.
-                if let Ok(id) = item.name.parse() {
-                    state.passed.borrow_mut().remove(&item.name, item.place);
-                    forget(state, &id, item.place, source);
-                }
-            }
+        } else {
+            entries.extend(register(state, &item, STORE));
         }
     }
     state.passed.borrow_mut().read_to(listing.place);
@@ -229,6 +224,46 @@
     }
 }
 
+/// Takes over a registration; what it says, if it can be read.
+fn register(state: &State, item: &Item, source: &str) -> Option<Entry> {
+    match state.border.entry(item) {
+        Ok(entry) => {
+            let event = state
+                .roster
+                .borrow_mut()
+                .registered(state.now(), entry.clone());
+            state.note(event, item.place, source);
+            state.passed.borrow_mut().put(item, &entry);
+            Some(entry)
+        }
+        Err(error) => {
+            event::STORE_FAILED.emit(format_args!(
+                "endpoint={} reason={:?}",
+                item.name,
+                error.to_string()
+            ));
+            // Whoever wrote it, it names no endpoint to use, whatever its id was before.
+            if let Ok(id) = item.name.parse() {
+                state.passed.borrow_mut().remove(&item.name, item.place);
+                forget(state, &id, item.place, source);
+            }
+            None
+        }
+    }
+}
+
+/// A reader says that an endpoint is about to leave.
+fn leave(state: &State, name: &str, leaves: Option<Millis>, at: Place) {
+    let Ok(id) = name.parse::<id::Endpoint>() else {
+        event::STORE_FAILED.emit(format_args!("endpoint={name:?} reason=\"not a name\""));
+        return;
+    };
+    let within = leaves.map(Millis::duration);
+    let event = state.roster.borrow_mut().left(state.now(), &id, at, within);
+    state.note(event, at, PEER);
+    state.passed.borrow_mut().left(name, leaves, at);
+}
+
 /// A registration is gone; after the store was away it may only have lapsed.
 fn remove(state: &Rc<State>, name: &str, at: Place) {
     let Ok(id) = name.parse::<id::Endpoint>() else {
@@ -242,7 +277,7 @@
         if let Some(mercy) = mercy {
             tokio::time::sleep(mercy).await;
         }
-        forget(&state, &id, at, "store");
+        forget(&state, &id, at, STORE);
     });
 }
 
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -65,7 +65,7 @@
     match realm {
         // Followed by a task of its own.
         Realm::Configuration => {}
-        Realm::Endpoints => registrations::apply(state, listing, whole, "store"),
+        Realm::Endpoints => registrations::apply(state, listing, whole),
         Realm::Live => apply_live(state, &listing, whole),
         // Read by who acts for all, and never followed.
         Realm::Notes => {}
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -164,6 +164,28 @@
         }
     }
 
+    /// An instance that reads registrations says that an endpoint is about to leave, as of then,
+    /// and in which time it is taken away if that is known.
+    pub fn left(
+        &mut self,
+        now: Time,
+        id: &id::Endpoint,
+        at: Place,
+        leaves: Option<Duration>,
+    ) -> Option<Event> {
+        let Some(node) = self.node(id) else {
+            self.note_ended(id, at);
+            return None;
+        };
+        let entry = Entry {
+            leaving: true,
+            leaves,
+            place: at,
+            ..node.entry.clone()
+        };
+        self.registered(now, entry)
+    }
+
     /// Another instance says that an endpoint left or was leaving.
     pub fn ended(&mut self, ended: &Ended) -> Option<Event> {
         if self.is_ended(&ended.id, ended.place) {
--- a/coltsfoothall/tests/forward_roster.rs
+++ b/coltsfoothall/tests/forward_roster.rs
@@ -581,3 +581,21 @@
     };
     assert_eq!(roster.removed(&id("a"), gone), Some(Event::Gone(id("a"))));
 }
+
+/// What a reader tells in little has the effect of the registration itself.
+#[test]
+fn leaving_told() {
+    let mut roster = roster(&["a", "b"]);
+    let left = roster.left(at(1), &id("a"), place(2), Some(Duration::from_secs(1)));
+    assert_eq!(left, Some(Event::Leaving(id("a"))));
+    assert!(roster.node(&id("a")).unwrap().entry.leaving);
+    assert_eq!(roster.left(at(2), &id("a"), place(3), None), None, "once");
+    // Older than what is known.
+    roster.registered(at(3), entry("b", "north", 9));
+    assert_eq!(roster.left(at(4), &id("b"), place(8), None), None);
+    assert!(!roster.node(&id("b")).unwrap().entry.leaving);
+    // Not known yet: an older registration that is heard later takes no work.
+    assert_eq!(roster.left(at(5), &id("c"), place(5), None), None);
+    let added = roster.registered(at(6), entry("c", "north", 4));
+    assert_eq!(added, Some(Event::Leaving(id("c"))));
+}
