What a follower knows of endpoints is as old as all hops together

Cause, read and shown by the property test (news_in_time, which failed on the first split of the budget: it left out the answer's own way): ages of hops were bounded one by one and never added up. A lease renewal also made a reader's knowledge as new as the renewal's answer, not its question.

Change: Budget splits the bound among hops, and a follower adds the answer's way to the age that it is told. A follower asks a second reader before it reads for itself.

reader_frozen asserted that a follower reads for itself after one failure; it asserts now that it has a second reader at once and reads for itself after that. news_in_time is stricter than what it replaces: the sum over any reader's life.

Tried on the way and not kept: ages from the watch's own question alone.

--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -13,6 +13,7 @@
 use crate::border::{Actor, Error, Realm, Write};
 use crate::calls::Call;
 use crate::orders::Buyer;
+use crate::registrations;
 use crate::state::State;
 use crate::time;
 use crate::watch::{self, LEADER, MEMBER};
@@ -65,7 +66,7 @@
             matches!(outcome, Ok(()) | Err(Error::Missing(_))),
         );
         let wait = match outcome {
-            Ok(()) => RENEW,
+            Ok(()) => renew_after(&state),
             Err(Error::Missing(_)) => {
                 lease = None;
                 LOOK
@@ -85,6 +86,16 @@
     }
 }
 
+/// Time until the next renewal. Its answer also shows others how old is what a reader of
+/// registrations tells them.
+fn renew_after(state: &State) -> Duration {
+    if registrations::reads_for_others(state) {
+        RENEW.min(registrations::budget(state).oldest / 2)
+    } else {
+        RENEW
+    }
+}
+
 /// Waits until then, until the store came back from a copy, or until the stop.
 async fn pause(state: &State, wait: Duration) {
     tokio::select! {
--- a/coltsfoothall-forward/src/follower.rs
+++ b/coltsfoothall-forward/src/follower.rs
@@ -136,6 +136,7 @@
 
     fn take(&mut self, state: &State, asked: Time, listing: Listing) -> News {
         let realm = self.realm;
+        let whole = self.after.is_none();
         self.pause = PAUSE;
         if let Some(since) = self.lost.take() {
             let away = asked.since(since);
@@ -150,12 +151,15 @@
         match realm {
             Realm::Configuration => state.adoption.store_lost.set(false),
             Realm::Endpoints => {
-                state.fresh.set(Some(state.now()));
+                // Pages of a list are read one after the other; a watch is answered at once
+                // when there is a change.
+                state
+                    .fresh
+                    .set(Some(if whole { asked } else { state.now() }));
                 state.unread.set(false);
             }
             Realm::Live | Realm::Notes => {}
         }
-        let whole = self.after.is_none();
         self.after = Some(listing.place);
         News { listing, whole }
     }
--- a/coltsfoothall-forward/src/registrations.rs
+++ b/coltsfoothall-forward/src/registrations.rs
@@ -7,7 +7,7 @@
 use coltsfoothall::forward::history::Place;
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::peer::Profile;
-use coltsfoothall::forward::reader::{Reading, Source};
+use coltsfoothall::forward::reader::{Budget, Candidate, Reading, Source};
 use coltsfoothall::id;
 use coltsfoothall::size::Millis;
 use coltsfoothall_shell::event;
@@ -26,13 +26,6 @@
 /// Fields of a question: the number, or the place, to go on from.
 const AFTER: &str = "after";
 const PLACE: &str = "place";
-/// Time between two questions to a reader.
-const POLL: Duration = Duration::from_millis(500);
-/// Part of the time in which leaving endpoints must get no more work that a reader's knowledge
-/// may be old.
-const OLD_OF_DRAIN: f64 = 0.75;
-/// Age that it may have in any case: endpoints write again within 1.2 s, and a reader rests.
-const YOUNG: Duration = Duration::from_millis(1_750);
 
 /// What an instance has heard of its reader.
 #[derive(Debug)]
@@ -61,9 +54,10 @@
                     next: None,
                 });
                 if let Some((now, place)) = hear(&state, &client, had, known).await {
+                    reading.answered();
                     heard = Some(now);
                     follower = Follower::new(Realm::Endpoints, Some(place));
-                    tokio::time::sleep(POLL).await;
+                    tokio::time::sleep(budget(&state).pause).await;
                 } else {
                     reading.failed(state.now());
                 }
@@ -87,10 +81,30 @@
 fn source(state: &State, reading: &Reading) -> Source {
     let peers = state.peers.borrow();
     let near = peers.near(state.now(), &state.domain);
-    let near: Vec<&id::Instance> = near.iter().map(|profile| &profile.name).collect();
+    let near: Vec<Candidate<'_>> = near
+        .iter()
+        .map(|profile| Candidate {
+            name: &profile.name,
+            link: profile.link,
+        })
+        .collect();
+    let me = Candidate {
+        name: &state.name,
+        link: state.settings().link(),
+    };
     let members = state.reach().members as usize;
     let alone = state.settings().read_alone;
-    reading.source(state.now(), &state.name, &near, members, alone)
+    reading.source(state.now(), me, &near, members, alone)
+}
+
+/// Whether this instance is one of those that read for others.
+pub fn reads_for_others(state: &State) -> bool {
+    !state.reads_alone() && source(state, &Reading::default()) == Source::Store
+}
+
+/// How the time in which leaving endpoints must get no more work is spent.
+pub fn budget(state: &State) -> Budget {
+    Budget::of(state.settings().bounds.drain.duration())
 }
 
 /// Takes over what a reader knows, and the place up to which all is known then; none if it does
@@ -101,10 +115,11 @@
     had: Heard,
     known: Place,
 ) -> Option<(Heard, Place)> {
-    let lost = |reason: &str| {
+    let lost = |reason: &str, age: Option<Duration>| {
         let reader = &had.reader;
         event::STORE.emit(format_args!(
-            "realm=Endpoints reader={reader} state=lost reason={reason:?}"
+            "realm=Endpoints reader={reader} state=lost reason={reason:?} age_ms={:?}",
+            age.map(|age| age.as_millis())
         ));
     };
     let profile = {
@@ -113,22 +128,17 @@
         let found = near.into_iter().find(|peer| peer.name == had.reader);
         found.cloned()?
     };
-    let by_place = After::Place(known);
-    let after = had.next.map_or(by_place, After::Number);
-    let mut part = ask(state, client, &profile, after).await;
-    if part.as_ref().is_some_and(|part| part.boot != had.boot) && after != by_place {
-        // It counts anew since it started again.
-        part = ask(state, client, &profile, by_place).await;
-    }
-    let Some(part) = part else {
-        lost("no answer");
+    let budget = budget(state);
+    let asked = state.now();
+    let told = tell(state, client, &profile, &had, known);
+    let Ok(Some(part)) = tokio::time::timeout(budget.answer, told).await else {
+        lost("no answer", None);
         return None;
     };
-    let drain = state.settings().bounds.drain.duration();
-    let oldest = drain.mul_f64(OLD_OF_DRAIN).max(YOUNG);
-    let age = part.age_ms.map(Duration::from_millis);
-    if age.is_none_or(|age| age > oldest) {
-        lost("its knowledge is old");
+    let way = state.now().since(asked);
+    let age = part.age_ms.map(|age| Duration::from_millis(age) + way);
+    if age.is_none_or(|age| age > budget.oldest) {
+        lost("its knowledge is old", age);
         return None;
     }
     let now = Heard {
@@ -141,6 +151,23 @@
     Some((now, place))
 }
 
+/// What a reader tells after what was heard of it, or after a place if it counts anew.
+async fn tell(
+    state: &State,
+    client: &Client,
+    reader: &Profile,
+    had: &Heard,
+    known: Place,
+) -> Option<Part> {
+    let by_place = After::Place(known);
+    let after = had.next.map_or(by_place, After::Number);
+    let part = ask(state, client, reader, after).await?;
+    if part.boot == had.boot || after == by_place {
+        return Some(part);
+    }
+    ask(state, client, reader, by_place).await
+}
+
 /// Asks another instance for the registrations that changed there since then.
 pub async fn ask(state: &State, client: &Client, peer: &Profile, after: After) -> Option<Part> {
     let path = match after {
--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -4,7 +4,7 @@
 
 use coltsfoothall::forward::reader;
 use coltsfoothall::id;
-use coltsfoothall::size::Millis;
+use coltsfoothall::size::{Megabits, Millis};
 use coltsfoothall_shell::journal::Log;
 use coltsfoothall_shell::settings::{Check, Fault};
 use serde::{Deserialize, Serialize};
@@ -88,12 +88,23 @@
     /// Most members of a fleet in which each instance reads endpoints' registrations for
     /// itself; in a larger one a few of each failure domain read for the others.
     pub read_alone: usize,
+    /// What the machine's link carries, in Mbit/s; zero where it is not known. The widest ones
+    /// read for others.
+    pub link: f64,
     /// Promised limits.
     pub bounds: Bounds,
     /// The log.
     pub log: Log,
 }
 
+impl Settings {
+    /// What the machine's link carries, in whole Mbit/s.
+    #[must_use]
+    pub fn link(&self) -> Megabits {
+        Megabits(self.link as u64)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
@@ -107,6 +118,7 @@
             cloud: None,
             duties: Vec::new(),
             read_alone: reader::ALONE,
+            link: 0.0,
             bounds: Bounds::default(),
             log: Log::default(),
         }
@@ -134,6 +146,9 @@
                 "is under 1000 ms, less than a watch needs",
             ));
         }
+        if !self.link.is_finite() || self.link < 0.0 {
+            return Err(Fault::new("link", "is not a number of Mbit/s"));
+        }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             return Err(Fault::new("bounds.retry_ratio", "is not within 0 to 1"));
         }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -107,8 +107,8 @@
     pub leader: RefCell<Leader>,
     /// Registrations of endpoints as they were read, for instances that lack them.
     pub passed: RefCell<Passed>,
-    /// When the store last showed that the registrations known here are its own; none while
-    /// it does not answer, or is not asked.
+    /// As of when the registrations known here are the store's own; none while it does not
+    /// answer, or is not asked.
     pub fresh: Cell<Option<Time>>,
     /// Whether the store did not answer the last call for registrations.
     pub unread: Cell<bool>,
@@ -250,6 +250,7 @@
             ready: self.is_ready(),
             version: self.version(),
             clock: time::wall(),
+            link: self.settings().link(),
         }
     }
 
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -45,9 +45,10 @@
         state.health.failed(asked);
         return;
     }
-    if state.fresh.get().is_some() {
-        state.fresh.set(Some(state.now()));
-    }
+    // A watch that waits would have told of a change by then.
+    state
+        .fresh
+        .set(state.fresh.get().map(|fresh| fresh.max(asked)));
     let Some(away) = state.health.answered(state.now()) else {
         return;
     };
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -8,6 +8,7 @@
 use crate::clock::Time;
 use crate::forward::allowance::Reach;
 use crate::id;
+use crate::size::Megabits;
 use crate::turn;
 
 /// Most heartbeats that one instance sends at once. 64 of 1.4 kB each overran the queue
@@ -56,6 +57,9 @@
     pub version: u64,
     /// Its time of day, since 1970.
     pub clock: Duration,
+    /// What its link carries; zero where it does not say.
+    #[serde(default)]
+    pub link: Megabits,
 }
 
 #[derive(Debug, Clone)]
--- a/coltsfoothall/src/size.rs
+++ b/coltsfoothall/src/size.rs
@@ -66,6 +66,8 @@
     Price, " u/h";
     /// Requests in a second.
     Rate, " requests/s";
+    /// What a machine's link carries, in millions of bits a second.
+    Megabits, " Mbit/s";
     /// Milliseconds, where a duration is written in settings or messages.
     Millis, " ms";
 }
--- a/coltsfoothall/tests/forward_peer.rs
+++ b/coltsfoothall/tests/forward_peer.rs
@@ -8,6 +8,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::allowance::Reach;
 use coltsfoothall::forward::peer::{Peers, Profile, Settings, TOGETHER};
+use coltsfoothall::size::Megabits;
 use coltsfoothall::turn;
 
 fn at(millis: u64) -> Time {
@@ -28,6 +29,7 @@
         ready: true,
         version: 1,
         clock: Duration::from_secs(1_000),
+        link: Megabits(0),
     }
 }
 
--- a/coltsfoothall/tests/forward_reader.rs
+++ b/coltsfoothall/tests/forward_reader.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use coltsfoothall::clock::Time;
-use coltsfoothall::forward::reader::{ALONE, READERS, Reading, Source};
+use coltsfoothall::forward::reader::{ALONE, Budget, Candidate, READERS, Reading, Source};
 use coltsfoothall::id;
+use coltsfoothall::size::Megabits;
+use proptest::prelude::*;
 
 const DOMAINS: usize = 5;
 
@@ -21,23 +23,35 @@
     names
 }
 
+fn candidate(name: &id::Instance) -> Candidate<'_> {
+    let link = Megabits(0);
+    Candidate { name, link }
+}
+
 /// The others of an instance's failure domain, without those that are lost.
 fn near<'a>(
     fleet: &'a [id::Instance],
     me: &id::Instance,
-    lost: &[&id::Instance],
-) -> Vec<&'a id::Instance> {
+    lost: &[Candidate<'_>],
+) -> Vec<Candidate<'a>> {
     let domain = &me.as_str()[..7];
     let others = fleet
         .iter()
-        .filter(|name| *name != me && !lost.contains(name));
+        .filter(|name| *name != me && !lost.iter().any(|lost| lost.name == *name));
     others
         .filter(|name| name.as_str().starts_with(domain))
+        .map(candidate)
         .collect()
 }
 
 fn source(reading: &Reading, now: Time, fleet: &[id::Instance], me: &id::Instance) -> Source {
-    reading.source(now, me, &near(fleet, me, &[]), fleet.len(), ALONE)
+    reading.source(
+        now,
+        candidate(me),
+        &near(fleet, me, &[]),
+        fleet.len(),
+        ALONE,
+    )
 }
 
 /// All endpoints of a fleet of any size beat once a second, and all instances hear of it: 300
@@ -84,19 +98,70 @@
     }
 }
 
-/// A reader is frozen: still heard of, no answer. Its follower reads for itself at once, and
-/// has another reader after that.
+/// A reader is frozen: still heard of, no answer. Its follower asks another one at once, reads
+/// for itself if that one fails too, and has the third reader after that.
 #[test]
 fn reader_frozen() {
     let fleet = fleet(195);
     let me = fleet.last().unwrap();
     let mut reading = Reading::default();
-    let first = source(&reading, at(0), &fleet, me);
-    reading.failed(at(1_000));
-    assert_eq!(source(&reading, at(1_001), &fleet, me), Source::Store);
-    assert_eq!(source(&reading, at(3_999), &fleet, me), Source::Store);
-    let second = source(&reading, at(4_000), &fleet, me);
-    assert!(second != first && second != Source::Store, "{second:?}");
+    let mut asked = Vec::new();
+    asked.push(source(&reading, at(0), &fleet, me));
+    reading.failed(at(600));
+    asked.push(source(&reading, at(600), &fleet, me));
+    reading.failed(at(1_200));
+    assert_eq!(source(&reading, at(1_201), &fleet, me), Source::Store);
+    assert_eq!(source(&reading, at(4_199), &fleet, me), Source::Store);
+    asked.push(source(&reading, at(4_200), &fleet, me));
+    for (place, source) in asked.iter().enumerate() {
+        assert!(
+            *source != Source::Store && !asked[..place].contains(source),
+            "{asked:?}"
+        );
+    }
+}
+
+/// Only failures in a row end in a reading at the store.
+#[test]
+fn failures_apart() {
+    let fleet = fleet(195);
+    let me = fleet.last().unwrap();
+    let mut reading = Reading::default();
+    for turn in 0..10 {
+        reading.failed(at(turn * 1_000));
+        let other = source(&reading, at(turn * 1_000), &fleet, me);
+        assert_ne!(other, Source::Store);
+        reading.answered();
+    }
+}
+
+/// Thousands of endpoints write more than a link of 10 Mbit/s carries: those with wider links
+/// read, wherever their names stand.
+#[test]
+fn widest_read() {
+    let fleet = fleet(300);
+    let link = |name: &id::Instance| {
+        let number: usize = name.as_str()[8..].parse().unwrap();
+        Megabits(if number / DOMAINS % 10 == 7 { 200 } else { 10 })
+    };
+    let candidates = |me: &id::Instance| {
+        let mut near = near(&fleet, me, &[]);
+        for other in &mut near {
+            other.link = link(other.name);
+        }
+        near
+    };
+    for name in &fleet {
+        let me = Candidate {
+            name,
+            link: link(name),
+        };
+        let source = Reading::default().source(at(0), me, &candidates(name), 300, ALONE);
+        match source {
+            Source::Store => assert_eq!(me.link, Megabits(200), "{name}"),
+            Source::Reader(reader) => assert_eq!(link(&reader), Megabits(200), "{reader}"),
+        }
+    }
 }
 
 /// All readers of a domain are lost: the next ones by name read, with no word between them.
@@ -106,12 +171,18 @@
     let me = fleet.last().unwrap();
     let all = near(&fleet, me, &[]);
     let lost = &all[..READERS];
-    let heir = all[READERS];
+    let heir = all[READERS].name;
     let reading = Reading::default();
-    let role = reading.source(at(0), heir, &near(&fleet, heir, lost), 195, ALONE);
+    let role = reading.source(
+        at(0),
+        candidate(heir),
+        &near(&fleet, heir, lost),
+        195,
+        ALONE,
+    );
     assert_eq!(role, Source::Store);
-    let asked = reading.source(at(0), me, &near(&fleet, me, lost), 195, ALONE);
-    assert!(matches!(asked, Source::Reader(name) if !lost.contains(&&name)));
+    let asked = reading.source(at(0), candidate(me), &near(&fleet, me, lost), 195, ALONE);
+    assert!(matches!(asked, Source::Reader(name) if !lost.contains(&candidate(&name))));
 }
 
 /// The only ones of a failure domain have nobody to ask.
@@ -121,7 +192,100 @@
     let me: id::Instance = "entry-9-001".parse().unwrap();
     let reading = Reading::default();
     assert_eq!(
-        reading.source(at(0), &me, &[], fleet.len(), ALONE),
+        reading.source(at(0), candidate(&me), &[], fleet.len(), ALONE),
         Source::Store
     );
 }
+
+/// How a reader behaves in a span of time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Health {
+    Sound,
+    /// It answers nothing.
+    Frozen,
+    /// It answers, and says that what it knows is too old.
+    Stale,
+}
+
+/// Length of the spans in which a reader's health stays as it is.
+const SPAN: Duration = Duration::from_millis(700);
+
+/// Follows one instance for ten seconds; the longest time for which news were unknown to it.
+fn longest_unknown(
+    count: usize,
+    drain: Duration,
+    health: &[Vec<Health>; READERS],
+    delays: &[f64],
+) -> Duration {
+    let fleet = fleet(count);
+    let me = fleet.last().unwrap();
+    let readers = near(&fleet, me, &[]);
+    let budget = Budget::of(drain);
+    let mut reading = Reading::default();
+    let mut delays = delays.iter().cycle();
+    let mut delay = |most: Duration| most.mul_f64(*delays.next().unwrap());
+    let (mut now, mut known) = (at(0), at(0));
+    let mut longest = Duration::ZERO;
+    while now < at(10_000) {
+        match source(&reading, now, &fleet, me) {
+            Source::Store => {
+                // The last part of the budget is the store's.
+                let asked = now;
+                now = now + drain / 10;
+                longest = longest.max(now.since(known));
+                known = asked;
+            }
+            Source::Reader(name) => {
+                let place = readers.iter().position(|reader| *reader.name == name);
+                let span = now.since(Time::START).as_millis() / SPAN.as_millis();
+                let spans = &health[place.unwrap()];
+                match spans[span as usize % spans.len()] {
+                    Health::Sound => {
+                        let way = delay(budget.answer);
+                        let age = delay(budget.oldest.saturating_sub(way));
+                        let told = now - age;
+                        now = now + way;
+                        longest = longest.max(now.since(known));
+                        known = known.max(told);
+                        reading.answered();
+                        now = now + budget.pause;
+                    }
+                    Health::Frozen => {
+                        now = now + budget.answer;
+                        reading.failed(now);
+                    }
+                    Health::Stale => {
+                        now = now + delay(budget.answer);
+                        reading.failed(now);
+                    }
+                }
+            }
+        }
+    }
+    longest
+}
+
+fn health() -> impl Strategy<Value = Vec<Health>> {
+    let one = prop_oneof![
+        3 => Just(Health::Sound),
+        1 => Just(Health::Frozen),
+        1 => Just(Health::Stale),
+    ];
+    prop::collection::vec(one, 1..12)
+}
+
+proptest! {
+    /// Whatever readers do, alone or all at once, and as old as what they tell may be, news
+    /// reach a follower within the time in which a leaving endpoint must get no more work.
+    #[test]
+    fn news_in_time(
+        count in prop_oneof![Just(100_usize), Just(300), Just(1_000)],
+        drain in 2_000_u64..=6_000,
+        health in [health(), health(), health()],
+        delays in prop::collection::vec(0.0_f64..=1.0, 1..20),
+    ) {
+        let drain = Duration::from_millis(drain);
+        let longest = longest_unknown(count, drain, &health, &delays);
+        prop_assert!(longest <= drain, "{longest:?} of {drain:?}");
+    }
+}
