A service moves to another version on the operator's order

What callers saw: nothing of roll-outs was served. New endpoints took work like any others, so a bad version got its full share (EXPOSURE), and operators were told nothing.

Change: coltsfoothall::forward::upgrade decides, without I/O: each instance gives the candidate 0.08 of its own requests on each route; answers (failures of the endpoint's own, and those that take three times the baseline's mean) are counted by route and side and summed with heartbeats; every instance judges the sums alone; who acts for all moves a sound candidate on in doubling steps after 0.6 of the time limit, and tells complete once all that are heard have moved and nothing is open at the old endpoints. Orders come with the configuration's watch, no calls of their own. The status is written by the holder on a compared revision; a final one is read by whoever starts or takes over. The buyer counts no candidate.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -9,6 +9,7 @@
 use coltsfoothall::forward::choice::{Ask, Pick};
 use coltsfoothall::forward::roster::{End, Run};
 use coltsfoothall::forward::table::Route;
+use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::id;
 use coltsfoothall::size::Tokens;
 use coltsfoothall::suspicion::Print;
@@ -50,7 +51,12 @@
 impl Job {
     /// What it asks of an endpoint.
     #[must_use]
-    pub fn ask<'a>(&'a self, domain: &'a id::Domain, exclude: &'a [id::Endpoint]) -> Ask<'a> {
+    pub fn ask<'a>(
+        &'a self,
+        domain: &'a id::Domain,
+        exclude: &'a [id::Endpoint],
+        versions: &'a Versions,
+    ) -> Ask<'a> {
         let (prompt, answer) = self.call.tokens.unwrap_or_default();
         Ask {
             service: &self.service,
@@ -60,6 +66,7 @@
             domain,
             exclude,
             memory: self.memory,
+            versions,
         }
     }
 
@@ -76,22 +83,50 @@
     state: Rc<State>,
     run: Option<Run>,
     print: Print,
+    route: std::sync::Arc<Route>,
+    service: id::Service,
+    version: Option<id::Version>,
+    began: Time,
+    /// Whether its first event, or its whole answer, was counted.
+    answered: bool,
     /// The endpoint.
     pub endpoint: id::Endpoint,
 }
 
 impl Share {
-    fn new(state: &Rc<State>, pick: &Pick, ask: &Ask<'_>, print: Print) -> Self {
+    fn new(state: &Rc<State>, pick: &Pick, ask: &Ask<'_>, job: &Job) -> Self {
         let now = state.now();
         let run = state.roster.borrow_mut().began(now, pick, ask);
+        let version = pick.version.as_ref();
+        let route = &job.route.name;
+        state
+            .upgrades
+            .borrow_mut()
+            .sent(&job.service, route, version);
         Self {
             state: Rc::clone(state),
             run: Some(run),
-            print,
+            print: job.print,
+            route: std::sync::Arc::clone(&job.route),
+            service: job.service.clone(),
+            version: pick.version.clone(),
+            began: now,
+            answered: false,
             endpoint: pick.endpoint.clone(),
         }
     }
 
+    /// The endpoint answered: the first event of a stream came, or another answer is whole.
+    /// What broke off says nothing of the endpoint's version, as any endpoint may be lost.
+    pub fn answered(&mut self, failed: bool) {
+        if !std::mem::replace(&mut self.answered, true) {
+            let took = self.state.now().since(self.began);
+            let (route, version) = (&self.route.name, self.version.as_ref());
+            let mut upgrades = self.state.upgrades.borrow_mut();
+            upgrades.answered(&self.service, route, version, took, failed);
+        }
+    }
+
     /// The first part of the answer came.
     pub fn first(&mut self) {
         if let Some(run) = &mut self.run {
@@ -185,8 +220,8 @@
     exclude: &[id::Endpoint],
     after: Option<&str>,
 ) -> Result<Sent, (Fault, Share)> {
-    let ask = job.ask(&state.domain, exclude);
-    let share = Share::new(state, pick, &ask, job.print);
+    let ask = job.ask(&state.domain, exclude, &Versions::Any);
+    let share = Share::new(state, pick, &ask, job);
     let whole = Rc::new(Cell::new(false));
     let mut kept = {
         let now = tokio::time::Instant::now();
--- a/coltsfoothall-forward/src/border.rs
+++ b/coltsfoothall-forward/src/border.rs
@@ -9,6 +9,7 @@
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::order::Order;
 use coltsfoothall::forward::table::Table;
+use coltsfoothall::forward::upgrade;
 use coltsfoothall::forward::usage::Count;
 use coltsfoothall::id;
 use coltsfoothall::size::Tokens;
@@ -119,7 +120,7 @@
 /// A part of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Realm {
-    /// The operators' configuration.
+    /// The operators' configuration and orders.
     Configuration,
     /// Endpoints' registrations.
     Endpoints,
@@ -163,6 +164,26 @@
     pub deletes: Vec<String>,
 }
 
+/// How far a service's move is, as operators are told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// It is not decided.
+    Running,
+    /// All of the service has moved.
+    Complete,
+    /// The new version gets no work.
+    RolledBack,
+}
+
+/// What operators are told of a service's move.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// How far it is.
+    pub progress: Progress,
+    /// The new version.
+    pub target: id::Version,
+}
+
 /// The store.
 pub trait Store {
     /// Reads a whole realm.
@@ -184,6 +205,26 @@
     /// # Errors
     /// Names the field that is wrong.
     fn table(&self, value: &[u8]) -> Result<Table, Error>;
+    /// Whether the value of the operators under a name is the configuration.
+    fn is_configuration(&self, name: &str) -> bool;
+    /// Reads an order to move a service to another version; none if the value is no order.
+    ///
+    /// # Errors
+    /// Names the field that is wrong.
+    fn upgrade(&self, item: &Item) -> Result<Option<upgrade::Order>, Error>;
+    /// What is told to the operators of a service's move, and when that was written.
+    fn report<'a>(
+        &'a self,
+        service: &'a id::Service,
+    ) -> LocalBoxFuture<'a, Result<Option<(Report, Place)>, Error>>;
+    /// Tells the operators of a service's move, if nothing was told since `had`. Returns the
+    /// place of the change.
+    fn tell<'a>(
+        &'a self,
+        service: &'a id::Service,
+        report: &'a Report,
+        had: Option<Place>,
+    ) -> LocalBoxFuture<'a, Result<Place, Error>>;
     /// Reads an endpoint's registration.
     ///
     /// # Errors
--- a/coltsfoothall-forward/src/configuration.rs
+++ b/coltsfoothall-forward/src/configuration.rs
@@ -17,6 +17,7 @@
 use crate::outgoing::{self, Outgoing};
 use crate::pack;
 use crate::state::State;
+use crate::upgrades;
 
 /// Time between looks for a newer configuration at other instances.
 const LOOK: Duration = Duration::from_millis(250);
@@ -29,7 +30,7 @@
         if backlog.grew(state.newest_version()) {
             follower.read_anew();
         }
-        let Some(News { listing, .. }) = follower.step(&state).await else {
+        let Some(News { listing, whole }) = follower.step(&state).await else {
             continue;
         };
         if listing.items.is_empty() {
@@ -38,6 +39,7 @@
         if let Some(version) = take(&state, &listing) {
             backlog.brought(version);
         }
+        upgrades::take(&state, &listing, whole).await;
         // Changes come in groups; one call brings them all.
         tokio::time::sleep(follower::rest(&state, Realm::Configuration)).await;
     }
@@ -46,6 +48,7 @@
 /// Takes over the newest version of a listing that can be read, and returns it.
 fn take(state: &State, listing: &Listing) -> Option<u64> {
     let values = listing.items.iter().rev();
+    let values = values.filter(|item| state.border.is_configuration(&item.name));
     let mut values = values.filter_map(|item| item.value.as_ref());
     values.find_map(|raw| state.adopt(raw, "store"))
 }
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -68,13 +68,26 @@
 /// Whether to give up an endpoint that is silent and may still answer: only if another one has
 /// room for the request now, and a retry is left, which is taken.
 pub fn takes_over(state: &State, job: &Job, trail: &Trail, silent: &id::Endpoint) -> bool {
-    let others = {
-        let mut exclude = trail.exclude.clone();
-        exclude.push(silent.clone());
-        let ask = job.ask(&state.domain, &exclude);
-        state.roster.borrow().choose(state.now(), &ask).is_ok()
+    let mut exclude = trail.exclude.clone();
+    exclude.push(silent.clone());
+    choose(state, job, &exclude).is_ok() && may_repeat(state, job, trail)
+}
+
+/// Chooses an endpoint of the versions that may run the request now, the preferred ones first.
+fn choose(state: &State, job: &Job, exclude: &[id::Endpoint]) -> Result<Pick, Nobody> {
+    let versions = {
+        let upgrades = state.upgrades.borrow();
+        upgrades.versions(&job.service, &job.route.name)
     };
-    others && may_repeat(state, job, trail)
+    let roster = state.roster.borrow();
+    let mut found = Err(Nobody::Absent);
+    for versions in &versions {
+        found = roster.choose(state.now(), &job.ask(&state.domain, exclude, versions));
+        if found.is_ok() {
+            break;
+        }
+    }
+    found
 }
 
 /// Sends a request to one endpoint; none if that is silent and another one takes over.
@@ -133,11 +146,7 @@
     after: Option<&str>,
 ) -> Result<Sent, Refusal> {
     loop {
-        let pick = {
-            let ask = job.ask(&state.domain, &trail.exclude);
-            state.roster.borrow().choose(state.now(), &ask)
-        };
-        let pick = match pick {
+        let pick = match choose(state, job, &trail.exclude) {
             // An answer that comes late anyway makes others late too; this one has not run.
             Ok(pick) if trail.sendings == 0 && is_late(job, &pick) => {
                 let again = pick.wait.saturating_sub(job.route.aim.duration() / 2);
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -13,6 +13,7 @@
 use coltsfoothall::forward::node::Load;
 use coltsfoothall::forward::peer::{Profile, TOGETHER};
 use coltsfoothall::forward::roster::Ended;
+use coltsfoothall::forward::upgrade::Told;
 use coltsfoothall::forward::usage::Count;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::Evidence;
@@ -23,6 +24,7 @@
 use tokio::net::UdpSocket;
 
 use crate::state::State;
+use crate::upgrades;
 
 /// Time between two turns of heartbeats. In a small fleet each one goes to all, so that
 /// load and rates are as old; in a large one the turns take the others by parts, so that
@@ -62,6 +64,9 @@
     /// The last usage window that was reported.
     #[serde(default)]
     reported: Option<u64>,
+    /// Services that move to another version.
+    #[serde(default)]
+    upgrades: Vec<Told>,
 }
 
 impl Heartbeat {
@@ -94,6 +99,7 @@
             evidence: state.docket.borrow().part(now, rows, round),
             era: state.era(),
             reported: state.reported(),
+            upgrades: state.upgrades.borrow().told(now),
         }
     }
 }
@@ -131,6 +137,7 @@
         send(&state, &socket, &targets, turn).await;
         tokio::time::sleep(EVERY).await;
         expire(&state);
+        upgrades::judge(&state);
     }
 }
 
@@ -215,6 +222,10 @@
     state.allowance.borrow_mut().hear(boot, &heartbeat.spent);
     state.usage.borrow_mut().hear(boot, &heartbeat.counts);
     state.hear_work(boot, &heartbeat.work);
+    state
+        .upgrades
+        .borrow_mut()
+        .hear(now, boot, heartbeat.upgrades);
     for ended in &heartbeat.ended {
         let event = state.roster.borrow_mut().ended(ended);
         state.note(event, ended.place, "peer");
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod state;
 pub mod stop;
 pub mod time;
+pub mod upgrades;
 pub mod watch;
--- a/coltsfoothall-forward/src/orders.rs
+++ b/coltsfoothall-forward/src/orders.rs
@@ -106,14 +106,18 @@
     ));
 }
 
-/// Endpoints that take work, by domain and kind.
+/// Endpoints that take work, by domain and kind. Those that a service may be moved to are
+/// started beside the others by whoever ordered the move, and replace none yet.
 fn found(state: &State, service: &id::Service, scaling: &Scaling) -> Vec<(id::Domain, Live)> {
     let roster = state.roster.borrow();
+    let upgrades = state.upgrades.borrow();
+    let candidate = upgrades.candidate(service);
     let count = |domain: &id::Domain, reclaimable: bool| {
         let nodes = roster.nodes().iter().map(|node| &node.entry);
         let nodes = nodes.filter(|entry| {
             entry.service == *service
                 && !entry.leaving
+                && (candidate.is_none() || entry.version.as_ref() != candidate)
                 && entry.domain == *domain
                 && entry.reclaimable == reclaimable
         });
--- a/coltsfoothall-forward/src/registrations.rs
+++ b/coltsfoothall-forward/src/registrations.rs
@@ -260,6 +260,10 @@
                 .borrow_mut()
                 .registered(state.now(), entry.clone());
             state.note(event, item.place, source);
+            state
+                .upgrades
+                .borrow_mut()
+                .present(&entry.service, entry.version.as_ref());
             state.passed.borrow_mut().put(item, &entry);
             Some(entry)
         }
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -80,6 +80,7 @@
         Ok(bytes) => {
             tail.keep(state);
             let failed = status.is_server_error();
+            share.answered(failed);
             share.end(if failed { End::Failed } else { End::Whole });
             let headers = state.border.back(&head.headers);
             let answer = outgoing::answer(status, headers, Outgoing::whole(bytes));
@@ -185,6 +186,7 @@
     note_late(state, job, &endpoint);
     if let Some(share) = &mut relay.share {
         share.first();
+        share.answered(false);
     }
     relay.trail = std::mem::take(trail);
     if first.is_none() {
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -18,6 +18,7 @@
 use coltsfoothall::forward::roster::{End, Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
 use coltsfoothall::forward::table::Route;
+use coltsfoothall::forward::upgrade;
 use coltsfoothall::forward::usage;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::{self, Docket, Print};
@@ -99,6 +100,8 @@
     pub allowance: RefCell<allowance::Book>,
     /// How long answers take.
     pub durations: RefCell<duration::Table>,
+    /// Services that move to another version.
+    pub upgrades: RefCell<upgrade::Book>,
     /// Requests that began to run.
     pub usage: RefCell<usage::Book>,
     /// Other instances.
@@ -160,6 +163,7 @@
             roster: RefCell::new(Roster::new(choice::Settings::default())),
             pool: RefCell::default(),
             allowance: RefCell::default(),
+            upgrades: RefCell::new(upgrade::Book::new(upgrade::Settings::default())),
             usage: RefCell::new(usage::Book::new(
                 boot,
                 settings.bounds.usage_window.duration(),
--- /dev/null
+++ b/coltsfoothall-forward/src/upgrades.rs
@@ -0,0 +1,233 @@
+//! Services that move to another version: orders are taken over, candidates judged, and operators
+//! told.
+
+use coltsfoothall::forward::history::Place;
+use coltsfoothall::forward::upgrade::{Change, Order, Stage, View};
+use coltsfoothall::id;
+use coltsfoothall_shell::event;
+
+use crate::border::{Error, Listing, Progress, Report};
+use crate::state::State;
+
+/// Takes over the orders of a listing; of one that holds all of them some may be settled.
+pub async fn take(state: &State, listing: &Listing, whole: bool) {
+    for item in &listing.items {
+        if item.value.is_none() {
+            continue;
+        }
+        match state.border.upgrade(item) {
+            Ok(Some(order)) => {
+                let is_new = accept(state, order.clone());
+                if is_new && whole {
+                    settle(state, &order).await;
+                }
+            }
+            Ok(None) => {}
+            Err(error) => event::UPGRADE_BAD.emit(format_args!(
+                "name={} reason={:?}",
+                item.name,
+                error.to_string()
+            )),
+        }
+    }
+}
+
+/// Takes over an order; whether it is news.
+fn accept(state: &State, order: Order) -> bool {
+    let service = order.service.clone();
+    let fields = format!(
+        "service={service} target={} limit_ms={} place={}",
+        order.target,
+        order.limit.as_millis(),
+        order.place
+    );
+    let mut upgrades = state.upgrades.borrow_mut();
+    if !upgrades.ordered(state.now(), order) {
+        return false;
+    }
+    event::UPGRADE_ORDERED.emit(format_args!("{fields}"));
+    let roster = state.roster.borrow();
+    let entries = roster.nodes().iter().map(|node| &node.entry);
+    for entry in entries.filter(|entry| entry.service == service) {
+        upgrades.present(&service, entry.version.as_ref());
+    }
+    true
+}
+
+/// Takes over how an order ended, if it did. Where the store does not tell, the candidate is
+/// on trial again until who acts for all reads it.
+async fn settle(state: &State, order: &Order) {
+    match state.border.report(&order.service).await {
+        Ok(Some((report, place))) if place > order.place => {
+            if let Some(stage) = settled(&report, order) {
+                let mut upgrades = state.upgrades.borrow_mut();
+                upgrades.settled(state.now(), &order.service, stage);
+            }
+        }
+        Ok(_) => {}
+        Err(error) => untold(order, &error),
+    }
+}
+
+fn untold(order: &Order, error: &Error) {
+    event::UPGRADE_UNTOLD.emit(format_args!(
+        "service={} reason={:?}",
+        order.service,
+        error.to_string()
+    ));
+}
+
+/// Judges the candidates by what all instances counted.
+pub fn judge(state: &State) {
+    let changes = state.upgrades.borrow_mut().judge(state.now());
+    for change in changes {
+        log(&change);
+    }
+}
+
+fn log(change: &Change) {
+    let (old, new) = (change.answers.baseline, change.answers.candidate);
+    event::UPGRADE.emit(format_args!(
+        "service={} target={} stage={:?} reason={:?} runs={} bad={} ms={} baseline_runs={} baseline_bad={} baseline_ms={}",
+        change.service,
+        change.target,
+        change.stage,
+        change.reason,
+        new.runs,
+        new.bad,
+        new.mean().as_millis(),
+        old.runs,
+        old.bad,
+        old.mean().as_millis(),
+    ));
+}
+
+/// What operators were told of a service.
+#[derive(Debug)]
+struct Line {
+    service: id::Service,
+    /// The order that it is about.
+    order: Place,
+    told: Option<(Report, Place)>,
+}
+
+/// Moves services on and tells operators, while this instance acts for all.
+#[derive(Debug, Default)]
+pub struct Herald {
+    lines: Vec<Line>,
+}
+
+impl Herald {
+    /// Looks at all orders once.
+    pub async fn advance(&mut self, state: &State) {
+        let orders: Vec<Order> = {
+            let upgrades = state.upgrades.borrow();
+            upgrades.orders().map(|(order, _)| order.clone()).collect()
+        };
+        for order in &orders {
+            if let Err(error) = self.advance_one(state, order).await {
+                // The next look tries again; a conflict is read first.
+                self.lines.retain(|line| line.service != order.service);
+                untold(order, &error);
+            }
+        }
+    }
+
+    async fn advance_one(&mut self, state: &State, order: &Order) -> Result<(), Error> {
+        let now = state.now();
+        let line = self.line(state, order).await?;
+        if let Some((report, place)) = &line.told
+            && *place > order.place
+            && let Some(stage) = settled(report, order)
+        {
+            state
+                .upgrades
+                .borrow_mut()
+                .settled(now, &order.service, stage);
+            return Ok(());
+        }
+        let view = view(state, order);
+        let change = {
+            let mut upgrades = state.upgrades.borrow_mut();
+            upgrades.advance(now, &order.service, &view)
+        };
+        if let Some(change) = change {
+            log(&change);
+        }
+        let stage = state
+            .upgrades
+            .borrow()
+            .stage(&order.service)
+            .map(|(_, stage)| stage);
+        let Some(stage) = stage else {
+            return Ok(());
+        };
+        let report = Report {
+            progress: progress(stage),
+            target: order.target.clone(),
+        };
+        let is_told = line
+            .told
+            .as_ref()
+            .is_some_and(|(told, place)| *told == report && *place > order.place);
+        if is_told || state.fence().is_none() {
+            return Ok(());
+        }
+        let had = line.told.as_ref().map(|(_, place)| *place);
+        let place = state.border.tell(&order.service, &report, had).await?;
+        line.told = Some((report, place));
+        Ok(())
+    }
+
+    /// What was told of an order, read at the store the first time.
+    async fn line(&mut self, state: &State, order: &Order) -> Result<&mut Line, Error> {
+        let known = |line: &Line| line.service == order.service && line.order == order.place;
+        let place = match self.lines.iter().position(known) {
+            Some(place) => place,
+            None => {
+                let told = state.border.report(&order.service).await?;
+                self.lines.retain(|line| line.service != order.service);
+                self.lines.push(Line {
+                    service: order.service.clone(),
+                    order: order.place,
+                    told,
+                });
+                self.lines.len() - 1
+            }
+        };
+        Ok(&mut self.lines[place])
+    }
+}
+
+/// The final stage that operators were told of an order.
+fn settled(report: &Report, order: &Order) -> Option<Stage> {
+    if report.target != order.target {
+        return None;
+    }
+    match report.progress {
+        Progress::Running => None,
+        Progress::Complete => Some(Stage::Complete),
+        Progress::RolledBack => Some(Stage::RolledBack),
+    }
+}
+
+fn progress(stage: Stage) -> Progress {
+    match stage {
+        Stage::Trial | Stage::Moving { .. } => Progress::Running,
+        Stage::Complete => Progress::Complete,
+        Stage::RolledBack => Progress::RolledBack,
+    }
+}
+
+fn view(state: &State, order: &Order) -> View {
+    let peers = state.peers.borrow();
+    let boots = peers.profiles(state.now()).into_iter();
+    let boots = boots.map(|profile| profile.boot).collect();
+    let roster = state.roster.borrow();
+    let nodes = roster.nodes().iter();
+    let old = nodes.filter(|node| {
+        node.entry.service == order.service && node.entry.version.as_ref() != Some(&order.target)
+    });
+    let open = old.map(|node| node.load().open).sum();
+    View { boots, open }
+}
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -134,6 +134,14 @@
     RESTORED = 504 Warn "config_restored";
     /// A newer configuration is known to exist and is still not in force.
     BEHIND = 505 Warn "config_behind";
+    /// An operator ordered a service to move to another version.
+    UPGRADE_ORDERED = 506 Info "upgrade_ordered";
+    /// A service's move went on, was completed or was rolled back.
+    UPGRADE = 507 Info "upgrade";
+    /// An order to move a service cannot be read.
+    UPGRADE_BAD = 508 Error "upgrade_bad";
+    /// Operators could not be told of a service's move.
+    UPGRADE_UNTOLD = 509 Warn "upgrade_untold";
     /// A call of the key-value service failed.
     STORE_FAILED = 601 Warn "store_failed";
     /// The instance list or the notices could not be read.
--- a/coltsfoothall/benches/gossip.rs
+++ b/coltsfoothall/benches/gossip.rs
@@ -11,6 +11,7 @@
 use coltsfoothall::forward::history::Place;
 use coltsfoothall::forward::node::{Entry, Load};
 use coltsfoothall::forward::roster::Roster;
+use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::forward::usage;
 use coltsfoothall::id;
 use coltsfoothall::size::{Millis, Tokens};
@@ -49,6 +50,7 @@
         id: name("endpoint", at),
         born: Millis(1),
         service: "reader".parse().expect("a name"),
+        version: None,
         address: "127.0.0.1:9".parse().expect("an address"),
         domain: name("domain", at % 5),
         slots: 16,
@@ -151,6 +153,7 @@
         domain: &domain,
         exclude: &[],
         memory: Some(Tokens(500_000)),
+        versions: &Versions::Any,
     };
     let begun = Instant::now();
     for _ in 0..100 {
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -14,6 +14,7 @@
 use crate::forward::node::Node;
 use crate::forward::pace::{self, Pace, Sample};
 use crate::forward::roster::Roster;
+use crate::forward::upgrade::Versions;
 use crate::id;
 use crate::size::Tokens;
 
@@ -84,6 +85,18 @@
     pub exclude: &'a [id::Endpoint],
     /// Memory of one endpoint, where it is an engine.
     pub memory: Option<Tokens>,
+    /// Versions of the service that may run it.
+    pub versions: &'a Versions,
+}
+
+impl Ask<'_> {
+    /// Whether an endpoint is of those that may run it.
+    fn allows(&self, node: &Node) -> bool {
+        let entry = &node.entry;
+        entry.service == *self.service
+            && !entry.leaving
+            && self.versions.has(entry.version.as_ref())
+    }
 }
 
 /// A chosen endpoint.
@@ -93,6 +106,8 @@
     pub endpoint: id::Endpoint,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The version that it runs, if it says so.
+    pub version: Option<id::Version>,
     /// Expected time to the first event or the answer.
     pub wait: Duration,
     /// Tokens of the prompt that it has to read, as believed.
@@ -132,10 +147,7 @@
         let mut best: Option<(&Node, Weighed)> = None;
         let mut among = 0;
         for node in &self.nodes {
-            if node.entry.service != *ask.service
-                || node.entry.leaving
-                || ask.exclude.contains(&node.entry.id)
-            {
+            if !ask.allows(node) || ask.exclude.contains(&node.entry.id) {
                 continue;
             }
             if self.is_full(now, node, ask) {
@@ -156,6 +168,7 @@
         Ok(Pick {
             endpoint: node.entry.id.clone(),
             address: node.entry.address,
+            version: node.entry.version.clone(),
             wait: Duration::from_micros(weighed.wait as u64),
             unread: weighed.unread,
             sample: weighed.sample,
@@ -171,11 +184,7 @@
             return Home::Nowhere;
         };
         let oldest = now - self.settings.keep;
-        let nodes = || {
-            self.nodes
-                .iter()
-                .filter(|node| node.entry.service == *ask.service && !node.entry.leaving)
-        };
+        let nodes = || self.nodes.iter().filter(|node| ask.allows(node));
         if nodes().any(|node| node.knows(chain, oldest)) {
             return Home::Held(oldest);
         }
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -21,4 +21,6 @@
 pub mod roster;
 pub mod stop;
 pub mod table;
+pub mod upgrade;
 pub mod usage;
+pub mod verdict;
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -36,6 +36,8 @@
     pub born: Millis,
     /// Its service.
     pub service: id::Service,
+    /// The version that it runs, if it says so.
+    pub version: Option<id::Version>,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its failure domain.
--- a/coltsfoothall/src/id.rs
+++ b/coltsfoothall/src/id.rs
@@ -110,6 +110,8 @@
     Service;
     /// A back end: a model engine or a plain service on one instance.
     Endpoint;
+    /// A version of a service's software.
+    Version;
     /// A model that engines load.
     Model;
     /// An adapter on top of a model.
--- a/coltsfoothall/tests/forward_gossip.rs
+++ b/coltsfoothall/tests/forward_gossip.rs
@@ -32,6 +32,7 @@
         id: id(number),
         born: Millis(born),
         service: "reader".parse().unwrap(),
+        version: None,
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "north".parse().unwrap(),
         slots: 16,
--- a/coltsfoothall/tests/forward_parts.rs
+++ b/coltsfoothall/tests/forward_parts.rs
@@ -9,6 +9,7 @@
 use coltsfoothall::forward::history::{Era, Place};
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::roster::{End, Roster};
+use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::id;
 use coltsfoothall::size::{Millis, Tokens};
 use rand::{Rng, SeedableRng};
@@ -39,6 +40,7 @@
         id: id(number),
         born: Millis(0),
         service: "reader".parse().unwrap(),
+        version: None,
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "north".parse().unwrap(),
         slots: 64,
@@ -111,6 +113,7 @@
             domain: &domain,
             exclude: &[],
             memory: Some(Tokens(600_000)),
+            versions: &Versions::Any,
         };
         let roster = &mut self.rosters[random.random_range(0..INSTANCES)];
         let pick = roster.choose(at(now), &ask).unwrap();
--- a/coltsfoothall/tests/forward_roster.rs
+++ b/coltsfoothall/tests/forward_roster.rs
@@ -10,6 +10,7 @@
 use coltsfoothall::forward::history::{Era, Place};
 use coltsfoothall::forward::node::{Entry, Load};
 use coltsfoothall::forward::roster::{End, Ended, Event, Roster};
+use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::id;
 use coltsfoothall::size::{Millis, Tokens};
 use proptest::prelude::*;
@@ -32,6 +33,7 @@
         id: id(name),
         born: Millis(0),
         service: "reader".parse().unwrap(),
+        version: None,
         address: "127.0.0.1:9".parse().unwrap(),
         domain: domain.parse().unwrap(),
         slots: 8,
@@ -87,6 +89,7 @@
             domain: &self.domain,
             exclude,
             memory: Some(Tokens(100_000)),
+            versions: &Versions::Any,
         }
     }
 }
@@ -599,3 +602,31 @@
     let added = roster.registered(at(6), entry("c", "north", 4));
     assert_eq!(added, Some(Event::Leaving(id("c"))));
 }
+
+/// Versions that may not run a request are not chosen, however idle their endpoints are.
+#[test]
+fn versions_kept_apart() {
+    let case = Case::new();
+    let mut roster = Roster::new(Settings::default());
+    let (old, new): (id::Version, id::Version) = ("v1".parse().unwrap(), "v2".parse().unwrap());
+    for (name, version) in [("a", Some(&old)), ("b", Some(&new)), ("c", None)] {
+        let version = version.cloned();
+        let entry = Entry {
+            version,
+            ..entry(name, "north", 1)
+        };
+        roster.registered(at(0), entry);
+    }
+    let among = |versions: &Versions| {
+        let ask = Ask {
+            versions,
+            ..case.ask(&[])
+        };
+        roster.choose(at(0), &ask).map(|pick| pick.among)
+    };
+    assert_eq!(among(&Versions::Any), Ok(3));
+    assert_eq!(among(&Versions::Only(new.clone())), Ok(1));
+    assert_eq!(among(&Versions::Without(new)), Ok(2));
+    let unknown = "v9".parse().unwrap();
+    assert_eq!(among(&Versions::Only(unknown)), Err(Nobody::Absent));
+}
