An owner that freezes in an answer is left once it is replaced

What callers saw: a call was not answered in 30 s (docs/findings/owner_silent.log); a stream had no part for 10 s, until the caller gave the connection up.

Cause: Source::next waited for the owner's next piece whatever the members said. A frozen owner keeps its connections open, so nothing broke: in the log entry-3 stayed with entry-1 for 36 s after it was judged dead and its slots taken over.

Ruled out: the search for the next owner, which is quick once it begins.

The test itself was never made to fail again.

--- a/coltsfoothall-entry/src/source.rs
+++ b/coltsfoothall-entry/src/source.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use coltsfoothall::id;
+use coltsfoothall::key::Key;
 use coltsfoothall::size::Millis;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::fault::{Code, Fault, Outcome};
@@ -99,16 +100,13 @@
     /// The next piece; after an end or a fault there is none.
     pub async fn next(&mut self) -> Piece {
         loop {
-            let Some(stream) = &mut self.stream else {
+            if self.stream.is_none() {
                 match self.find().await {
                     Ok(()) => continue,
                     Err(fault) => return Piece::Fault(Box::new(fault)),
                 }
-            };
-            let piece = match stream {
-                Stream::Local(follower) => Some(follower.next().await),
-                Stream::Remote { body, frames } => remote(body, frames).await,
-            };
+            }
+            let piece = self.piece().await;
             match piece {
                 Some(Piece::Moved) | None => {
                     self.lose(piece.is_none());
@@ -141,6 +139,19 @@
         }
     }
 
+    /// The next piece of the owner's stream; none if the stream broke, or the owner is judged
+    /// dead and replaced: a frozen one keeps its connections open.
+    async fn piece(&mut self) -> Option<Piece> {
+        let (node, key) = (&self.node, &self.follow.name.key);
+        match self.stream.as_mut()? {
+            Stream::Local(follower) => Some(follower.next().await),
+            Stream::Remote { body, frames } => tokio::select! {
+                piece = remote(body, frames) => piece,
+                () = replaced(node, key, self.owner.as_ref()) => None,
+            },
+        }
+    }
+
     /// The owner's stream ended without an end of the answer: it handed the
     /// request over, or was lost. It is asked again only after the others.
     fn lose(&mut self, lost: bool) {
@@ -289,6 +300,19 @@
     }
 }
 
+/// Waits until an owner is no member any more and another one owns the slot of the key.
+async fn replaced(node: &Node, key: &Key, owner: Option<&id::Instance>) {
+    loop {
+        sleep(ROUND).await;
+        let view = node.view();
+        let is_dead = owner.is_none_or(|owner| view.peer(owner).is_none());
+        let entry = view.table.entry(view.slot(key));
+        if is_dead && entry.is_some_and(|entry| Some(&entry.primary) != owner) {
+            return;
+        }
+    }
+}
+
 /// The next piece from another instance, or none when the stream broke.
 async fn remote(body: &mut Incoming, frames: &mut Frames) -> Option<Piece> {
     loop {
--- a/coltsfoothall-entry/tests/outage.rs
+++ b/coltsfoothall-entry/tests/outage.rs
@@ -296,3 +296,34 @@
     assert_eq!(runs(&system).await, before + 1, "{}", system.logs());
     system.assert_sound().await;
 }
+
+/// The owner freezes in the middle of an answer that another instance passes on. Its connections
+/// stay open, so that nothing breaks; once another one has taken over, the answer goes on there.
+#[tokio::test]
+async fn freezes_in_answer() {
+    let system = System::start(Shape::default()).await;
+    sleep(2 * PAUSE).await;
+    let key = own_key(&system, 0, 1).await;
+    let ask = Ask {
+        origin: Origin::Given(key),
+        ..Ask::from(prompt("freezes", 400))
+    };
+    let caller = system.caller_of(&[2], 61);
+    let asked = tokio::spawn(async move { caller.ask(&ask).await });
+    sleep(Duration::from_millis(500)).await;
+    assert!(!asked.is_finished(), "it is under way");
+    system.entries[0].pause();
+    let outcome = timeout(PATIENCE, asked).await;
+    system.entries[0].wake();
+    let outcome = outcome.unwrap_or_else(|_late| panic!("no answer\n{}", system.logs()));
+    let outcome = outcome.unwrap();
+    let outcome = outcome.unwrap_or_else(|error| panic!("{error}\n{}", system.logs()));
+    assert_eq!(outcome.tokens, 400);
+    assert!(
+        outcome.breaks.is_empty(),
+        "{:?}\n{}",
+        outcome.breaks,
+        system.logs()
+    );
+    system.assert_sound().await;
+}
