A candidate gets its part from the start in a large fleet

Cause: each instance began with nothing on each route. 300 instances with half a request a second on it sent the candidate none for 25 s, so that route was judged by no answer, and the move went on by the answers of the others.

Change: what an instance begins with is drawn from 0 to 1, so the sum of all is the part that is due from the first request on; and nothing is moved before each busy route has answers of the candidate.

--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -163,7 +163,7 @@
             roster: RefCell::new(Roster::new(choice::Settings::default())),
             pool: RefCell::default(),
             allowance: RefCell::default(),
-            upgrades: RefCell::new(upgrade::Book::new(upgrade::Settings::default())),
+            upgrades: RefCell::new(upgrade::Book::new(upgrade::Settings::default(), boot)),
             usage: RefCell::new(usage::Book::new(
                 boot,
                 settings.bounds.usage_window.duration(),
--- a/coltsfoothall/src/forward/upgrade.rs
+++ b/coltsfoothall/src/forward/upgrade.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Time;
 use crate::forward::history::Place;
@@ -28,6 +29,10 @@
     pub step: Duration,
     /// Answers of the candidate without which nothing is moved.
     pub answers: u32,
+    /// Answers of the candidate on each busy route without which nothing is moved.
+    pub sampled: u32,
+    /// Answers of the baseline from which on a route is busy.
+    pub busy: u32,
     /// Unused parts of requests that are kept: a candidate that was away is not flooded.
     pub credit: f64,
 }
@@ -39,6 +44,8 @@
             observed: 0.6,
             step: Duration::from_millis(700),
             answers: 30,
+            sampled: 8,
+            busy: 200,
             credit: 2.0,
         }
     }
@@ -145,8 +152,8 @@
 #[derive(Debug, Clone)]
 struct Lane {
     route: String,
-    /// Requests that the candidate may still get.
-    credit: f64,
+    /// Requests that the candidate may still get, once one was sent.
+    credit: Option<f64>,
     own: Pair,
     /// Answers of all instances when they were last judged.
     judged: Pair,
@@ -189,15 +196,18 @@
 #[derive(Debug, Clone, Default)]
 pub struct Book {
     settings: Settings,
+    /// Differs between instances.
+    seed: u64,
     upgrades: Vec<Upgrade>,
 }
 
 impl Book {
-    /// No order yet.
+    /// No order yet; the seed differs between instances.
     #[must_use]
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings, seed: u64) -> Self {
         Self {
             settings,
+            seed,
             upgrades: Vec::new(),
         }
     }
@@ -291,11 +301,12 @@
             return;
         };
         let share = self.share(self.upgrades[place].stage);
-        let most = self.settings.credit;
+        let (most, seed) = (self.settings.credit, self.seed);
         let upgrade = &mut self.upgrades[place];
         let spent = f64::from(u8::from(version == Some(&upgrade.order.target)));
         let lane = upgrade.lane(route);
-        lane.credit = (lane.credit + share - spent).min(most);
+        let had = lane.credit.unwrap_or_else(|| first_credit(seed, route));
+        lane.credit = Some((had + share - spent).min(most));
     }
 
     /// An endpoint answered a request: in which time, to the first event of a stream, and
@@ -398,6 +409,7 @@
             Stage::Trial
                 if age >= upgrade.order.limit.mul_f64(settings.observed)
                     && all.candidate.runs >= settings.answers
+                    && upgrade.is_sampled(&settings)
                     && !upgrade.is_suspect() =>
             {
                 (Stage::Moving { step: 1 }, "as good as the baseline")
@@ -436,6 +448,12 @@
     }
 }
 
+/// What an instance begins with on a route, from 0 to 1: drawn, so that in a large fleet, where
+/// each sees few requests, the candidate gets its part of them all from the start.
+fn first_credit(seed: u64, route: &str) -> f64 {
+    xxh3_64_with_seed(route.as_bytes(), seed) as f64 / u64::MAX as f64
+}
+
 /// The candidate's part after so many steps.
 fn moved_part(share: f64, step: u32) -> f64 {
     (share * 2_f64.powi(step.min(16) as i32)).min(1.0)
@@ -452,7 +470,15 @@
 
     fn credit(&self, route: &str) -> f64 {
         let lane = self.lanes.iter().find(|lane| lane.route == route);
-        lane.map_or(0.0, |lane| lane.credit)
+        lane.and_then(|lane| lane.credit).unwrap_or(0.0)
+    }
+
+    /// Whether the candidate answered on each route that many requests take.
+    fn is_sampled(&self, settings: &Settings) -> bool {
+        self.routes().iter().all(|route| {
+            let sum = self.sum(route);
+            sum.baseline.runs < settings.busy || sum.candidate.runs >= settings.sampled
+        })
     }
 
     fn lane(&mut self, route: &str) -> &mut Lane {
@@ -460,7 +486,7 @@
         let place = place.unwrap_or_else(|| {
             self.lanes.push(Lane {
                 route: route.to_owned(),
-                credit: 0.0,
+                credit: None,
                 own: Pair::default(),
                 judged: Pair::default(),
                 detector: Detector::default(),
