--- a/coltsfoothall/src/forward/verdict.rs
+++ b/coltsfoothall/src/forward/verdict.rs
@@ -12,6 +12,8 @@
 
 /// Times the baseline's mean time from which on an answer is bad.
 const SLOW: f64 = 3.0;
+/// Time in which no answer counts as slow: that of a turn of a busy instance.
+const QUICK: Duration = Duration::from_millis(50);
 /// Answers of the baseline without which no answer counts as slow.
 const USUAL: u32 = 20;
 /// Part of its sound answers that a worse version is taken to spoil at the least.
@@ -31,18 +33,18 @@
     pub runs: u32,
     /// Bad ones.
     pub bad: u32,
-    /// Milliseconds that they took together.
-    pub millis: u64,
+    /// Microseconds that they took together.
+    pub micros: u64,
 }
 
 impl Count {
     /// Counts an answer; `usual` are those of the baseline on the same route.
     pub fn add(&mut self, took: Duration, failed: bool, usual: Self) {
-        let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
-        let is_slow = usual.runs >= USUAL && took > usual.mean().mul_f64(SLOW);
+        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        let is_slow = usual.runs >= USUAL && took > usual.mean().mul_f64(SLOW).max(QUICK);
         self.runs = self.runs.saturating_add(1);
         self.bad = self.bad.saturating_add(u32::from(failed || is_slow));
-        self.millis = self.millis.saturating_add(millis);
+        self.micros = self.micros.saturating_add(micros);
     }
 
     /// Both together.
@@ -51,7 +53,7 @@
         Self {
             runs: self.runs.saturating_add(rest.runs),
             bad: self.bad.saturating_add(rest.bad),
-            millis: self.millis.saturating_add(rest.millis),
+            micros: self.micros.saturating_add(rest.micros),
         }
     }
 
@@ -61,14 +63,14 @@
         Self {
             runs: self.runs.saturating_sub(earlier.runs),
             bad: self.bad.saturating_sub(earlier.bad),
-            millis: self.millis.saturating_sub(earlier.millis),
+            micros: self.micros.saturating_sub(earlier.micros),
         }
     }
 
     /// Mean time of an answer.
     #[must_use]
     pub fn mean(self) -> Duration {
-        Duration::from_millis(self.millis) / self.runs.max(1)
+        Duration::from_micros(self.micros) / self.runs.max(1)
     }
 }
 
