--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -18,7 +18,7 @@
 use tokio::task::LocalSet;
 
 use crate::ask::{CONFIGURATION, ENDPOINTS, PACKED};
-use crate::border::{Border, Realm};
+use crate::border::Border;
 use crate::connection::Connection;
 use crate::intake::Front;
 use crate::listen::{self, Connections, Handler, Limits};
@@ -105,11 +105,10 @@
 }
 
 fn start(state: &Rc<State>, socket: &Rc<UdpSocket>) {
-    let follow = |realm| watch::follow(Rc::clone(state), realm);
     tokio::task::spawn_local(configuration::follow(Rc::clone(state)));
     tokio::task::spawn_local(configuration::ask_peers(Rc::clone(state)));
     tokio::task::spawn_local(registrations::follow(Rc::clone(state)));
-    tokio::task::spawn_local(follow(Realm::Live));
+    tokio::task::spawn_local(watch::follow(Rc::clone(state)));
     tokio::task::spawn_local(watch::ask_endpoints(Rc::clone(state)));
     tokio::task::spawn_local(gossip::speak(Rc::clone(state), Rc::clone(socket)));
     tokio::task::spawn_local(gossip::listen(Rc::clone(state), Rc::clone(socket)));
--- a/coltsfoothall-forward/src/watch.rs
+++ b/coltsfoothall-forward/src/watch.rs
@@ -1,4 +1,4 @@
-//! Follows the store, and asks other instances for what it cannot give.
+//! Follows who is there, and asks other instances for what the store cannot give.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,18 +23,18 @@
 /// Name of the key whose holder acts for all.
 pub const LEADER: &str = "leader";
 
-/// Follows one part of the store for as long as the process runs.
-pub async fn follow(state: Rc<State>, realm: Realm) {
-    let mut follower = Follower::new(realm, None);
+/// Follows who is there for as long as the process runs.
+pub async fn follow(state: Rc<State>) {
+    let mut follower = Follower::new(Realm::Live, None);
     loop {
-        let Some(news) = follower.step(&state).await else {
+        let Some(News { listing, whole }) = follower.step(&state).await else {
             continue;
         };
-        let changed = !news.listing.items.is_empty();
-        apply(&state, realm, news);
+        let changed = !listing.items.is_empty();
+        apply(&state, &listing, whole);
         if changed {
             // Changes come in groups; one call brings them all.
-            tokio::time::sleep(follower::rest(&state, realm)).await;
+            tokio::time::sleep(follower::rest(&state, Realm::Live)).await;
         }
     }
 }
@@ -61,19 +61,7 @@
     }
 }
 
-fn apply(state: &Rc<State>, realm: Realm, news: News) {
-    let News { listing, whole } = news;
-    match realm {
-        // Followed by a task of its own.
-        Realm::Configuration => {}
-        Realm::Endpoints => registrations::apply(state, listing, whole),
-        Realm::Live => apply_live(state, &listing, whole),
-        // Read by who acts for all, and never followed.
-        Realm::Notes => {}
-    }
-}
-
-fn apply_live(state: &State, listing: &Listing, whole: bool) {
+fn apply(state: &State, listing: &Listing, whole: bool) {
     for item in &listing.items {
         if let Some(name) = item.name.strip_prefix(MEMBER) {
             apply_member(state, name, item);
