--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -16,7 +16,7 @@
 use crate::registrations;
 use crate::state::State;
 use crate::time;
-use crate::upgrades::Herald;
+use crate::upgrades::Driver;
 use crate::watch::{self, LEADER, MEMBER};
 
 /// Term of a registration; a killed instance counts as a member for so long at most.
@@ -162,7 +162,7 @@
             Some(term) if term.fence == fence => term,
             other => other.insert(Term::new(fence)),
         };
-        term.herald.advance(&state).await;
+        term.driver.advance(&state).await;
         term.reporter.report(&state).await;
         term.buyer.order(&state).await;
     }
@@ -174,7 +174,7 @@
     fence: Fence,
     reporter: Reporter,
     buyer: Buyer,
-    herald: Herald,
+    driver: Driver,
 }
 
 impl Term {
@@ -183,7 +183,7 @@
             fence,
             reporter: Reporter::default(),
             buyer: Buyer::default(),
-            herald: Herald::default(),
+            driver: Driver::default(),
         }
     }
 }
--- a/coltsfoothall-forward/src/upgrades.rs
+++ b/coltsfoothall-forward/src/upgrades.rs
@@ -113,11 +113,11 @@
 
 /// Moves services on and tells operators, while this instance acts for all.
 #[derive(Debug, Default)]
-pub struct Herald {
+pub struct Driver {
     lines: Vec<Line>,
 }
 
-impl Herald {
+impl Driver {
     /// Looks at all orders once.
     pub async fn advance(&mut self, state: &State) {
         let orders: Vec<Order> = {
--- a/coltsfoothall/src/forward/upgrade.rs
+++ b/coltsfoothall/src/forward/upgrade.rs
@@ -150,7 +150,7 @@
 
 /// One route at this instance.
 #[derive(Debug, Clone)]
-struct Lane {
+struct Tally {
     route: String,
     /// Requests that the candidate may still get, once one was sent.
     credit: Option<f64>,
@@ -178,7 +178,7 @@
     entered: Time,
     /// Whether an endpoint of the baseline was there since the order.
     had_baseline: bool,
-    lanes: Vec<Lane>,
+    tallies: Vec<Tally>,
     heard: Vec<Heard>,
 }
 
@@ -220,7 +220,7 @@
             stage: Stage::Trial,
             entered: now,
             had_baseline: false,
-            lanes: Vec::new(),
+            tallies: Vec::new(),
             heard: Vec::new(),
             order,
         };
@@ -304,9 +304,9 @@
         let (most, seed) = (self.settings.credit, self.seed);
         let upgrade = &mut self.upgrades[place];
         let spent = f64::from(u8::from(version == Some(&upgrade.order.target)));
-        let lane = upgrade.lane(route);
-        let had = lane.credit.unwrap_or_else(|| first_credit(seed, route));
-        lane.credit = Some((had + share - spent).min(most));
+        let tally = upgrade.tally(route);
+        let had = tally.credit.unwrap_or_else(|| first_credit(seed, route));
+        tally.credit = Some((had + share - spent).min(most));
     }
 
     /// An endpoint answered a request: in which time, to the first event of a stream, and
@@ -324,9 +324,9 @@
         };
         let upgrade = &mut self.upgrades[place];
         let is_candidate = version == Some(&upgrade.order.target);
-        let lane = upgrade.lane(route);
-        let usual = lane.judged.baseline;
-        let own = &mut lane.own;
+        let tally = upgrade.tally(route);
+        let usual = tally.judged.baseline;
+        let own = &mut tally.own;
         let side = if is_candidate {
             &mut own.candidate
         } else {
@@ -339,13 +339,15 @@
     #[must_use]
     pub fn told(&self, now: Time) -> Vec<Told> {
         let told = self.upgrades.iter().map(|had| {
-            let lanes = had.lanes.iter().filter(|_lane| !had.stage.is_final());
+            let tallies = had.tallies.iter().filter(|_lane| !had.stage.is_final());
             Told {
                 service: had.order.service.clone(),
                 place: had.order.place,
                 stage: had.stage,
                 age: Millis::from(now.since(had.since)),
-                answers: lanes.map(|lane| (lane.route.clone(), lane.own)).collect(),
+                answers: tallies
+                    .map(|tally| (tally.route.clone(), tally.own))
+                    .collect(),
             }
         });
         told.collect()
@@ -469,8 +471,8 @@
     }
 
     fn credit(&self, route: &str) -> f64 {
-        let lane = self.lanes.iter().find(|lane| lane.route == route);
-        lane.and_then(|lane| lane.credit).unwrap_or(0.0)
+        let tally = self.tallies.iter().find(|tally| tally.route == route);
+        tally.and_then(|tally| tally.credit).unwrap_or(0.0)
     }
 
     /// Whether the candidate answered on each route that many requests take.
@@ -481,25 +483,25 @@
         })
     }
 
-    fn lane(&mut self, route: &str) -> &mut Lane {
-        let place = self.lanes.iter().position(|lane| lane.route == route);
+    fn tally(&mut self, route: &str) -> &mut Tally {
+        let place = self.tallies.iter().position(|tally| tally.route == route);
         let place = place.unwrap_or_else(|| {
-            self.lanes.push(Lane {
+            self.tallies.push(Tally {
                 route: route.to_owned(),
                 credit: None,
                 own: Pair::default(),
                 judged: Pair::default(),
                 detector: Detector::default(),
             });
-            self.lanes.len() - 1
+            self.tallies.len() - 1
         });
-        &mut self.lanes[place]
+        &mut self.tallies[place]
     }
 
     /// Answers of all instances on a route. What instances told that are gone stays true.
     fn sum(&self, route: &str) -> Pair {
-        let own = self.lanes.iter().filter(|lane| lane.route == route);
-        let own = own.map(|lane| lane.own);
+        let own = self.tallies.iter().filter(|tally| tally.route == route);
+        let own = own.map(|tally| tally.own);
         let heard = self.heard.iter().flat_map(|heard| &heard.answers);
         let heard = heard.filter(|(have, _)| have == route);
         own.chain(heard.map(|(_, pair)| *pair))
@@ -513,7 +515,7 @@
     }
 
     fn routes(&self) -> Vec<String> {
-        let own = self.lanes.iter().map(|lane| &lane.route);
+        let own = self.tallies.iter().map(|tally| &tally.route);
         let heard = self.heard.iter().flat_map(|heard| &heard.answers);
         let mut routes: Vec<String> = own.chain(heard.map(|(route, _)| route)).cloned().collect();
         routes.sort_unstable();
@@ -527,11 +529,11 @@
         let mut found = None;
         for route in self.routes() {
             let sum = self.sum(&route);
-            let lane = self.lane(&route);
-            let new = sum.candidate.since(lane.judged.candidate);
-            lane.judged = sum;
-            lane.detector.saw(new, sum.baseline);
-            if lane.detector.is_certain() {
+            let tally = self.tally(&route);
+            let new = sum.candidate.since(tally.judged.candidate);
+            tally.judged = sum;
+            tally.detector.saw(new, sum.baseline);
+            if tally.detector.is_certain() {
                 found = Some(sum);
             }
         }
@@ -540,7 +542,7 @@
 
     /// Whether a difference is likely on some route, though not certain.
     fn is_suspect(&self) -> bool {
-        self.lanes.iter().any(|lane| lane.detector.is_suspect())
+        self.tallies.iter().any(|tally| tally.detector.is_suspect())
     }
 
     fn all_moved(&self, boots: &[u64]) -> bool {
