--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -185,13 +185,7 @@
         .path_and_query()
         .map_or("", |target| target.as_str());
     let fingerprint = Fingerprint::of_call(holder, head.method.as_str(), target, &body);
-    let verdict = state.suspicions.borrow().verdict(state.now(), fingerprint);
-    if verdict == Verdict::Poisonous {
-        return Err(unavailable(
-            "such requests crashed endpoints",
-            POISONOUS_RETRY_DELAY,
-        ));
-    }
+    judge(state, &call, fingerprint)?;
     let hash = xxh3_64(call.id.as_deref().unwrap_or_default().as_bytes());
     let Some(service) = route.target(hash).cloned() else {
         return Err(unavailable(
@@ -222,6 +216,30 @@
     Ok(job)
 }
 
+/// Refuses a request if endpoints died while they ran its content.
+fn judge(state: &State, call: &Call, fingerprint: Fingerprint) -> Result<(), Refusal> {
+    let now = state.now();
+    let suspicions = state.suspicions.borrow();
+    let verdict = suspicions.verdict(now, fingerprint);
+    if verdict == Verdict::Free {
+        return Ok(());
+    }
+    let evidence = suspicions.evidence_for(now, &[fingerprint.content]);
+    let deaths = evidence.iter().flat_map(|evidence| &evidence.deaths);
+    let deaths: Vec<(u64, u64)> = deaths.map(|death| (death.began.0, death.age.0)).collect();
+    event::SUSPECTED.emit(format_args!(
+        "request={} verdict={verdict:?} deaths={deaths:?}",
+        call.id.as_deref().unwrap_or("-"),
+    ));
+    if verdict == Verdict::Poisonous {
+        return Err(unavailable(
+            "such requests crashed endpoints",
+            POISONOUS_RETRY_DELAY,
+        ));
+    }
+    Ok(())
+}
+
 /// Charges a request to the rate limit of its workspace.
 fn charge(state: &State, job: &Job) -> Result<(), Refusal> {
     let Some(workspace) = &job.workspace else {
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -86,6 +86,8 @@
     CHOSEN = 208 Info "endpoint_chosen";
     /// A request was read after the shutdown signal.
     IN_STOP = 209 Info "read_in_stop";
+    /// Endpoints died while they ran requests of this content.
+    SUSPECTED = 210 Info "request_suspected";
     /// Notice arrived that an instance will be reclaimed.
     NOTICE = 301 Warn "reclaim_notice";
     /// An endpoint died.
