--- a/coltsfoothall/tests/suspicion.rs
+++ b/coltsfoothall/tests/suspicion.rs
@@ -95,6 +95,30 @@
     assert_eq!(tracker.verdict(at(40), common), Verdict::Poisonous);
 }
 
+/// Guards against deaths that never count as separate because they are known long after the runs
+/// began: 39 endpoints were lost to one request.
+#[test]
+fn known_late() {
+    const INTERVAL: u64 = 300;
+    const DELAY: u64 = 3_600;
+    let mut tracker = Tracker::new(Settings::default());
+    let fingerprint = fingerprint("bad");
+    let mut lost = 0;
+    for step in 0..200 {
+        let now = step * INTERVAL;
+        if let Some(known) = step.checked_sub(DELAY / INTERVAL) {
+            tracker.record_death(at(now), &endpoint(known), false);
+        }
+        if tracker.verdict(at(now), fingerprint) == Verdict::Poisonous {
+            break;
+        }
+        tracker.record_start(at(now), step, endpoint(step), fingerprint, false);
+        lost += 1;
+    }
+    let bound = 2 * (DELAY / INTERVAL) + 1;
+    assert!(lost <= bound, "{lost} endpoints lost, {bound} allowed");
+}
+
 #[test]
 fn variations_condemned() {
     let mut tracker = Tracker::new(Settings::default());
