Two separate deaths are recognised however many come between them

A death is known some 4 s after the run began, when the registration lapses; the second one counts if its run began after that. The tracker kept the four newest deaths: with a resend every 0.3 s all four overlapped, the first death was dropped before a run that began after it was known to have ended, and no two were ever separate.

Two deaths are separate if the later run began after the earlier death was known, so a full list keeps the death known first and the run that began last. Both are the same in whatever order reports arrive (order_ignored).

--- a/coltsfoothall/src/suspicion.rs
+++ b/coltsfoothall/src/suspicion.rs
@@ -354,16 +354,15 @@
                 index
             }
         };
-        let deaths = &mut self.entries[index].deaths;
+        let entry = &mut self.entries[index];
+        let deaths = &mut entry.deaths;
         if deaths.iter().any(|known| known.attempt == death.attempt) {
             return;
         }
         let position = deaths.partition_point(|d| (d.at, d.attempt) < (death.at, death.attempt));
         deaths.insert(position, death);
         if deaths.len() > MAX_DEATHS {
-            // A death while isolated is stronger evidence, so it is kept longest.
-            let spare = deaths.iter().position(|death| !death.isolated).unwrap_or(0);
-            deaths.remove(spare);
+            deaths.remove(spare(deaths, entry.cleared));
         }
     }
 
@@ -392,6 +391,21 @@
     death.isolated || entry.cleared.is_none_or(|cleared| death.at > cleared)
 }
 
+/// The death that a full list can do without.
+///
+/// Deaths while isolated are the strongest evidence. Two others are separate if the later run began
+/// after the earlier death was known, so the death known first and the run that began last are kept.
+fn spare(deaths: &[Death], cleared: Option<Time>) -> usize {
+    let batch = |death: &Death| !death.isolated && cleared.is_none_or(|cleared| death.at > cleared);
+    let first = deaths.iter().position(batch);
+    let last = (0..deaths.len())
+        .filter(|index| batch(&deaths[*index]))
+        .max_by_key(|index| (deaths[*index].began, deaths[*index].attempt));
+    let spare = (0..deaths.len())
+        .find(|index| !deaths[*index].isolated && Some(*index) != first && Some(*index) != last);
+    spare.or(first).unwrap_or(0)
+}
+
 /// Counts the deaths of runs that each started after the previous counted death was known.
 fn count_separate<'a>(deaths: impl Iterator<Item = &'a Death>) -> usize {
     let mut count = 0;
--- a/coltsfoothall/tests/suspicion.rs
+++ b/coltsfoothall/tests/suspicion.rs
@@ -8,7 +8,8 @@
 use coltsfoothall::id::Endpoint;
 use coltsfoothall::record::{Class, Intake, Name, Work};
 use coltsfoothall::size::Millis;
-use coltsfoothall::suspicion::{Evidence, Fingerprint, Settings, Tracker, Verdict};
+use coltsfoothall::suspicion::{Evidence, Fingerprint, Notice, Settings, Tracker, Verdict};
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -183,6 +184,39 @@
     }
 }
 
+/// Guards against a list of deaths that depends on the order in which they were reported.
+#[test]
+fn order_ignored() {
+    for seed in 0..200 {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let mark = fingerprint("bad").content;
+        let mut reports: Vec<Evidence> = (0..12)
+            .map(|attempt| {
+                let age = rng.random_range(0..400);
+                let death = Notice {
+                    attempt,
+                    began: Millis(age + rng.random_range(1..400)),
+                    age: Millis(age),
+                    isolated: false,
+                };
+                Evidence {
+                    mark,
+                    deaths: vec![death],
+                    cleared: None,
+                }
+            })
+            .collect();
+        let merged = |reports: &[Evidence]| {
+            let mut tracker = Tracker::new(Settings::default());
+            tracker.merge(at(1_000), reports);
+            tracker.evidence(at(1_000))
+        };
+        let first = merged(&reports);
+        reports.shuffle(&mut rng);
+        assert_eq!(merged(&reports), first, "seed {seed}");
+    }
+}
+
 /// Endpoints lost to one caller that resends a crashing request through any instance, with the
 /// documented bound.
 fn lost_endpoints(seed: u64) -> (u64, u64) {
