A complete error answer is no evidence that a request crashes endpoints

A request that two endpoints answered with 500 was refused as one that crashes them if their registrations went within 15 s, by a plain release or scale-in: any failed run was kept as evidence, though the rule is written for interrupted ones. Runs end as Broken now if the answer was interrupted, and as Failed if it was complete or not the endpoint's own; only the former are evidence.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -218,7 +218,7 @@
                 "cannot be reached"
             }
             Err((Fault::Broken(reason), share)) => {
-                share.end(End::Failed);
+                share.end(End::Broken);
                 trail.runs += 1;
                 trail.exclude.push(pick.endpoint.clone());
                 event::BROKE_OFF.emit(format_args!(
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -99,7 +99,12 @@
             })
         }
         Err(error) => {
-            share.end(End::Failed);
+            share.end(match &error {
+                body::Error::Large(_) => End::Failed,
+                body::Error::Broken(_) | body::Error::Stalled(_) | body::Error::Json(_) => {
+                    End::Broken
+                }
+            });
             event::BROKE_OFF.emit(format_args!(
                 "request={} endpoint={endpoint} reason={error:?}",
                 job.id()
@@ -172,7 +177,7 @@
         Next::Events(bytes) => Some(bytes),
         Next::End => None,
         Next::Broken(reason) => {
-            relay.finish(End::Failed);
+            relay.finish(End::Broken);
             event::BROKE_OFF.emit(format_args!(
                 "request={} endpoint={endpoint} reason={reason:?} events=0",
                 job.id()
@@ -257,7 +262,7 @@
                         return None;
                     }
                     Ok(Next::Broken(reason)) => {
-                        self.finish(End::Failed);
+                        self.finish(End::Broken);
                         let can_resume = dispatch::may_repeat(&self.state, &self.job, &self.trail);
                         (reason, can_resume)
                     }
@@ -265,7 +270,7 @@
                         if !self.can_take_over() {
                             continue;
                         }
-                        self.finish(End::Failed);
+                        self.finish(End::Broken);
                         self.trail.exclude.extend(endpoint.clone());
                         ("no event came".into(), true)
                     }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -337,13 +337,13 @@
                 suspicions.record_start(now, attempt, endpoint.clone(), fingerprint, false);
                 suspicions.record_end(now, attempt, true);
             }
-            End::Failed => {
+            End::Broken => {
                 // Attempt numbers are unique in the fleet, as each process counts from a random
                 // number.
                 self.next_attempt.set(attempt.wrapping_add(1));
                 suspicions.record_start(now, attempt, endpoint.clone(), fingerprint, false);
             }
-            End::Refused | End::Unreachable | End::Abandoned => {}
+            End::Failed | End::Refused | End::Unreachable | End::Abandoned => {}
         }
     }
 
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -38,8 +38,10 @@
     Whole,
     /// Refused, as the endpoint is full.
     Refused,
-    /// With an error of the endpoint, or with an incomplete answer.
+    /// With an error of the endpoint, or with an answer that cannot be used.
     Failed,
+    /// Interrupted before the answer was complete.
+    Broken,
     /// The endpoint could not be reached.
     Unreachable,
     /// Canceled by this instance; no evidence about the endpoint.
@@ -357,7 +359,7 @@
         node.waiting.retain(|open| open.number != run.number);
         match end {
             End::Whole => node.failures -= SUCCESS_WEIGHT * node.failures,
-            End::Failed => {
+            End::Failed | End::Broken => {
                 node.failed += 1;
                 node.record_failure(now);
             }
