Copies of a request that ran at the same time count as one death

Two copies of a request that ran at the same time on two endpoints, lost one after the other to something else, counted as two separate deaths, and the request was refused for a quarter of an hour. An interrupted run was entered as if it had begun when it was interrupted. It is entered with its own beginning now, and forgotten 15 s after its interruption as before.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -160,7 +160,7 @@
             let now = self.state.now();
             self.state.roster.borrow_mut().finish(now, &run, end);
             self.state
-                .record_evidence(&self.endpoint, self.fingerprint, end);
+                .record_evidence(&self.endpoint, self.fingerprint, self.started_at, end);
         }
     }
 }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -323,11 +323,17 @@
         usage.record_start(window, workspace);
     }
 
-    /// Records the end of a run. An interrupted run is evidence against requests with this
+    /// Records the end of a run that began at `began`. An interrupted run is evidence against requests with this
     /// fingerprint if its endpoint turns out to be gone; a complete response clears them. Endpoints
     /// that leave unannounced still finish their requests, so a run that was not interrupted is no
     /// evidence.
-    pub fn record_evidence(&self, endpoint: &id::Endpoint, fingerprint: Fingerprint, end: End) {
+    pub fn record_evidence(
+        &self,
+        endpoint: &id::Endpoint,
+        fingerprint: Fingerprint,
+        began: Time,
+        end: End,
+    ) {
         let now = self.now();
         let mut suspicions = self.suspicions.borrow_mut();
         let attempt = self.next_attempt.get();
@@ -341,7 +347,7 @@
                 // Attempt numbers are unique in the fleet, as each process counts from a random
                 // number.
                 self.next_attempt.set(attempt.wrapping_add(1));
-                suspicions.record_start(now, attempt, endpoint.clone(), fingerprint, false);
+                suspicions.record_interrupted(now, attempt, endpoint.clone(), fingerprint, began);
             }
             End::Failed | End::Refused | End::Unreachable | End::Abandoned => {}
         }
--- a/coltsfoothall/src/suspicion.rs
+++ b/coltsfoothall/src/suspicion.rs
@@ -109,6 +109,8 @@
     endpoint: id::Endpoint,
     fingerprint: Fingerprint,
     began: Time,
+    /// When it was interrupted, if it was.
+    interrupted: Option<Time>,
     isolated: bool,
 }
 
@@ -164,8 +166,34 @@
             endpoint,
             fingerprint,
             began: now,
+            interrupted: None,
             isolated,
         };
+        self.insert(run);
+    }
+
+    /// Records an attempt that was interrupted now and began earlier. It is evidence if its endpoint
+    /// turns out to be dead.
+    pub fn record_interrupted(
+        &mut self,
+        now: Time,
+        attempt: u64,
+        endpoint: id::Endpoint,
+        fingerprint: Fingerprint,
+        began: Time,
+    ) {
+        self.insert(Run {
+            attempt,
+            endpoint,
+            fingerprint,
+            began,
+            interrupted: Some(now),
+            isolated: false,
+        });
+    }
+
+    fn insert(&mut self, run: Run) {
+        let attempt = run.attempt;
         match self.runs.binary_search_by_key(&attempt, |run| run.attempt) {
             Ok(index) => self.runs[index] = run,
             Err(index) => self.runs.insert(index, run),
@@ -279,9 +307,11 @@
         self.entries.retain(|entry| !entry.deaths.is_empty());
     }
 
-    /// Forgets attempts that started before a time and whose end was never reported.
+    /// Forgets attempts that were interrupted before a time, and those that started before it and
+    /// whose end was never reported.
     pub fn abandon(&mut self, before: Time) {
-        self.runs.retain(|run| run.began >= before);
+        self.runs
+            .retain(|run| run.interrupted.unwrap_or(run.began) >= before);
     }
 
     /// Number of marks with evidence.
