A crash counts when it happens, not when the registration lapses

With both deaths recognised, a request that crashes endpoints still went on for 8 s and more: a death was known only when the registration lapsed, some 4 s after the crash, and the second one counts if its run began after that.

An instance whose run is interrupted connects to the endpoint again: a process that is gone refuses at once, and what it interrupted is evidence then. So is a connection that is refused in the normal course. Leaving endpoints and those without a registration are left out, one connection is tried at a time, and a good one goes into the pool. An endpoint that falls silent is known by its registration as before.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -19,6 +19,7 @@
 
 use crate::adapter::{Call, Forward, Reply};
 use crate::pool::{Fault, Link, Payload};
+use crate::probe;
 use crate::state::State;
 
 /// An admitted request.
@@ -161,6 +162,9 @@
             self.state.roster.borrow_mut().finish(now, &run, end);
             self.state
                 .record_evidence(&self.endpoint, self.fingerprint, self.started_at, end);
+            if end == End::Broken {
+                probe::start(&self.state, &self.endpoint);
+            }
         }
     }
 }
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -209,8 +209,11 @@
                 trail.runs += 1;
                 return Ok(sent);
             }
-            Err((Fault::Unsent(_reason), share)) => {
+            Err((fault @ (Fault::Refused(_) | Fault::Unsent(_)), share)) => {
                 share.end(End::Unreachable);
+                if matches!(fault, Fault::Refused(_)) {
+                    state.record_crash(&pick.endpoint);
+                }
                 if trail.sends < MAX_SENDS {
                     trail.exclude.push(pick.endpoint);
                     continue;
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod orders;
 pub mod outgoing;
 pub mod pool;
+pub mod probe;
 pub mod refusal;
 pub mod registrations;
 pub mod relay;
--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -88,6 +89,8 @@
 /// Why a request got no response.
 #[derive(Debug)]
 pub enum Fault {
+    /// Nothing listens at the endpoint's address, so no byte of it was written.
+    Refused(String),
     /// No byte of it was written.
     Unsent(String),
     /// It may have reached the endpoint.
@@ -101,9 +104,13 @@
     /// The endpoint cannot be reached.
     pub async fn open(endpoint: id::Endpoint, address: SocketAddr) -> Result<Self, Fault> {
         let unsent = |error: String| Fault::Unsent(error);
-        let stream = socket::connect(address)
-            .await
-            .map_err(|error| unsent(error.to_string()))?;
+        let stream = socket::connect(address).await.map_err(|error| {
+            let reason = error.to_string();
+            match error.kind() {
+                io::ErrorKind::ConnectionRefused => Fault::Refused(reason),
+                _ => Fault::Unsent(reason),
+            }
+        })?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
--- /dev/null
+++ b/coltsfoothall-forward/src/probe.rs
@@ -0,0 +1,43 @@
+//! Detects the crash of an endpoint that interrupted a run.
+//!
+//! A registration outlives its endpoint by several heartbeats, but a process that is gone refuses
+//! connections at once.
+
+use std::rc::Rc;
+
+use coltsfoothall::id;
+
+use crate::pool::{Fault, Link};
+use crate::state::State;
+
+/// Starts to connect to an endpoint that interrupted a run, unless it is leaving or such an attempt
+/// is under way.
+pub fn start(state: &Rc<State>, endpoint: &id::Endpoint) {
+    let address = {
+        let roster = state.roster.borrow();
+        let node = roster.node(endpoint);
+        node.filter(|node| !node.entry.leaving)
+            .map(|node| node.entry.address)
+    };
+    let Some(address) = address else {
+        return;
+    };
+    let mut probed = state.probed.borrow_mut();
+    let Err(index) = probed.binary_search(endpoint) else {
+        return;
+    };
+    probed.insert(index, endpoint.clone());
+    let (state, endpoint) = (Rc::clone(state), endpoint.clone());
+    tokio::task::spawn_local(async move {
+        let opened = Link::open(endpoint.clone(), address).await;
+        state.probed.borrow_mut().retain(|other| *other != endpoint);
+        match opened {
+            Ok(link) if state.roster.borrow().node(&endpoint).is_some() => {
+                let now = tokio::time::Instant::now();
+                state.pool.borrow_mut().put(link, now, None);
+            }
+            Err(Fault::Refused(_)) => state.record_crash(&endpoint),
+            Ok(_) | Err(Fault::Unsent(_) | Fault::Broken(_)) => {}
+        }
+    });
+}
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -134,6 +134,8 @@
     pub calls: Calls,
     /// Evidence about requests that crash endpoints.
     pub suspicions: RefCell<Tracker>,
+    /// Endpoints that are being connected to because they interrupted a run, sorted.
+    pub probed: RefCell<Vec<id::Endpoint>>,
     next_attempt: Cell<u64>,
     /// Number of open requests.
     pub open: Cell<usize>,
@@ -192,6 +194,7 @@
             reported: Cell::default(),
             calls: Calls::default(),
             suspicions: RefCell::new(Tracker::new(suspicion::Settings::default())),
+            probed: RefCell::default(),
             next_attempt: Cell::new(boot),
             open: Cell::new(0),
             board,
@@ -353,6 +356,18 @@
         }
     }
 
+    /// Records that nothing listens at the address of an endpoint. What it interrupted is evidence
+    /// unless it is leaving.
+    pub fn record_crash(&self, id: &id::Endpoint) {
+        let announced = {
+            let roster = self.roster.borrow();
+            roster.node(id).is_none_or(|node| node.entry.leaving)
+        };
+        if !announced {
+            self.record_death(id, false);
+        }
+    }
+
     /// Records that an endpoint is gone. What ran there is evidence unless the departure was
     /// expected.
     fn record_death(&self, id: &id::Endpoint, announced: bool) {
