Evidence of an instance's own runs is reported before what others know

After the loss of many endpoints a heartbeat's rows went to all evidence by turns: in a fleet of 77, each losing 14 runs, nobody refused a request 3 s after it had crashed three endpoints. Each entry was reported by everybody, known or not, and each call twice, under the same hash as content and as kin.

Deaths of an instance's own runs go first for 2 s, behind those with several deaths; what an instance on standby reports to its contacts counts as theirs, as no other active instance hears it; a call has one mark.

--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -31,10 +31,6 @@
 /// Maximum number of other instances' profiles in a heartbeat, by which members discover each
 /// other.
 const MAX_INTRODUCED: usize = 4;
-/// Maximum number of rows of each list in a heartbeat, divided by the number of batches that cover
-/// the fleet. After a crash of 20 endpoints the evidence alone took tens of kB in each heartbeat,
-/// more than links of 10 Mbit/s carry, and a fleet of 60 lost contact.
-const MAX_ROWS: usize = 64;
 /// Number of heartbeats to each instance that report where a prompt part was sent, as datagrams may
 /// be lost.
 const HEARTBEATS_PER_PLACEMENT: u32 = 2;
@@ -111,7 +107,7 @@
     fn common(state: &State, round: usize) -> Self {
         let now = state.now();
         let batches = batch::count(state.sharers() as usize, MAX_HEARTBEATS_PER_BATCH);
-        let rows = (MAX_ROWS / batches).max(1);
+        let rows = peer::max_rows(state.sharers() as usize);
         let report_period = HEARTBEAT_INTERVAL * (batches as u32 + 1) * HEARTBEATS_PER_PLACEMENT;
         let introduced = {
             let peers = state.peers.borrow();
@@ -289,9 +285,15 @@
         granted: heartbeat.spent.clone(),
         counts: heartbeat.counts.clone(),
     };
-    receive_heartbeat(state, heartbeat);
     let status = extension.as_ref().map(|extension| extension.status);
     let now = state.now();
+    let mut suspicions = state.suspicions.borrow_mut();
+    match status.map(|status| status.role) {
+        Some(Role::Standby) => suspicions.merge_relayed(now, &heartbeat.evidence),
+        Some(Role::Active) | None => suspicions.merge(now, &heartbeat.evidence),
+    }
+    drop(suspicions);
+    receive_heartbeat(state, heartbeat);
     state.peers.borrow_mut().record_status(now, &name, status);
     let mut rate_limiter = state.rate_limiter.borrow_mut();
     match status.map(|status| status.role) {
@@ -359,10 +361,6 @@
     for event in restarted {
         state.apply_event(Some(event), Position::default(), "peer");
     }
-    state
-        .suspicions
-        .borrow_mut()
-        .merge(now, &heartbeat.evidence);
     state
         .usage
         .borrow_mut()
--- a/coltsfoothall/src/fingerprint.rs
+++ b/coltsfoothall/src/fingerprint.rs
@@ -40,7 +40,7 @@
         let digest = hash.digest();
         Self {
             content: Mark::Content(digest),
-            kin: Mark::Kin(digest),
+            kin: Mark::Content(digest),
         }
     }
 
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -19,6 +19,17 @@
 /// and half of a fleet of 64 received no heartbeats from each other.
 pub const MAX_HEARTBEATS_PER_BATCH: usize = 16;
 
+/// Maximum number of rows of each list in a heartbeat, divided by the number of batches that cover
+/// the fleet. After a crash of 20 endpoints the evidence alone took tens of kB in each heartbeat,
+/// more than links of 10 Mbit/s carry, and a fleet of 60 lost contact.
+const MAX_ROWS: usize = 64;
+
+/// Maximum number of rows of each list in a heartbeat if `sharers` instances exchange their state.
+#[must_use]
+pub fn max_rows(sharers: usize) -> usize {
+    (MAX_ROWS / batch::count(sharers, MAX_HEARTBEATS_PER_BATCH)).max(1)
+}
+
 /// Intervals and timeouts of heartbeats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
--- a/coltsfoothall/src/suspicion.rs
+++ b/coltsfoothall/src/suspicion.rs
@@ -50,6 +50,8 @@
 const KIN_DEATHS: usize = 3;
 /// Upper bound on the deaths kept for one mark; it prevents a mass loss from filling messages.
 const MAX_DEATHS: usize = 4;
+/// How long the deaths of an instance's own runs go before those that others reported.
+const OWN_PERIOD: Duration = Duration::from_secs(2);
 
 /// Bounds on the evidence that is kept.
 #[derive(Debug, Clone, Copy)]
@@ -100,6 +102,8 @@
     deaths: Vec<Death>,
     /// Batch deaths up to this time do not count.
     cleared: Option<Time>,
+    /// When a run last died of this instance, or of one that reports to it and few others.
+    own: Option<Time>,
 }
 
 /// A running attempt.
@@ -240,6 +244,7 @@
             };
             for mark in [run.fingerprint.content, run.fingerprint.kin] {
                 self.add(now, mark, death);
+                self.own(now, mark);
                 if let Err(index) = marks.binary_search(&mark) {
                     marks.insert(index, mark);
                 }
@@ -258,16 +263,23 @@
     }
 
     /// At most `max` entries of the evidence, for one of a series of messages: up to half of them
-    /// against marks with several deaths. Over the rounds, all evidence is included.
+    /// against marks with several deaths, and most of the others of this instance's own recent
+    /// runs, which no other instance reports. Over the rounds, all evidence is included.
     #[must_use]
     pub fn evidence_batch(&self, now: Time, max: usize, round: usize) -> Vec<Evidence> {
-        let (strong, weak): (Vec<&Entry>, Vec<&Entry>) = self
+        let is_recent = |at: Time| now.since(at) < OWN_PERIOD;
+        let (strong, single): (Vec<&Entry>, Vec<&Entry>) = self
             .entries
             .iter()
             .partition(|entry| entry.deaths.len() > 1);
+        let (own, known): (Vec<&Entry>, Vec<&Entry>) = single
+            .into_iter()
+            .partition(|entry| entry.own.is_some_and(is_recent));
         let strong = batch::select(&strong, max.div_ceil(2), round);
-        let weak = batch::select(&weak, max.saturating_sub(strong.len()), round);
-        let entries = strong.iter().chain(&weak);
+        let rest = max - strong.len();
+        let own = batch::select(&own, rest - rest / 4, round);
+        let known = batch::select(&known, rest - own.len(), round);
+        let entries = strong.iter().chain(&own).chain(&known);
         entries.map(|entry| evidence_of(now, entry)).collect()
     }
 
@@ -282,6 +294,16 @@
 
     /// Merges evidence reported by a peer. The result does not depend on order or repetition.
     pub fn merge(&mut self, now: Time, evidence: &[Evidence]) {
+        self.merge_from(now, evidence, false);
+    }
+
+    /// Merges evidence of a peer that reports to few others: what is new counts as this instance's
+    /// own in reports.
+    pub fn merge_relayed(&mut self, now: Time, evidence: &[Evidence]) {
+        self.merge_from(now, evidence, true);
+    }
+
+    fn merge_from(&mut self, now: Time, evidence: &[Evidence], relayed: bool) {
         for reported in evidence {
             for notice in reported.deaths.iter().take(MAX_DEATHS) {
                 let death = Death {
@@ -290,7 +312,9 @@
                     at: now - notice.age.duration(),
                     isolated: notice.isolated,
                 };
-                self.add(now, reported.mark, death);
+                if self.add(now, reported.mark, death) && relayed {
+                    self.own(now, reported.mark);
+                }
             }
             if let Some(age) = reported.cleared {
                 self.clear(now - age.duration(), reported.mark);
@@ -363,13 +387,21 @@
         }
     }
 
-    fn add(&mut self, now: Time, mark: Mark, death: Death) {
+    /// Notes that this instance is to report a mark before those that others report too.
+    fn own(&mut self, now: Time, mark: Mark) {
+        if let Ok(index) = self.find(mark) {
+            self.entries[index].own = Some(now);
+        }
+    }
+
+    /// Adds a death to the evidence. Returns whether it was not known.
+    fn add(&mut self, now: Time, mark: Mark, death: Death) -> bool {
         if now.since(death.at) >= self.settings.retention {
-            return;
+            return false;
         }
         let index = match self.find(mark) {
             Ok(index) => index,
-            Err(_) if self.settings.max_marks == 0 => return,
+            Err(_) if self.settings.max_marks == 0 => return false,
             Err(_) => {
                 self.make_room();
                 let index = self.find(mark).unwrap_or_else(|index| index);
@@ -379,6 +411,7 @@
                         mark,
                         deaths: Vec::new(),
                         cleared: None,
+                        own: None,
                     },
                 );
                 index
@@ -387,13 +420,14 @@
         let entry = &mut self.entries[index];
         let deaths = &mut entry.deaths;
         if deaths.iter().any(|known| known.attempt == death.attempt) {
-            return;
+            return false;
         }
         let position = deaths.partition_point(|d| (d.at, d.attempt) < (death.at, death.attempt));
         deaths.insert(position, death);
         if deaths.len() > MAX_DEATHS {
             deaths.remove(spare(deaths, entry.cleared));
         }
+        true
     }
 
     /// If the tracker is full, drops the entry whose last death is the oldest.
