Only an endpoint's own registration announces that it leaves

Whether a departure was announced was looked up in the list of departures that an instance reports. The list also ends after 6 s, so that a planned departure that took longer counted as a crash.

The roster remembers which endpoints registered as leaving until they are gone.

--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -453,7 +453,7 @@
                     "endpoint={id} state=restarted place={position} source={source}"
                 ));
                 self.pool.borrow_mut().remove(&id);
-                let announced = self.has_departed(&id);
+                let announced = self.roster.borrow_mut().take_announced(&id);
                 self.record_death(&id, announced);
             }
             Some(Event::Leaving(id)) => {
@@ -467,21 +467,14 @@
                     "endpoint={id} state=gone place={position} source={source}"
                 ));
                 self.pool.borrow_mut().remove(&id);
-                let announced = self.registration_grace().is_some() || self.has_departed(&id);
+                let announced = self.roster.borrow_mut().take_announced(&id);
+                let announced = announced || self.registration_grace().is_some();
                 self.record_death(&id, announced);
                 self.record_departure(id, position);
             }
         }
     }
 
-    /// Whether the departure of an endpoint was announced before it was gone.
-    fn has_departed(&self, id: &id::Endpoint) -> bool {
-        self.departures
-            .borrow()
-            .iter()
-            .any(|departure| departure.ended.id == *id)
-    }
-
     fn record_departure(&self, id: id::Endpoint, position: Position) {
         let at = self.now();
         let ended = Ended { id, position };
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -92,6 +92,8 @@
     assumed: Model,
     /// Endpoints that were draining or gone at a position in the store's history; sorted by id.
     ended: Vec<Ended>,
+    /// Endpoints whose own registration said that they are leaving, sorted.
+    announced: Vec<id::Endpoint>,
 }
 
 /// Bounds the memory for ended endpoints of a process that runs for long.
@@ -112,6 +114,7 @@
             placements: Vec::new(),
             endpoint_time: Vec::new(),
             ended: Vec::new(),
+            announced: Vec::new(),
         }
     }
 
@@ -130,6 +133,9 @@
     /// Records a new or changed registration of an endpoint.
     pub fn registered(&mut self, now: Time, entry: Entry) -> Option<Event> {
         let id = entry.id.clone();
+        if entry.leaving {
+            self.record_announced(&id);
+        }
         let leaving = entry.leaving || self.is_ended(&id, entry.position);
         if leaving {
             self.record_ended(&id, entry.position);
@@ -217,6 +223,22 @@
         Some(Event::Gone(id.clone()))
     }
 
+    /// Whether an endpoint announced the departure that has ended now. A peer's report is no
+    /// announcement: it may have been the first to read that a registration lapsed.
+    pub fn take_announced(&mut self, id: &id::Endpoint) -> bool {
+        let found = self.announced.binary_search(id);
+        found.is_ok_and(|index| {
+            self.announced.remove(index);
+            true
+        })
+    }
+
+    fn record_announced(&mut self, id: &id::Endpoint) {
+        if let Err(index) = self.announced.binary_search(id) {
+            self.announced.insert(index, id.clone());
+        }
+    }
+
     /// Known endpoints that are absent from `listed`.
     #[must_use]
     pub fn missing(&self, listed: &[Entry]) -> Vec<id::Endpoint> {
