Whether a request crashes endpoints is asked before each send

A request was judged once, on arrival. One that waited at a silent endpoint was sent to another one though its content had crashed endpoints meanwhile, and so were retries and resumed streams. Each repeat and each further send asks now; a request that has begun to run is answered 502, others 503, which says truly that they did not run. The verdict and its refusal have a module of their own.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::pool::Fault;
 use crate::refusal::{Refusal, bad_gateway, unavailable};
 use crate::state::State;
+use crate::suspicion;
 
 /// Maximum number of times that a request is sent, including those that endpoints reject.
 const MAX_SENDS: usize = 5;
@@ -69,7 +70,10 @@
 
 /// Whether a request that may have run can be retried at another endpoint.
 pub fn may_repeat(state: &State, job: &Job, trail: &Trail) -> bool {
-    job.route.kind.repeats() && trail.runs < job.route.attempts && state.may_retry(&job.service)
+    job.route.kind.repeats()
+        && trail.runs < job.route.attempts
+        && !suspicion::is_poisonous(state, job.id(), job.fingerprint)
+        && state.may_retry(&job.service)
 }
 
 /// Whether another endpoint takes over from a silent one that may still answer: only if one has
@@ -153,6 +157,10 @@
     after: Option<&str>,
 ) -> Result<Sent, Refusal> {
     loop {
+        // The first send follows the admission, which has checked this.
+        if trail.sends > 0 && suspicion::is_poisonous(state, job.id(), job.fingerprint) {
+            return Err(suspicion::refusal(trail.runs));
+        }
         let pick = match choose(state, job, &trail.exclude) {
             // A response that would be late anyway would delay others as well; this request has not
             // run yet.
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -7,7 +7,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::config::{Config, Route};
 use coltsfoothall::id;
-use coltsfoothall::suspicion::{Fingerprint, Verdict};
+use coltsfoothall::suspicion::Fingerprint;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::http as body;
 use futures_util::future::LocalBoxFuture;
@@ -26,11 +26,10 @@
 use crate::relay;
 use crate::state::{Open, State};
 use crate::stop;
+use crate::suspicion;
 
 /// `Retry-After` while there is no configuration, or a route without a service.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(600);
-/// `Retry-After` for a request whose fingerprint has crashed endpoints.
-const POISONOUS_RETRY_DELAY: Duration = Duration::from_secs(30);
 /// Timeout of a caller that names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -185,7 +184,9 @@
         .path_and_query()
         .map_or("", |target| target.as_str());
     let fingerprint = Fingerprint::of_call(holder, head.method.as_str(), target, &body);
-    judge(state, &call, fingerprint)?;
+    if suspicion::is_poisonous(state, call.id.as_deref().unwrap_or("-"), fingerprint) {
+        return Err(suspicion::refusal(0));
+    }
     let hash = xxh3_64(call.id.as_deref().unwrap_or_default().as_bytes());
     let Some(service) = route.target(hash).cloned() else {
         return Err(unavailable(
@@ -216,30 +217,6 @@
     Ok(job)
 }
 
-/// Refuses a request if endpoints died while they ran its content.
-fn judge(state: &State, call: &Call, fingerprint: Fingerprint) -> Result<(), Refusal> {
-    let now = state.now();
-    let suspicions = state.suspicions.borrow();
-    let verdict = suspicions.verdict(now, fingerprint);
-    if verdict == Verdict::Free {
-        return Ok(());
-    }
-    let evidence = suspicions.evidence_for(now, &[fingerprint.content]);
-    let deaths = evidence.iter().flat_map(|evidence| &evidence.deaths);
-    let deaths: Vec<(u64, u64)> = deaths.map(|death| (death.began.0, death.age.0)).collect();
-    event::SUSPECTED.emit(format_args!(
-        "request={} verdict={verdict:?} deaths={deaths:?}",
-        call.id.as_deref().unwrap_or("-"),
-    ));
-    if verdict == Verdict::Poisonous {
-        return Err(unavailable(
-            "such requests crashed endpoints",
-            POISONOUS_RETRY_DELAY,
-        ));
-    }
-    Ok(())
-}
-
 /// Charges a request to the rate limit of its workspace.
 fn charge(state: &State, job: &Job) -> Result<(), Refusal> {
     let Some(workspace) = &job.workspace else {
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -44,5 +44,6 @@
 pub mod socket;
 pub mod state;
 pub mod stop;
+pub mod suspicion;
 pub mod time;
 pub mod upgrades;
