The log tells which limits endpoints name

Answers may name the requests a second that an endpoint takes from all instances together. Nothing read that, so the log could not show who knew of a limit. Nothing depends on it yet.

--- a/coltsfoothall-forward/src/adapter.rs
+++ b/coltsfoothall-forward/src/adapter.rs
@@ -7,6 +7,7 @@
 use coltsfoothall::forward::choice::Part;
 use coltsfoothall::forward::config::Config;
 use coltsfoothall::forward::history::{Era, Fence, Lease, Position};
+use coltsfoothall::forward::limit;
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::order::Order;
 use coltsfoothall::forward::upgrade;
@@ -95,6 +96,8 @@
     pub keep_alive: Option<Duration>,
     /// The endpoint closes the connection after this response.
     pub close: bool,
+    /// The requests that the endpoint takes from all instances together.
+    pub limit: limit::Notice,
 }
 
 /// Reads and writes the headers that callers and endpoints use.
--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -8,11 +8,13 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::{Pick, Query};
 use coltsfoothall::forward::config::Route;
+use coltsfoothall::forward::limit::Notice;
 use coltsfoothall::forward::roster::{End, Run};
 use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::id;
 use coltsfoothall::size::Tokens;
 use coltsfoothall::suspicion::Fingerprint;
+use coltsfoothall_shell::event;
 use http::request::Parts;
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
@@ -144,6 +146,27 @@
         }
     }
 
+    /// Records what the response says of the endpoint's limit.
+    pub fn record_limit(&self, notice: &Notice) {
+        let endpoint = &self.endpoint;
+        let rate = match notice {
+            Notice::Unlimited => None,
+            Notice::Limited(rate) => Some(*rate),
+            Notice::Invalid(error) => {
+                let reason = error.to_string();
+                event::ENDPOINT_LIMIT.emit(format_args!("endpoint={endpoint} reason={reason:?}"));
+                return;
+            }
+        };
+        let Some(run) = &self.run else {
+            return;
+        };
+        if self.state.roster.borrow_mut().record_limit(run, rate) {
+            let rate = rate.map_or_else(|| "none".into(), |rate| rate.to_string());
+            event::ENDPOINT_LIMIT.emit(format_args!("endpoint={endpoint} rate={rate}"));
+        }
+    }
+
     /// Records that more events of the response arrived.
     pub fn record_events(&self, events: u64) {
         if let Some(run) = &self.run {
@@ -259,6 +282,9 @@
                     let fault = Fault::Broken("the answer belongs to another request".into());
                     return Err((fault, share));
                 }
+                if !reply.misdirected {
+                    share.record_limit(&reply.limit);
+                }
                 return Ok(Sent {
                     response,
                     reply,
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -94,6 +94,8 @@
     ENDPOINT_DIED = 302 Warn "endpoint_died";
     /// An endpoint was added, is leaving or is gone.
     ENDPOINT = 303 Info "endpoint";
+    /// The limit that an endpoint names in its answers changed, or cannot be read.
+    ENDPOINT_LIMIT = 304 Info "endpoint_limit";
     /// This instance became or ceased to be the steward of a service, which issues its orders.
     STEWARD = 311 Info "steward";
     /// An order was sent to an engine.
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -16,6 +16,7 @@
 pub mod lag;
 pub mod latency;
 pub mod leader;
+pub mod limit;
 pub mod node;
 pub mod order;
 pub mod peer;
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -8,6 +8,7 @@
 use crate::clock::Time;
 use crate::forward::gossip::Count;
 use crate::forward::history::Position;
+use crate::forward::limit;
 use crate::id;
 use crate::size::Millis;
 
@@ -145,6 +146,8 @@
     pub(super) slowness: f64,
     pub(super) avoided_until: Time,
     pub(super) full_until: Time,
+    /// The limit that its last answer named.
+    pub(super) limit: Option<limit::Rate>,
 }
 
 impl Node {
@@ -164,6 +167,7 @@
             slowness: 1.0,
             avoided_until: Time::START,
             full_until: Time::START,
+            limit: None,
         }
     }
 
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -9,6 +9,7 @@
 use crate::forward::gossip::{PLACEMENT_INTERVAL, Peer, Placement};
 use crate::forward::history::Position;
 use crate::forward::latency::{Model, Sample};
+use crate::forward::limit::Rate;
 use crate::forward::node::{
     Entry, Listing, Load, Node, SLOWNESS_BOUNDS, SLOWNESS_WEIGHT, SUCCESS_WEIGHT, Waiting,
 };
@@ -371,6 +372,15 @@
         &mut self.latency_models[index].1
     }
 
+    /// Records the limit that the answer to a run named, or that it named none. Returns whether that
+    /// is a change.
+    pub fn record_limit(&mut self, run: &Run, rate: Option<Rate>) -> bool {
+        let Some(node) = self.endpoint_of(run) else {
+            return false;
+        };
+        std::mem::replace(&mut node.limit, rate) != rate
+    }
+
     /// Ends a run.
     pub fn finish(&mut self, now: Time, run: &Run, end: End) {
         let avoid_period = self.settings.avoid_period;
