Endpoints get no more than the limit that they name

Two engines that took 1.1 and 1.0 requests a second got up to 20 and 12 in 4 s from instances that had passed on answers which said so (12 and 11 are allowed). Answers were not read for it, and every instance would have sent its own part on top.

A limit belongs to a few senders now, one for each request a second, chosen by hash among the active instances, those of the endpoint's failure domain first. Each keeps to its part by a bucket that begins empty; the others send elsewhere, and what fits nowhere is refused at once as not run. Limits travel in heartbeats behind what older versions read, newest answer first; instances on standby are told and tell their contacts. An instance that hears less than half of the active ones keeps to an equal part. A limit ends with the first answer that names none, and with the endpoint's start; its senders prefer an endpoint that has not answered for a second, so that the end is noticed.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -161,7 +161,10 @@
         let Some(run) = &self.run else {
             return;
         };
-        if self.state.roster.borrow_mut().record_limit(run, rate) {
+        let now = self.state.now();
+        let changed = self.state.roster.borrow_mut().record_limit(now, run, rate);
+        if changed {
+            self.state.share_limits();
             let rate = rate.map_or_else(|| "none".into(), |rate| rate.to_string());
             event::ENDPOINT_LIMIT.emit(format_args!("endpoint={endpoint} rate={rate}"));
         }
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -17,7 +17,7 @@
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
-use crate::message::{Extension, Heartbeat, Message};
+use crate::message::{Extension, Heartbeat, Message, Supplement};
 use crate::relays::Relayed;
 use crate::state::State;
 use crate::upgrades;
@@ -73,6 +73,7 @@
         Self {
             heartbeat,
             extension: Some(extension),
+            supplement: Some(Supplement::new(state, round)),
         }
     }
 
@@ -91,6 +92,7 @@
         Self {
             heartbeat: Heartbeat::common(state, round),
             extension: Some(extension),
+            supplement: Some(Supplement::new(state, round)),
         }
     }
 }
@@ -102,6 +104,18 @@
     contacts.first().map(|profile| profile.name.clone())
 }
 
+impl Supplement {
+    fn new(state: &State, round: usize) -> Self {
+        let rows = peer::max_rows(state.sharers() as usize);
+        Self {
+            limits: state
+                .roster
+                .borrow()
+                .limit_reports(state.now(), rows, round),
+        }
+    }
+}
+
 impl Heartbeat {
     /// What both heartbeats and digests hold.
     fn common(state: &State, round: usize) -> Self {
@@ -193,6 +207,7 @@
             // Others that still take this instance for active would wait for its heartbeats.
             broadcast_to(&state, &socket, &before).await;
         }
+        state.share_limits();
         take_turn(&state, &socket, number).await;
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         expire(&state);
@@ -264,6 +279,7 @@
     let Message {
         heartbeat,
         extension,
+        supplement,
     } = message;
     let boot = heartbeat.profile.boot;
     if boot == state.boot {
@@ -287,13 +303,19 @@
     };
     let status = extension.as_ref().map(|extension| extension.status);
     let now = state.now();
+    let relays = status.is_some_and(|status| status.role == Role::Standby);
     let mut suspicions = state.suspicions.borrow_mut();
-    match status.map(|status| status.role) {
-        Some(Role::Standby) => suspicions.merge_relayed(now, &heartbeat.evidence),
-        Some(Role::Active) | None => suspicions.merge(now, &heartbeat.evidence),
+    if relays {
+        suspicions.merge_relayed(now, &heartbeat.evidence);
+    } else {
+        suspicions.merge(now, &heartbeat.evidence);
     }
     drop(suspicions);
     receive_heartbeat(state, heartbeat);
+    if let Some(supplement) = supplement {
+        let mut roster = state.roster.borrow_mut();
+        roster.merge_limits(now, &supplement.limits, relays);
+    }
     state.peers.borrow_mut().record_status(now, &name, status);
     let mut rate_limiter = state.rate_limiter.borrow_mut();
     match status.map(|status| status.role) {
--- a/coltsfoothall-forward/src/message.rs
+++ b/coltsfoothall-forward/src/message.rs
@@ -7,6 +7,7 @@
 use coltsfoothall::forward::active::Digest;
 use coltsfoothall::forward::gossip::Count as Counted;
 use coltsfoothall::forward::history::Era;
+use coltsfoothall::forward::limit;
 use coltsfoothall::forward::node::Load;
 use coltsfoothall::forward::peer::{Profile, Status};
 use coltsfoothall::forward::rate_limit::Total;
@@ -15,6 +16,7 @@
 use coltsfoothall::forward::usage::Count;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::Evidence;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::relays::Relayed;
@@ -73,6 +75,13 @@
     pub relayed: Vec<Relayed>,
 }
 
+/// What versions after those that send an [`Extension`] add. It follows the extension.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Supplement {
+    /// Limits that endpoints name.
+    pub limits: Vec<Counted<limit::Report>>,
+}
+
 /// A datagram between instances.
 #[derive(Debug, Clone)]
 pub struct Message {
@@ -80,6 +89,8 @@
     pub heartbeat: Heartbeat,
     /// Absent from instances of an older version.
     pub extension: Option<Extension>,
+    /// Absent from instances of an older version.
+    pub supplement: Option<Supplement>,
 }
 
 impl Message {
@@ -91,25 +102,34 @@
         let mut bytes = rmp_serde::to_vec(&self.heartbeat)?;
         if let Some(extension) = &self.extension {
             bytes.extend(rmp_serde::to_vec(extension)?);
+            if let Some(supplement) = &self.supplement {
+                bytes.extend(rmp_serde::to_vec(supplement)?);
+            }
         }
         Ok(bytes)
     }
 
-    /// Decodes a datagram of any version. What follows the extension is of a later one.
+    /// Decodes a datagram of any version. What follows the supplement is of a later one.
     ///
     /// # Errors
     /// The datagram is no heartbeat.
     pub fn decode(bytes: &[u8]) -> Result<Self, rmp_serde::decode::Error> {
         let mut rest = bytes;
         let heartbeat = rmp_serde::from_read(&mut rest)?;
-        let extension = if rest.is_empty() {
-            None
-        } else {
-            Some(rmp_serde::from_read(&mut rest)?)
-        };
+        let extension = next(&mut rest)?;
+        let supplement = next(&mut rest)?;
         Ok(Self {
             heartbeat,
             extension,
+            supplement,
         })
     }
 }
+
+/// Decodes the next part of a datagram, if there is one.
+fn next<T: DeserializeOwned>(rest: &mut &[u8]) -> Result<Option<T>, rmp_serde::decode::Error> {
+    if rest.is_empty() {
+        return Ok(None);
+    }
+    rmp_serde::from_read(rest).map(Some)
+}
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -14,6 +14,7 @@
 use coltsfoothall::forward::duration;
 use coltsfoothall::forward::history::{Era, Fence, Position};
 use coltsfoothall::forward::leader::Leader;
+use coltsfoothall::forward::limit::Candidate;
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
@@ -326,6 +327,21 @@
         usage.record_start(window, workspace);
     }
 
+    /// Divides the limits that endpoints name between this instance and the others.
+    pub fn share_limits(&self) {
+        if !self.roster.borrow().has_limits() {
+            return;
+        }
+        let own = self.is_ready().then(|| Candidate {
+            name: self.name.clone(),
+            domain: self.domain.clone(),
+        });
+        let now = self.now();
+        let fleet = self.peers.borrow().limit_fleet(now, own);
+        let mut roster = self.roster.borrow_mut();
+        roster.share_limits(now, &self.name, &fleet);
+    }
+
     /// Records the end of a run that began at `began`. An interrupted run is evidence against requests with this
     /// fingerprint if its endpoint turns out to be gone; a complete response clears them. Endpoints
     /// that leave unannounced still finish their requests, so a run that was not interrupted is no
--- a/coltsfoothall-forward/tests/message.rs
+++ b/coltsfoothall-forward/tests/message.rs
@@ -4,11 +4,13 @@
 
 use std::time::Duration;
 
+use coltsfoothall::forward::gossip::Count;
+use coltsfoothall::forward::limit;
 use coltsfoothall::forward::peer::{Profile, Status};
 use coltsfoothall::forward::rate_limit::Total;
 use coltsfoothall::forward::role::Role;
-use coltsfoothall::size::Megabits;
-use coltsfoothall_forward::message::{Extension, Heartbeat, Message};
+use coltsfoothall::size::{Megabits, Millis};
+use coltsfoothall_forward::message::{Extension, Heartbeat, Message, Supplement};
 
 fn heartbeat() -> Heartbeat {
     Heartbeat {
@@ -59,6 +61,20 @@
     Message {
         heartbeat: heartbeat(),
         extension: Some(extension),
+        supplement: Some(Supplement {
+            limits: vec![limit()],
+        }),
+    }
+}
+
+fn limit() -> Count<limit::Report> {
+    Count {
+        id: "e-1".parse().unwrap(),
+        born: Millis(5),
+        value: limit::Report {
+            rate: Some("1.3".parse().unwrap()),
+            age: Millis(40),
+        },
     }
 }
 
@@ -73,6 +89,26 @@
     assert_eq!(read.relay, sent.relay);
 }
 
+#[test]
+fn limits_kept() {
+    let read = Message::decode(&message().encode().unwrap()).unwrap();
+    assert_eq!(read.supplement.unwrap().limits, [limit()]);
+}
+
+/// A version that knows no supplement reads the extension and no more, and sends none.
+#[test]
+fn without_supplement() {
+    let all = message().encode().unwrap();
+    let mut rest = all.as_slice();
+    let _heartbeat: Heartbeat = rmp_serde::from_read(&mut rest).unwrap();
+    let read: Extension = rmp_serde::from_read(&mut rest).unwrap();
+    assert_eq!(read.status.requests, 11);
+    let len = all.len() - rest.len();
+    let read = Message::decode(&all[..len]).unwrap();
+    assert_eq!(read.extension.unwrap().status.requests, 11);
+    assert!(read.supplement.is_none());
+}
+
 /// An older version reads the heartbeat and no more.
 #[test]
 fn older_reads() {
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -30,6 +30,8 @@
     pub hop_us: f64,
     /// Cost in microseconds of an endpoint that fails every request.
     pub fault_us: f64,
+    /// Value in microseconds of learning whether the limit of an endpoint goes on.
+    pub confirm_us: f64,
     /// Share of an engine's batch slots and memory that may be taken before it counts as full.
     pub max_fill: f64,
     /// Factor by which the prefill time that a cached prefix saves is weighted. Prefilling the
@@ -51,6 +53,7 @@
             plain_work_us: 30_000.0,
             hop_us: 3_000.0,
             fault_us: 600_000.0,
+            confirm_us: 100_000.0,
             max_fill: 0.95,
             affinity: 2.0,
             prefix_ttl: Duration::from_secs(60),
@@ -151,7 +154,8 @@
             if !query.allows(node) || query.exclude.contains(&node.entry.id) {
                 continue;
             }
-            if self.is_full(now, node, query) {
+            let limited = node.limit.as_ref().is_some_and(|limit| !limit.allows(now));
+            if limited || self.is_full(now, node, query) {
                 unavailable = Unavailable::Full;
                 continue;
             }
@@ -255,7 +259,17 @@
         } else {
             0.0
         };
-        let cost = wait + hop + suspicion + avoidance + node.failure_rate(now) * settings.fault_us;
+        let unconfirmed = node
+            .limit
+            .as_ref()
+            .is_some_and(|limit| limit.is_unconfirmed(now));
+        let confirmation = if unconfirmed {
+            settings.confirm_us
+        } else {
+            0.0
+        };
+        let cost = wait + hop + suspicion + avoidance - confirmation
+            + node.failure_rate(now) * settings.fault_us;
         Estimate {
             cost,
             wait,
--- a/coltsfoothall/src/forward/limit.rs
+++ b/coltsfoothall/src/forward/limit.rs
@@ -1,10 +1,30 @@
-//! Limits of requests that endpoints in need name.
+//! Limits of requests that endpoints in need name, and the part of them that each instance may send.
+//!
+//! An endpoint names in its answers the requests a second that it takes from all instances together.
+//! An instance cannot ask the others before it sends, and equal parts of a small limit are too rare
+//! to be of use: a request a second among 900 instances is one in a quarter of an hour. A limit
+//! therefore belongs to a few *senders*, one for each request a second, those of the endpoint's
+//! failure domain first. All instances that know the same members select the same senders, and the
+//! others send their requests elsewhere. Each sender keeps to its part by a bucket of its own.
+//!
+//! An instance that hears less than half of the others may have lost its place among the senders
+//! without knowing. It keeps to an equal part of the limit.
+//!
+//! Let the limit be R requests a second. There are at most max(1, R) senders, and each saves up to
+//! one request and its part of a quarter of a second. From the moment at which all know of the limit, the endpoint
+//! therefore gets at most 4 R + max(1, R) + R/4 requests in any 4 s.
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::clock::Time;
+use crate::id;
+use crate::size::Millis;
 
 quick_error! {
     /// A rate that cannot be parsed.
@@ -67,3 +87,191 @@
     /// It cannot be read, and changes nothing.
     Invalid(Error),
 }
+
+/// What an instance reports of an endpoint's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The limit; none if it has ended.
+    pub rate: Option<Rate>,
+    /// Time since the last answer that said so.
+    pub age: Millis,
+}
+
+/// An instance that may send to endpoints with a limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its name.
+    pub name: id::Instance,
+    /// Its failure domain.
+    pub domain: id::Domain,
+}
+
+/// The active instances as far as one of them knows.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Fleet {
+    /// Those that it hears and that accept callers, itself included if it does.
+    pub candidates: Vec<Candidate>,
+    /// Number of those that it hears, itself included.
+    pub heard: usize,
+    /// Number of those that it knows, itself included.
+    pub known: usize,
+}
+
+impl Fleet {
+    /// Whether the others may go on without this instance.
+    fn is_cut_off(&self) -> bool {
+        self.heard * 2 < self.known
+    }
+}
+
+/// Part of an endpoint's limit that the instance `me` may send.
+#[must_use]
+pub fn share(
+    rate: Rate,
+    endpoint: &id::Endpoint,
+    domain: &id::Domain,
+    me: &id::Instance,
+    fleet: &Fleet,
+) -> f64 {
+    let candidates = &fleet.candidates;
+    let Some(own) = candidates.iter().find(|candidate| candidate.name == *me) else {
+        return 0.0;
+    };
+    if fleet.is_cut_off() {
+        return rate.per_second() / fleet.known as f64;
+    }
+    let senders = (rate.per_second() as usize).clamp(1, candidates.len());
+    let seed = xxh3_64(endpoint.as_str().as_bytes());
+    let key = |candidate: &Candidate| {
+        let hash = xxh3_64_with_seed(candidate.name.as_str().as_bytes(), seed);
+        (candidate.domain != *domain, hash)
+    };
+    let own = key(own);
+    let before = candidates.iter().filter(|candidate| key(candidate) < own);
+    if before.count() < senders {
+        rate.per_second() / senders as f64
+    } else {
+        0.0
+    }
+}
+
+/// Seconds for which a sender saves unused requests, beside a whole one.
+const SAVED_SECONDS: f64 = 0.25;
+/// How long a change that this instance saw itself goes before what others report.
+const OWN_PERIOD: Duration = Duration::from_secs(2);
+/// How long the end of a limit is remembered and reported.
+const ENDED_PERIOD: Duration = Duration::from_secs(10);
+/// Time without an answer after which a sender prefers the endpoint, to learn whether its limit
+/// goes on.
+const CONFIRM_PERIOD: Duration = Duration::from_secs(1);
+
+/// The limit of an endpoint, or its end, as known to an instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Limit {
+    rate: Option<Rate>,
+    /// When an answer last said so, at any instance.
+    as_of: Time,
+    /// When a change was seen by this instance, or by one that reports to it and few others.
+    seen: Option<Time>,
+    /// Requests a second that this instance may send.
+    share: f64,
+    /// Requests that it may send now, as of `updated`.
+    level: f64,
+    updated: Time,
+}
+
+impl Limit {
+    /// No limit so far.
+    #[must_use]
+    pub fn unknown(now: Time) -> Self {
+        Self {
+            rate: None,
+            as_of: Time::START,
+            seen: None,
+            share: 0.0,
+            level: 0.0,
+            updated: now,
+        }
+    }
+
+    /// The rate that the endpoint names, if any.
+    #[must_use]
+    pub fn rate(&self) -> Option<Rate> {
+        self.rate
+    }
+
+    /// Records what an answer says that arrived here at `as_of`. Returns whether it is a change.
+    pub fn record(&mut self, as_of: Time, rate: Option<Rate>) -> bool {
+        let changed = self.merge(as_of, rate);
+        if changed {
+            self.seen = Some(as_of);
+        }
+        changed
+    }
+
+    /// Merges what an answer said that arrived at another instance at `as_of`; the newest one holds.
+    /// Returns whether it is a change.
+    pub fn merge(&mut self, as_of: Time, rate: Option<Rate>) -> bool {
+        if as_of < self.as_of {
+            return false;
+        }
+        self.as_of = as_of;
+        std::mem::replace(&mut self.rate, rate) != rate
+    }
+
+    /// Sets the part that this instance may send. A new sender begins with nothing saved.
+    pub fn set_share(&mut self, now: Time, share: f64) {
+        self.level = if self.share > 0.0 {
+            self.level(now)
+        } else {
+            0.0
+        };
+        self.updated = now;
+        self.share = share;
+    }
+
+    /// Whether this instance may send a request now.
+    #[must_use]
+    pub fn allows(&self, now: Time) -> bool {
+        self.rate.is_none() || (self.share > 0.0 && self.level(now) >= 1.0)
+    }
+
+    /// Counts a request that is sent.
+    pub fn take(&mut self, now: Time) {
+        self.level = self.level(now) - 1.0;
+        self.updated = now;
+    }
+
+    /// Whether the limit has not been confirmed for some time.
+    #[must_use]
+    pub fn is_unconfirmed(&self, now: Time) -> bool {
+        self.rate.is_some() && now.since(self.as_of) >= CONFIRM_PERIOD
+    }
+
+    /// Whether other instances may not know of a change yet that this one saw.
+    #[must_use]
+    pub fn is_own(&self, now: Time) -> bool {
+        self.seen.is_some_and(|seen| now.since(seen) < OWN_PERIOD)
+    }
+
+    /// Whether the limit ended so long ago that all know.
+    #[must_use]
+    pub fn is_over(&self, now: Time) -> bool {
+        self.rate.is_none() && now.since(self.as_of) >= ENDED_PERIOD
+    }
+
+    /// The report to other instances.
+    #[must_use]
+    pub fn report(&self, now: Time) -> Report {
+        Report {
+            rate: self.rate,
+            age: now.since(self.as_of).into(),
+        }
+    }
+
+    fn level(&self, now: Time) -> f64 {
+        let gained = self.share * now.since(self.updated).as_secs_f64();
+        let max = 1.0 + self.share * SAVED_SECONDS;
+        (self.level + gained).min(max)
+    }
+}
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -146,8 +146,8 @@
     pub(super) slowness: f64,
     pub(super) avoided_until: Time,
     pub(super) full_until: Time,
-    /// The limit that its last answer named.
-    pub(super) limit: Option<limit::Rate>,
+    /// The limit that it names, or that has ended not long ago.
+    pub(super) limit: Option<limit::Limit>,
 }
 
 impl Node {
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -9,7 +9,6 @@
 use crate::forward::gossip::{PLACEMENT_INTERVAL, Peer, Placement};
 use crate::forward::history::Position;
 use crate::forward::latency::{Model, Sample};
-use crate::forward::limit::Rate;
 use crate::forward::node::{
     Entry, Listing, Load, Node, SLOWNESS_BOUNDS, SLOWNESS_WEIGHT, SUCCESS_WEIGHT, Waiting,
 };
@@ -288,6 +287,9 @@
             let node = &mut self.nodes[index];
             born = node.entry.born;
             node.own = node.own.plus(load);
+            if let Some(limit) = &mut node.limit {
+                limit.take(now);
+            }
             node.waiting.push(Waiting {
                 number,
                 began: now,
@@ -372,15 +374,6 @@
         &mut self.latency_models[index].1
     }
 
-    /// Records the limit that the answer to a run named, or that it named none. Returns whether that
-    /// is a change.
-    pub fn record_limit(&mut self, run: &Run, rate: Option<Rate>) -> bool {
-        let Some(node) = self.endpoint_of(run) else {
-            return false;
-        };
-        std::mem::replace(&mut node.limit, rate) != rate
-    }
-
     /// Ends a run.
     pub fn finish(&mut self, now: Time, run: &Run, end: End) {
         let avoid_period = self.settings.avoid_period;
@@ -418,7 +411,7 @@
     }
 
     /// The endpoint of a run, unless it has restarted since.
-    fn endpoint_of(&mut self, run: &Run) -> Option<&mut Node> {
+    pub(super) fn endpoint_of(&mut self, run: &Run) -> Option<&mut Node> {
         let index = self.index(&run.endpoint).ok()?;
         let node = &mut self.nodes[index];
         (node.entry.born == run.born).then_some(node)
