Evidence in a module of its own; limits that echo do not count as newer

A report's age leaves out the time that it travels, so that a limit came back from a peer newer than it was, and two instances that had seen different answers at the same moment could have exchanged them. What is reported counts as newer only beyond 50 ms. A limit that cannot be read is logged once, not with each answer. State's part in evidence and the selection of active instances moved to modules of their own; tests share the schedule of heartbeats and the start of a fleet. No test asserts less.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -148,21 +148,25 @@
 
     /// Records what the response says of the endpoint's limit.
     pub fn record_limit(&self, notice: &Notice) {
-        let endpoint = &self.endpoint;
+        let (endpoint, now) = (&self.endpoint, self.state.now());
+        let Some(run) = &self.run else {
+            return;
+        };
+        let mut roster = self.state.roster.borrow_mut();
         let rate = match notice {
             Notice::Unlimited => None,
             Notice::Limited(rate) => Some(*rate),
             Notice::Invalid(error) => {
-                let reason = error.to_string();
-                event::ENDPOINT_LIMIT.emit(format_args!("endpoint={endpoint} reason={reason:?}"));
+                if roster.record_invalid_limit(run) {
+                    let reason = error.to_string();
+                    event::ENDPOINT_LIMIT
+                        .emit(format_args!("endpoint={endpoint} reason={reason:?}"));
+                }
                 return;
             }
         };
-        let Some(run) = &self.run else {
-            return;
-        };
-        let now = self.state.now();
-        let changed = self.state.roster.borrow_mut().record_limit(now, run, rate);
+        let changed = roster.record_limit(now, run, rate);
+        drop(roster);
         if changed {
             self.state.share_limits();
             let rate = rate.map_or_else(|| "none".into(), |rate| rate.to_string());
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -18,12 +18,12 @@
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
-use coltsfoothall::forward::roster::{End, Ended, Event, Roster};
+use coltsfoothall::forward::roster::{Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
 use coltsfoothall::forward::upgrade;
 use coltsfoothall::forward::usage;
 use coltsfoothall::id;
-use coltsfoothall::suspicion::{self, Fingerprint, Tracker};
+use coltsfoothall::suspicion::{self, Tracker};
 use coltsfoothall_shell::event;
 use coltsfoothall_shell::metric::Board;
 use rand::Rng;
@@ -41,9 +41,6 @@
 use crate::settings::Settings;
 use crate::time::{self, Clock};
 
-/// How long an interrupted attempt is kept as possible evidence until its endpoint is known to be
-/// gone: registrations lapse after three heartbeats, and the store may be unavailable meanwhile.
-const EVIDENCE_RETENTION: Duration = Duration::from_secs(15);
 /// How long departed endpoints are reported to other instances.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(6);
 /// Time for which removed endpoints may register again after the store recovers.
@@ -137,7 +134,7 @@
     pub suspicions: RefCell<Tracker>,
     /// Endpoints that are being connected to because they interrupted a run, sorted.
     pub probed: RefCell<Vec<id::Endpoint>>,
-    next_attempt: Cell<u64>,
+    pub(crate) next_attempt: Cell<u64>,
     /// Number of open requests.
     pub open: Cell<usize>,
     /// Metrics.
@@ -342,64 +339,6 @@
         roster.share_limits(now, &self.name, &fleet);
     }
 
-    /// Records the end of a run that began at `began`. An interrupted run is evidence against requests with this
-    /// fingerprint if its endpoint turns out to be gone; a complete response clears them. Endpoints
-    /// that leave unannounced still finish their requests, so a run that was not interrupted is no
-    /// evidence.
-    pub fn record_evidence(
-        &self,
-        endpoint: &id::Endpoint,
-        fingerprint: Fingerprint,
-        began: Time,
-        end: End,
-    ) {
-        let now = self.now();
-        let mut suspicions = self.suspicions.borrow_mut();
-        let attempt = self.next_attempt.get();
-        match end {
-            End::Whole if suspicions.is_empty() => {}
-            End::Whole => {
-                suspicions.record_start(now, attempt, endpoint.clone(), fingerprint, false);
-                suspicions.record_end(now, attempt, true);
-            }
-            End::Broken => {
-                // Attempt numbers are unique in the fleet, as each process counts from a random
-                // number.
-                self.next_attempt.set(attempt.wrapping_add(1));
-                suspicions.record_interrupted(now, attempt, endpoint.clone(), fingerprint, began);
-            }
-            End::Failed | End::Refused | End::Unreachable | End::Abandoned => {}
-        }
-    }
-
-    /// Records that nothing listens at the address of an endpoint. What it interrupted is evidence
-    /// unless it is leaving.
-    pub fn record_crash(&self, id: &id::Endpoint) {
-        let announced = {
-            let roster = self.roster.borrow();
-            roster.node(id).is_none_or(|node| node.entry.leaving)
-        };
-        if !announced {
-            self.record_death(id, false);
-        }
-    }
-
-    /// Records that an endpoint is gone. What ran there is evidence unless the departure was
-    /// expected.
-    fn record_death(&self, id: &id::Endpoint, announced: bool) {
-        let now = self.now();
-        let mut suspicions = self.suspicions.borrow_mut();
-        suspicions.abandon(now - EVIDENCE_RETENTION);
-        suspicions.expire(now);
-        let suspects = suspicions.record_death(now, id, announced);
-        if !suspects.is_empty() {
-            event::ENDPOINT_DIED.emit(format_args!(
-                "endpoint={id} announced={announced} suspects={}",
-                suspects.len()
-            ));
-        }
-    }
-
     /// Counts a request that is sent to a service for the first time.
     pub fn count_sent(&self, service: &id::Service) {
         let (now, members) = (self.now(), self.sharers());
--- a/coltsfoothall-forward/src/suspicion.rs
+++ b/coltsfoothall-forward/src/suspicion.rs
@@ -1,18 +1,84 @@
-//! Refuses requests whose content crashes endpoints.
+//! Collects evidence against requests whose content crashes endpoints, and refuses them.
 
 use std::time::Duration;
 
+use coltsfoothall::clock::Time;
+use coltsfoothall::forward::roster::End;
+use coltsfoothall::id;
 use coltsfoothall::suspicion::{Fingerprint, Verdict};
 use coltsfoothall_shell::event;
 
 use crate::refusal::{Refusal, bad_gateway, unavailable};
 use crate::state::State;
 
+/// How long an interrupted attempt is kept as possible evidence until its endpoint is known to be
+/// gone: registrations lapse after three heartbeats, and the store may be unavailable meanwhile.
+const EVIDENCE_RETENTION: Duration = Duration::from_secs(15);
 /// Reason of the refusal.
 const REASON: &str = "such requests crashed endpoints";
 /// `Retry-After` for a request whose fingerprint has crashed endpoints.
 const RETRY_DELAY: Duration = Duration::from_secs(30);
 
+impl State {
+    /// Records the end of a run that began at `began`. An interrupted run is evidence against
+    /// requests with this fingerprint if its endpoint turns out to be gone; a complete response
+    /// clears them. Endpoints that leave unannounced still finish their requests, so a run that was
+    /// not interrupted is no evidence.
+    pub fn record_evidence(
+        &self,
+        endpoint: &id::Endpoint,
+        fingerprint: Fingerprint,
+        began: Time,
+        end: End,
+    ) {
+        let now = self.now();
+        let mut suspicions = self.suspicions.borrow_mut();
+        let attempt = self.next_attempt.get();
+        match end {
+            End::Whole if suspicions.is_empty() => {}
+            End::Whole => {
+                suspicions.record_start(now, attempt, endpoint.clone(), fingerprint, false);
+                suspicions.record_end(now, attempt, true);
+            }
+            End::Broken => {
+                // Attempt numbers are unique in the fleet, as each process counts from a random
+                // number.
+                self.next_attempt.set(attempt.wrapping_add(1));
+                suspicions.record_interrupted(now, attempt, endpoint.clone(), fingerprint, began);
+            }
+            End::Failed | End::Refused | End::Unreachable | End::Abandoned => {}
+        }
+    }
+
+    /// Records that nothing listens at the address of an endpoint. What it interrupted is evidence
+    /// unless it is leaving.
+    pub fn record_crash(&self, id: &id::Endpoint) {
+        let announced = {
+            let roster = self.roster.borrow();
+            roster.node(id).is_none_or(|node| node.entry.leaving)
+        };
+        if !announced {
+            self.record_death(id, false);
+        }
+    }
+
+    /// Records that an endpoint is gone. What ran there is evidence unless the departure was
+    /// expected.
+    pub fn record_death(&self, id: &id::Endpoint, announced: bool) {
+        let now = self.now();
+        let mut suspicions = self.suspicions.borrow_mut();
+        suspicions.abandon(now - EVIDENCE_RETENTION);
+        suspicions.expire(now);
+        let suspects = suspicions.record_death(now, id, announced);
+        if !suspects.is_empty() {
+            event::ENDPOINT_DIED.emit(format_args!(
+                "endpoint={id} announced={announced} suspects={}",
+                suspects.len()
+            ));
+        }
+    }
+}
+
 /// Whether a request must not be sent, as its content crashes endpoints.
 pub fn is_poisonous(state: &State, id: &str, fingerprint: Fingerprint) -> bool {
     let now = state.now();
--- a/coltsfoothall/src/forward/limit.rs
+++ b/coltsfoothall/src/forward/limit.rs
@@ -11,8 +11,8 @@
 //! without knowing. It keeps to an equal part of the limit.
 //!
 //! Let the limit be R requests a second. There are at most max(1, R) senders, and each saves up to
-//! one request and its part of a quarter of a second. From the moment at which all know of the limit, the endpoint
-//! therefore gets at most 4 R + max(1, R) + R/4 requests in any 4 s.
+//! one request and its part of a quarter of a second. From the moment at which all know of the limit,
+//! the endpoint therefore gets at most 4 R + max(1, R) + R/4 requests in any 4 s.
 
 use std::fmt;
 use std::str::FromStr;
@@ -161,6 +161,9 @@
 const OWN_PERIOD: Duration = Duration::from_secs(2);
 /// How long the end of a limit is remembered and reported.
 const ENDED_PERIOD: Duration = Duration::from_secs(10);
+/// Upper bound of the time that a report takes, by which its age is too low. Without it a report
+/// would come back as newer than it was.
+const REPORT_DELAY: Duration = Duration::from_millis(50);
 /// Time without an answer after which a sender prefers the endpoint, to learn whether its limit
 /// goes on.
 const CONFIRM_PERIOD: Duration = Duration::from_secs(1);
@@ -200,23 +203,27 @@
         self.rate
     }
 
-    /// Records what an answer says that arrived here at `as_of`. Returns whether it is a change.
-    pub fn record(&mut self, as_of: Time, rate: Option<Rate>) -> bool {
-        let changed = self.merge(as_of, rate);
+    /// Records what an answer says that arrives here now. Returns whether it is a change.
+    pub fn record(&mut self, now: Time, rate: Option<Rate>) -> bool {
+        self.as_of = now;
+        let changed = std::mem::replace(&mut self.rate, rate) != rate;
         if changed {
-            self.seen = Some(as_of);
+            self.seen = Some(now);
         }
         changed
     }
 
-    /// Merges what an answer said that arrived at another instance at `as_of`; the newest one holds.
-    /// Returns whether it is a change.
-    pub fn merge(&mut self, as_of: Time, rate: Option<Rate>) -> bool {
-        if as_of < self.as_of {
-            return false;
+    /// Merges what an answer said that arrived at another instance at `as_of`, unless one of about
+    /// that time or later is known. `relayed` if that instance reports to few others.
+    pub fn merge(&mut self, now: Time, as_of: Time, rate: Option<Rate>, relayed: bool) {
+        if as_of <= self.as_of + REPORT_DELAY {
+            return;
         }
         self.as_of = as_of;
-        std::mem::replace(&mut self.rate, rate) != rate
+        let changed = std::mem::replace(&mut self.rate, rate) != rate;
+        if changed && relayed {
+            self.seen = Some(now);
+        }
     }
 
     /// Sets the part that this instance may send. A new sender begins with nothing saved.
--- a/coltsfoothall/src/forward/limited.rs
+++ b/coltsfoothall/src/forward/limited.rs
@@ -3,8 +3,10 @@
 use crate::batch;
 use crate::clock::Time;
 use crate::forward::gossip::Count;
-use crate::forward::limit::{Fleet, Limit, Rate, Report, share};
+use crate::forward::limit::{Candidate, Fleet, Limit, Rate, Report, share};
 use crate::forward::node::Node;
+use crate::forward::peer::Peers;
+use crate::forward::role::Role;
 use crate::forward::roster::{Roster, Run};
 use crate::id;
 
@@ -15,6 +17,7 @@
         let Some(node) = self.endpoint_of(run) else {
             return false;
         };
+        node.limit_invalid = false;
         if node.limit.is_none() && rate.is_none() {
             return false;
         }
@@ -22,6 +25,13 @@
         limit.record(now, rate)
     }
 
+    /// Records that the answer to a run named a limit that cannot be read. Returns whether the one
+    /// before did not.
+    pub fn record_invalid_limit(&mut self, run: &Run) -> bool {
+        let node = self.endpoint_of(run);
+        node.is_some_and(|node| !std::mem::replace(&mut node.limit_invalid, true))
+    }
+
     /// Merges limits that another instance reports. `relayed` if it reports to few others, so that
     /// this instance passes its changes on like its own.
     pub fn merge_limits(&mut self, now: Time, reports: &[Count<Report>], relayed: bool) {
@@ -35,12 +45,7 @@
                 continue;
             }
             let limit = node.limit.get_or_insert_with(|| Limit::unknown(now));
-            let as_of = now - age.duration();
-            if relayed {
-                limit.record(as_of, rate);
-            } else {
-                limit.merge(as_of, rate);
-            }
+            limit.merge(now, now - age.duration(), rate, relayed);
         }
     }
 
@@ -80,3 +85,25 @@
         self.nodes.iter().any(|node| node.limit.is_some())
     }
 }
+
+impl Peers {
+    /// The active instances, among which the limits of endpoints are divided; `own` is this one if
+    /// it accepts callers.
+    #[must_use]
+    pub fn limit_fleet(&self, now: Time, own: Option<Candidate>) -> Fleet {
+        let known = self.peers.iter().filter(|peer| peer.is_active());
+        let heard = known.clone().filter(|peer| self.is_alive(now, peer));
+        let ready = heard.clone().filter(|peer| peer.profile.ready);
+        let ready = ready.map(|peer| Candidate {
+            name: peer.profile.name.clone(),
+            domain: peer.profile.domain.clone(),
+        });
+        Fleet {
+            heard: heard.count() + 1,
+            known: known.count() + 1,
+            candidates: ready
+                .chain(own.filter(|_| self.role == Role::Active))
+                .collect(),
+        }
+    }
+}
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -148,6 +148,8 @@
     pub(super) full_until: Time,
     /// The limit that it names, or that has ended not long ago.
     pub(super) limit: Option<limit::Limit>,
+    /// Whether its last answer named a limit that cannot be read.
+    pub(super) limit_invalid: bool,
 }
 
 impl Node {
@@ -168,6 +170,7 @@
             avoided_until: Time::START,
             full_until: Time::START,
             limit: None,
+            limit_invalid: false,
         }
     }
 
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -9,7 +9,6 @@
 
 use crate::batch;
 use crate::clock::Time;
-use crate::forward::limit::{Candidate, Fleet};
 use crate::forward::rate_limit::Coverage;
 use crate::forward::role::Role;
 use crate::id;
@@ -350,26 +349,6 @@
         }
     }
 
-    /// The active instances, among which the limits of endpoints are divided; `own` is this one if
-    /// it accepts callers.
-    #[must_use]
-    pub fn limit_fleet(&self, now: Time, own: Option<Candidate>) -> Fleet {
-        let known = self.peers.iter().filter(|peer| peer.is_active());
-        let heard = known.clone().filter(|peer| self.is_alive(now, peer));
-        let ready = heard.clone().filter(|peer| peer.profile.ready);
-        let ready = ready.map(|peer| Candidate {
-            name: peer.profile.name.clone(),
-            domain: peer.profile.domain.clone(),
-        });
-        Fleet {
-            heard: heard.count() + 1,
-            known: known.count() + 1,
-            candidates: ready
-                .chain(own.filter(|_| self.role == Role::Active))
-                .collect(),
-        }
-    }
-
     /// Addresses for a caller in `domain`; `own` is that of this instance if it accepts callers.
     ///
     /// Only those of the caller's domain are returned if there are two or more: traffic between
--- a/coltsfoothall/tests/forward_limit.rs
+++ b/coltsfoothall/tests/forward_limit.rs
@@ -2,17 +2,15 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use std::time::Duration;
+mod schedule;
 
-use coltsfoothall::batch;
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::{self, Query};
 use coltsfoothall::forward::gossip::Count;
 use coltsfoothall::forward::history::Position;
 use coltsfoothall::forward::limit::{Candidate, Fleet, Rate, Report};
 use coltsfoothall::forward::node::Entry;
-use coltsfoothall::forward::peer::{self, MAX_HEARTBEATS_PER_BATCH};
-use coltsfoothall::forward::role::CONTACTS;
+use coltsfoothall::forward::peer;
 use coltsfoothall::forward::roster::{End, Roster};
 use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::id;
@@ -20,12 +18,8 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-/// Milliseconds between two turns of an instance.
-const TURN: u64 = 100;
-/// Turns between two messages of an instance on standby, and between two to it.
-const STANDBY_TURNS: u64 = 10;
-/// Share of the datagrams that are lost.
-const LOSS: f64 = 0.01;
+use schedule::{FLEETS, LOSS, Schedule, TURN, time};
+
 /// Turns from the first answer that names a limit until it has to be kept.
 const CONTACT: usize = 30;
 /// Turns of the window in which requests are counted.
@@ -49,7 +43,7 @@
 struct World {
     random: Pcg64,
     turn: u64,
-    active: usize,
+    schedule: Schedule,
     /// Active instances, then those on standby.
     instances: Vec<Instance>,
     /// The limit that the endpoint names.
@@ -58,10 +52,6 @@
     got: Vec<usize>,
 }
 
-fn time(turn: u64) -> Time {
-    Time::START + Duration::from_millis(turn * TURN)
-}
-
 fn domain(index: usize) -> id::Domain {
     format!("domain-{}", index % DOMAINS).parse().unwrap()
 }
@@ -91,18 +81,18 @@
 }
 
 impl World {
-    fn new(seed: u64, active: usize, standby: usize) -> Self {
-        let instances = (0..active + standby).map(|index| Instance {
+    fn new(seed: u64, schedule: Schedule) -> Self {
+        let instances = (0..schedule.len()).map(|index| Instance {
             name: format!("entry-{index}").parse().unwrap(),
             domain: domain(index),
             roster: roster(),
-            heard: vec![None; active],
+            heard: vec![None; schedule.active],
             cut: false,
         });
         Self {
             random: Pcg64::seed_from_u64(seed),
             turn: 0,
-            active,
+            schedule,
             instances: instances.collect(),
             rate: None,
             got: Vec::new(),
@@ -110,15 +100,14 @@
     }
 
     fn silence(&self) -> u64 {
-        let batches = batch::count(self.active, MAX_HEARTBEATS_PER_BATCH) as u64;
-        SILENCE.max(batches * TURN * 3)
+        SILENCE.max(self.schedule.batches() as u64 * TURN * 3)
     }
 
     /// The active instances, as known to one of the fleet.
     fn fleet(&self, of: usize) -> Fleet {
         let now = self.turn * TURN;
         let heard = &self.instances[of].heard;
-        let known: Vec<usize> = (0..self.active)
+        let known: Vec<usize> = (0..self.schedule.active)
             .filter(|index| *index == of || heard[*index].is_some())
             .collect();
         let alive = known.iter().filter(|index| {
@@ -135,34 +124,16 @@
         }
     }
 
-    fn recipients(&self, from: usize) -> (Vec<usize>, usize) {
-        let number = self.turn as usize + from;
-        let contacts = |standby: usize| (0..CONTACTS).map(move |n| (standby + n) % self.active);
-        if from >= self.active {
-            let due = number.is_multiple_of(STANDBY_TURNS as usize);
-            let contacts = contacts(from).filter(|_| due);
-            return (contacts.collect(), number / STANDBY_TURNS as usize);
-        }
-        let others: Vec<usize> = (0..self.active).filter(|to| *to != from).collect();
-        let batches = batch::count(self.active, MAX_HEARTBEATS_PER_BATCH);
-        let mut to = batch::select(&others, MAX_HEARTBEATS_PER_BATCH, number);
-        to.extend((self.active..self.instances.len()).filter(|standby| {
-            (number + standby).is_multiple_of(STANDBY_TURNS as usize)
-                && contacts(*standby).any(|contact| contact == from)
-        }));
-        (to, number / batches)
-    }
-
     /// Exchanges what instances know.
     fn exchange(&mut self) {
         let now = time(self.turn);
-        let rows = peer::max_rows(self.active);
+        let rows = peer::max_rows(self.schedule.active);
         for from in 0..self.instances.len() {
             let fleet = self.fleet(from);
             let instance = &mut self.instances[from];
             let name = instance.name.clone();
             instance.roster.share_limits(now, &name, &fleet);
-            let (recipients, round) = self.recipients(from);
+            let (recipients, round) = self.schedule.recipients(self.turn, from);
             let instance = &self.instances[from];
             let reports: Vec<Count<Report>> = instance.roster.limit_reports(now, rows, round);
             for to in recipients {
@@ -170,7 +141,7 @@
                 if cut || self.random.random_bool(LOSS) {
                     continue;
                 }
-                let relayed = from >= self.active;
+                let relayed = from >= self.schedule.active;
                 if !relayed {
                     self.instances[to].heard[from] = Some(self.turn * TURN);
                 }
@@ -216,7 +187,7 @@
         self.got.push(0);
         self.exchange();
         for at in 0..self.instances.len() {
-            let calls = if at < self.active {
+            let calls = if at < self.schedule.active {
                 2
             } else {
                 usize::from(self.random.random_bool(0.05))
@@ -244,9 +215,6 @@
     }
 }
 
-/// Fleets: active instances, and those on standby.
-const FLEETS: [(usize, usize); 3] = [(9, 0), (77, 0), (60, 925)];
-
 fn check(world: &World, since: usize, rate: f64, what: &str) {
     let (most, allowed) = (world.most(since), 1.5 * rate * 4.0 + 5.0);
     let fleet = world.instances.len();
@@ -259,9 +227,9 @@
 /// Guards against a limit that each instance keeps by itself, so that the sum is above it.
 #[test]
 fn kept_together() {
-    for (active, standby) in FLEETS {
+    for schedule in FLEETS {
         for rate in [0.3, 1.1, 12.5] {
-            let mut world = World::new(1, active, standby);
+            let mut world = World::new(1, schedule);
             world.run(20);
             world.name_limit(&rate.to_string());
             world.run(CONTACT);
@@ -274,9 +242,10 @@
 /// Guards against a limit that is divided into parts too small to be used.
 #[test]
 fn limit_used() {
-    for (active, standby) in FLEETS {
+    for schedule in FLEETS {
+        let active = schedule.active;
         for rate in [0.3, 1.1, 12.5] {
-            let mut world = World::new(1, active, standby);
+            let mut world = World::new(1, schedule);
             for instance in &mut world.instances {
                 for other in ["e-other-1", "e-other-2", "e-other-3"] {
                     let other = other.parse().unwrap();
@@ -295,10 +264,11 @@
 /// Guards against a sum above the limit when instances restart or are cut off from the others.
 #[test]
 fn kept_in_trouble() {
-    for (active, standby) in FLEETS {
+    for schedule in FLEETS {
+        let active = schedule.active;
         for seed in 0..3 {
             const RATE: f64 = 4.2;
-            let mut world = World::new(seed, active, standby);
+            let mut world = World::new(seed, schedule);
             world.run(20);
             world.name_limit(&RATE.to_string());
             world.run(CONTACT);
@@ -326,8 +296,9 @@
 /// Guards against a limit that outlives its naming, and against one that a new start inherits.
 #[test]
 fn ends() {
-    for (active, standby) in FLEETS {
-        let mut world = World::new(2, active, standby);
+    for schedule in FLEETS {
+        let active = schedule.active;
+        let mut world = World::new(2, schedule);
         world.run(20);
         world.name_limit("0.5");
         world.run(100);
