Runs are separate by when they ended, not by when a death was known

Where a crash cannot be seen at once (the endpoint's machine does not answer), a death is known when the registration lapses, and the second death counted only if its run began after that: twice the delay, 8 s on the users' deployments. Whether two runs overlapped is known from when the first was interrupted. A whole answer between the interruption and the news clears the request, too.

--- a/coltsfoothall/src/fingerprint.rs
+++ b/coltsfoothall/src/fingerprint.rs
@@ -87,7 +87,7 @@
     pub attempt: u64,
     /// Time since the attempt started.
     pub began: Millis,
-    /// Time since the death was detected.
+    /// Time since the attempt was interrupted, or else since the death was detected.
     pub age: Millis,
     /// Whether the attempt was isolated: nothing else ran there.
     #[serde(rename = "alone")]
--- a/coltsfoothall/src/suspicion.rs
+++ b/coltsfoothall/src/suspicion.rs
@@ -9,7 +9,10 @@
 //! | --- | --- |
 //! | none | [`Verdict::Free`] |
 //! | one death while other requests ran there | [`Verdict::Isolated`]: it runs where nothing else runs, one copy at a time |
-//! | two such deaths, the second run started after the first death was known, or one death while isolated | [`Verdict::Poisonous`] |
+//! | two such deaths, the second run started after the first one had ended, or one death while isolated | [`Verdict::Poisonous`] |
+//!
+//! A run has ended when it was seen to be interrupted, or else when the death of its endpoint was
+//! known.
 //!
 //! Deaths of copies that ran at the same time count as one, so that a common request is not
 //! condemned by two endpoints that die together. A content that completes is cleared of the
@@ -91,6 +94,7 @@
     /// The attempt that ran there, unique in the fleet.
     attempt: u64,
     began: Time,
+    /// When the run was interrupted, or else when the death was known.
     at: Time,
     isolated: bool,
 }
@@ -239,7 +243,7 @@
             let death = Death {
                 attempt: run.attempt,
                 began: run.began,
-                at: now,
+                at: run.interrupted.unwrap_or(now),
                 isolated: run.isolated && only,
             };
             for mark in [run.fingerprint.content, run.fingerprint.kin] {
@@ -458,7 +462,8 @@
 /// The death that a full list can do without.
 ///
 /// Deaths while isolated are the strongest evidence. Two others are separate if the later run began
-/// after the earlier death was known, so the death known first and the run that began last are kept.
+/// after the earlier one had ended, so the run that ended first and the one that began last are
+/// kept.
 fn spare(deaths: &[Death], cleared: Option<Time>) -> usize {
     let batch = |death: &Death| !death.isolated && cleared.is_none_or(|cleared| death.at > cleared);
     let first = deaths.iter().position(batch);
@@ -470,7 +475,7 @@
     spare.or(first).unwrap_or(0)
 }
 
-/// Counts the deaths of runs that each started after the previous counted death was known.
+/// Counts the deaths of runs that each started after the previous counted one had ended.
 fn count_separate<'a>(deaths: impl Iterator<Item = &'a Death>) -> usize {
     let mut count = 0;
     let mut known = None;
--- a/coltsfoothall/tests/suspicion.rs
+++ b/coltsfoothall/tests/suspicion.rs
@@ -120,6 +120,30 @@
     assert!(lost <= bound, "{lost} endpoints lost, {bound} allowed");
 }
 
+/// Guards against a second delay where deaths are known late: two runs are separate if the later one
+/// began after the earlier one was interrupted, whenever their deaths become known.
+#[test]
+fn interruptions_separate() {
+    const INTERVAL: u64 = 300;
+    const DELAY: u64 = 3_600;
+    let mut tracker = Tracker::new(Settings::default());
+    let fingerprint = fingerprint("bad");
+    let mut lost = 0;
+    for step in 0..200 {
+        let now = step * INTERVAL;
+        if let Some(known) = step.checked_sub(DELAY / INTERVAL) {
+            tracker.record_death(at(now), &endpoint(known), false);
+        }
+        if tracker.verdict(at(now), fingerprint) == Verdict::Poisonous {
+            break;
+        }
+        tracker.record_interrupted(at(now + 30), step, endpoint(step), fingerprint, at(now));
+        lost += 1;
+    }
+    let bound = DELAY / INTERVAL + 1;
+    assert!(lost <= bound, "{lost} endpoints lost, {bound} allowed");
+}
+
 #[test]
 fn variations_condemned() {
     let mut tracker = Tracker::new(Settings::default());
