A time reported by others may lie before the start of the process

A process that had just started cut what others report off at its own start. Two copies of a request that ran at the same time and died seconds before then seemed to have begun when the process did, one after the other, and the request was refused for a quarter of an hour; the evidence went on to others younger than it was. Times are signed now.

--- a/coltsfoothall/src/clock.rs
+++ b/coltsfoothall/src/clock.rs
@@ -7,9 +7,10 @@
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
-/// A point in time, in microseconds since the process started.
+/// A point in time, in microseconds since the process started. It may lie before the start, as what
+/// others report does.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Time(u64);
+pub struct Time(i64);
 
 impl Time {
     /// The start of the process.
@@ -18,19 +19,20 @@
     /// The point in time `elapsed` after the start.
     #[must_use]
     pub fn since_start(elapsed: Duration) -> Self {
-        Self(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+        Self::START + elapsed
     }
 
     /// Time from `earlier` to this point, zero if `earlier` is later.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
-        Duration::from_micros(self.0.saturating_sub(earlier.0))
+        let micros = self.0.saturating_sub(earlier.0);
+        Duration::from_micros(u64::try_from(micros).unwrap_or_default())
     }
 
-    /// Microseconds since the start.
+    /// Microseconds since the start, zero before it.
     #[must_use]
     pub fn as_micros(self) -> u64 {
-        self.0
+        u64::try_from(self.0).unwrap_or_default()
     }
 }
 
@@ -38,7 +40,7 @@
     type Output = Self;
 
     fn add(self, rhs: Duration) -> Self {
-        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        let micros = i64::try_from(rhs.as_micros()).unwrap_or(i64::MAX);
         Self(self.0.saturating_add(micros))
     }
 }
@@ -47,13 +49,13 @@
     type Output = Self;
 
     fn sub(self, rhs: Duration) -> Self {
-        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        let micros = i64::try_from(rhs.as_micros()).unwrap_or(i64::MAX);
         Self(self.0.saturating_sub(micros))
     }
 }
 
 impl fmt::Display for Time {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:.3}s", Duration::from_micros(self.0).as_secs_f64())
+        write!(f, "{:.3}s", self.0 as f64 / 1e6)
     }
 }
--- a/coltsfoothall/tests/suspicion.rs
+++ b/coltsfoothall/tests/suspicion.rs
@@ -241,6 +241,31 @@
     }
 }
 
+/// Guards against a process that has just started and takes deaths of copies that ran at the same
+/// time, all of them before it started, for separate ones.
+#[test]
+fn before_start() {
+    let mut tracker = Tracker::new(Settings::default());
+    let content = fingerprint("common").content;
+    let death = |attempt, began, age| Notice {
+        attempt,
+        began: Millis(began),
+        age: Millis(age),
+        isolated: false,
+    };
+    let reported = [Evidence {
+        mark: content,
+        deaths: vec![death(1, 6_000, 5_000), death(2, 5_500, 4_000)],
+        cleared: None,
+    }];
+    tracker.merge(at(100), &reported);
+    assert_eq!(
+        tracker.verdict(at(100), fingerprint("common")),
+        Verdict::Isolated
+    );
+    assert_eq!(tracker.evidence(at(100)), reported, "passed on as it is");
+}
+
 /// Endpoints lost to one caller that resends a crashing request through any instance, with the
 /// documented bound.
 fn lost_endpoints(seed: u64) -> (u64, u64) {
