A restarted instance does not end the limits that others know

An instance that had just started put down an unknown limit for each endpoint that a peer reported, found the report older than itself, and told all others that there is none, as the newest news. A soak of eight processes with limits and restarts showed it: E304 named the same rate again on three instances within 0.13 s of a start. A limit that nothing is known of has no time now, and any report is newer.

--- a/coltsfoothall/src/forward/limit.rs
+++ b/coltsfoothall/src/forward/limit.rs
@@ -172,8 +172,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Limit {
     rate: Option<Rate>,
-    /// When an answer last said so, at any instance.
-    as_of: Time,
+    /// When an answer last said so, at any instance; none before the first one is known.
+    as_of: Option<Time>,
     /// When a change was seen by this instance, or by one that reports to it and few others.
     seen: Option<Time>,
     /// Requests a second that this instance may send.
@@ -189,7 +189,7 @@
     pub fn unknown(now: Time) -> Self {
         Self {
             rate: None,
-            as_of: Time::START,
+            as_of: None,
             seen: None,
             share: 0.0,
             level: 0.0,
@@ -205,7 +205,7 @@
 
     /// Records what an answer says that arrives here now. Returns whether it is a change.
     pub fn record(&mut self, now: Time, rate: Option<Rate>) -> bool {
-        self.as_of = now;
+        self.as_of = Some(now);
         let changed = std::mem::replace(&mut self.rate, rate) != rate;
         if changed {
             self.seen = Some(now);
@@ -216,10 +216,13 @@
     /// Merges what an answer said that arrived at another instance at `as_of`, unless one of about
     /// that time or later is known. `relayed` if that instance reports to few others.
     pub fn merge(&mut self, now: Time, as_of: Time, rate: Option<Rate>, relayed: bool) {
-        if as_of <= self.as_of + REPORT_DELAY {
+        if self
+            .as_of
+            .is_some_and(|known| as_of <= known + REPORT_DELAY)
+        {
             return;
         }
-        self.as_of = as_of;
+        self.as_of = Some(as_of);
         let changed = std::mem::replace(&mut self.rate, rate) != rate;
         if changed && relayed {
             self.seen = Some(now);
@@ -252,7 +255,7 @@
     /// Whether the limit has not been confirmed for some time.
     #[must_use]
     pub fn is_unconfirmed(&self, now: Time) -> bool {
-        self.rate.is_some() && now.since(self.as_of) >= CONFIRM_PERIOD
+        self.rate.is_some() && self.age(now) >= CONFIRM_PERIOD
     }
 
     /// Whether other instances may not know of a change yet that this one saw.
@@ -264,7 +267,7 @@
     /// Whether the limit ended so long ago that all know.
     #[must_use]
     pub fn is_over(&self, now: Time) -> bool {
-        self.rate.is_none() && now.since(self.as_of) >= ENDED_PERIOD
+        self.rate.is_none() && self.age(now) >= ENDED_PERIOD
     }
 
     /// The report to other instances.
@@ -272,10 +275,15 @@
     pub fn report(&self, now: Time) -> Report {
         Report {
             rate: self.rate,
-            age: now.since(self.as_of).into(),
+            age: self.age(now).into(),
         }
     }
 
+    /// Time since the last answer.
+    fn age(&self, now: Time) -> Duration {
+        self.as_of.map_or(Duration::ZERO, |as_of| now.since(as_of))
+    }
+
     fn level(&self, now: Time) -> f64 {
         let gained = self.share * now.since(self.updated).as_secs_f64();
         let max = 1.0 + self.share * SAVED_SECONDS;
--- a/coltsfoothall/tests/forward_limit.rs
+++ b/coltsfoothall/tests/forward_limit.rs
@@ -293,6 +293,35 @@
     }
 }
 
+/// Guards against an instance that has just started and passes on what it heard as newer than it is,
+/// or reports that there is no limit before it knows.
+#[test]
+fn report_kept() {
+    let mut started = roster();
+    let now = time(1);
+    let report = |rate: Option<&str>, age| {
+        let rate = rate.map(|rate| rate.parse().unwrap());
+        let age = Millis(age);
+        Count {
+            id: NEEDY.parse().unwrap(),
+            born: Millis(1),
+            value: Report { rate, age },
+        }
+    };
+    started.merge_limits(now, &[report(Some("1.3"), 2_000)], false);
+    assert_eq!(
+        started.limit_reports(now, 16, 0),
+        [report(Some("1.3"), 2_000)]
+    );
+    started.merge_limits(now, &[report(None, 5_000)], false);
+    assert_eq!(
+        started.limit_reports(now, 16, 0),
+        [report(Some("1.3"), 2_000)]
+    );
+    started.merge_limits(now, &[report(None, 1_000)], false);
+    assert_eq!(started.limit_reports(now, 16, 0), [report(None, 1_000)]);
+}
+
 /// Guards against a limit that outlives its naming, and against one that a new start inherits.
 #[test]
 fn ends() {
