--- a/coltsfoothall/tests/suspicion.rs
+++ b/coltsfoothall/tests/suspicion.rs
@@ -96,26 +96,34 @@
     assert_eq!(tracker.verdict(at(40), common), Verdict::Poisonous);
 }
 
-/// Guards against deaths that never count as separate because they are known long after the runs
-/// began: 39 endpoints were lost to one request.
-#[test]
-fn known_late() {
-    const INTERVAL: u64 = 300;
-    const DELAY: u64 = 3_600;
+/// Milliseconds between two requests of a caller, and from a crash until the death is known.
+const INTERVAL: u64 = 300;
+const DELAY: u64 = 3_600;
+
+/// Endpoints lost until one content is refused. `record` enters the run that crashes each.
+fn lost_until_refused(record: impl Fn(&mut Tracker, Fingerprint, u64, u64)) -> u64 {
     let mut tracker = Tracker::new(Settings::default());
     let fingerprint = fingerprint("bad");
-    let mut lost = 0;
     for step in 0..200 {
         let now = step * INTERVAL;
         if let Some(known) = step.checked_sub(DELAY / INTERVAL) {
             tracker.record_death(at(now), &endpoint(known), false);
         }
         if tracker.verdict(at(now), fingerprint) == Verdict::Poisonous {
-            break;
+            return step;
         }
-        tracker.record_start(at(now), step, endpoint(step), fingerprint, false);
-        lost += 1;
+        record(&mut tracker, fingerprint, step, now);
     }
+    200
+}
+
+/// Guards against deaths that never count as separate because they are known long after the runs
+/// began: 39 endpoints were lost to one request.
+#[test]
+fn known_late() {
+    let lost = lost_until_refused(|tracker, fingerprint, step, now| {
+        tracker.record_start(at(now), step, endpoint(step), fingerprint, false);
+    });
     let bound = 2 * (DELAY / INTERVAL) + 1;
     assert!(lost <= bound, "{lost} endpoints lost, {bound} allowed");
 }
@@ -124,22 +132,9 @@
 /// began after the earlier one was interrupted, whenever their deaths become known.
 #[test]
 fn interruptions_separate() {
-    const INTERVAL: u64 = 300;
-    const DELAY: u64 = 3_600;
-    let mut tracker = Tracker::new(Settings::default());
-    let fingerprint = fingerprint("bad");
-    let mut lost = 0;
-    for step in 0..200 {
-        let now = step * INTERVAL;
-        if let Some(known) = step.checked_sub(DELAY / INTERVAL) {
-            tracker.record_death(at(now), &endpoint(known), false);
-        }
-        if tracker.verdict(at(now), fingerprint) == Verdict::Poisonous {
-            break;
-        }
+    let lost = lost_until_refused(|tracker, fingerprint, step, now| {
         tracker.record_interrupted(at(now + 30), step, endpoint(step), fingerprint, at(now));
-        lost += 1;
-    }
+    });
     let bound = DELAY / INTERVAL + 1;
     assert!(lost <= bound, "{lost} endpoints lost, {bound} allowed");
 }
