--- a/coltsfoothall/src/forward/limit.rs
+++ b/coltsfoothall/src/forward/limit.rs
@@ -26,6 +26,19 @@
 use crate::id;
 use crate::size::Millis;
 
+/// Seconds for which a sender saves unused requests, beside a whole one.
+const SAVED_SECONDS: f64 = 0.25;
+/// How long a change that this instance saw itself goes before what others report.
+const OWN_PERIOD: Duration = Duration::from_secs(2);
+/// How long the end of a limit is remembered and reported.
+const ENDED_PERIOD: Duration = Duration::from_secs(10);
+/// Upper bound of the time that a report takes, by which its age is too low. Without it a report
+/// would come back as newer than it was.
+const REPORT_DELAY: Duration = Duration::from_millis(50);
+/// Time without an answer after which a sender prefers the endpoint, to learn whether its limit
+/// goes on.
+const CONFIRM_PERIOD: Duration = Duration::from_secs(1);
+
 quick_error! {
     /// A rate that cannot be parsed.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -155,19 +168,6 @@
     }
 }
 
-/// Seconds for which a sender saves unused requests, beside a whole one.
-const SAVED_SECONDS: f64 = 0.25;
-/// How long a change that this instance saw itself goes before what others report.
-const OWN_PERIOD: Duration = Duration::from_secs(2);
-/// How long the end of a limit is remembered and reported.
-const ENDED_PERIOD: Duration = Duration::from_secs(10);
-/// Upper bound of the time that a report takes, by which its age is too low. Without it a report
-/// would come back as newer than it was.
-const REPORT_DELAY: Duration = Duration::from_millis(50);
-/// Time without an answer after which a sender prefers the endpoint, to learn whether its limit
-/// goes on.
-const CONFIRM_PERIOD: Duration = Duration::from_secs(1);
-
 /// The limit of an endpoint, or its end, as known to an instance.
 #[derive(Debug, Clone, Copy)]
 pub struct Limit {
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -17,7 +17,7 @@
 pub mod latency;
 pub mod leader;
 pub mod limit;
-pub mod limited;
+pub mod limits;
 pub mod node;
 pub mod order;
 pub mod peer;
--- a/coltsfoothall/src/lib.rs
+++ b/coltsfoothall/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod clock;
 pub mod confirm;
 pub mod copy;
+mod death;
 mod denial;
 mod digest;
 pub mod duty;
--- a/coltsfoothall/src/suspicion.rs
+++ b/coltsfoothall/src/suspicion.rs
@@ -44,6 +44,7 @@
 
 use crate::batch;
 use crate::clock::Time;
+use crate::death::{self, Death};
 pub use crate::fingerprint::{Evidence, Fingerprint, Mark, Notice};
 use crate::id;
 
@@ -88,17 +89,6 @@
     Poisonous,
 }
 
-/// Death of an endpoint, as evidence.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Death {
-    /// The attempt that ran there, unique in the fleet.
-    attempt: u64,
-    began: Time,
-    /// When the run was interrupted, or else when the death was known.
-    at: Time,
-    isolated: bool,
-}
-
 #[derive(Debug, Clone)]
 struct Entry {
     mark: Mark,
@@ -248,7 +238,7 @@
             };
             for mark in [run.fingerprint.content, run.fingerprint.kin] {
                 self.add(now, mark, death);
-                self.own(now, mark);
+                self.prefer(now, mark);
                 if let Err(index) = marks.binary_search(&mark) {
                     marks.insert(index, mark);
                 }
@@ -317,7 +307,7 @@
                     isolated: notice.isolated,
                 };
                 if self.add(now, reported.mark, death) && relayed {
-                    self.own(now, reported.mark);
+                    self.prefer(now, reported.mark);
                 }
             }
             if let Some(age) = reported.cleared {
@@ -370,12 +360,12 @@
             .filter(live)
             .filter(|d| d.isolated)
             .count();
-        let batch = count_separate(
+        let batch = death::count_separate(
             entry
                 .deaths
                 .iter()
                 .filter(live)
-                .filter(|d| is_valid(entry, d)),
+                .filter(|death| death.is_valid(entry.cleared)),
         );
         let (poisonous, suspect) = match mark {
             Mark::Content(_) => (isolated > 0 || batch >= BATCH_DEATHS, batch > 0),
@@ -392,7 +382,7 @@
     }
 
     /// Notes that this instance is to report a mark before those that others report too.
-    fn own(&mut self, now: Time, mark: Mark) {
+    fn prefer(&mut self, now: Time, mark: Mark) {
         if let Ok(index) = self.find(mark) {
             self.entries[index].own = Some(now);
         }
@@ -429,7 +419,7 @@
         let position = deaths.partition_point(|d| (d.at, d.attempt) < (death.at, death.attempt));
         deaths.insert(position, death);
         if deaths.len() > MAX_DEATHS {
-            deaths.remove(spare(deaths, entry.cleared));
+            deaths.remove(death::spare(deaths, entry.cleared));
         }
         true
     }
@@ -454,40 +444,6 @@
     }
 }
 
-/// Whether a death has not been cleared.
-fn is_valid(entry: &Entry, death: &Death) -> bool {
-    death.isolated || entry.cleared.is_none_or(|cleared| death.at > cleared)
-}
-
-/// The death that a full list can do without.
-///
-/// Deaths while isolated are the strongest evidence. Two others are separate if the later run began
-/// after the earlier one had ended, so the run that ended first and the one that began last are
-/// kept.
-fn spare(deaths: &[Death], cleared: Option<Time>) -> usize {
-    let batch = |death: &Death| !death.isolated && cleared.is_none_or(|cleared| death.at > cleared);
-    let first = deaths.iter().position(batch);
-    let last = (0..deaths.len())
-        .filter(|index| batch(&deaths[*index]))
-        .max_by_key(|index| (deaths[*index].began, deaths[*index].attempt));
-    let spare = (0..deaths.len())
-        .find(|index| !deaths[*index].isolated && Some(*index) != first && Some(*index) != last);
-    spare.or(first).unwrap_or(0)
-}
-
-/// Counts the deaths of runs that each started after the previous counted one had ended.
-fn count_separate<'a>(deaths: impl Iterator<Item = &'a Death>) -> usize {
-    let mut count = 0;
-    let mut known = None;
-    for death in deaths {
-        if known.is_none_or(|known| death.began >= known) {
-            count += 1;
-            known = Some(death.at);
-        }
-    }
-    count
-}
-
 fn evidence_of(now: Time, entry: &Entry) -> Evidence {
     let deaths = entry.deaths.iter().map(|death| Notice {
         attempt: death.attempt,
