Two comments of the state that stood in each other

The description of when registrations match the store was cut in two by that of the first page sent to followers. Comments and the order of two fields' lines alone.

--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -113,9 +113,9 @@
     pub leader: RefCell<Leader>,
     /// Registrations of endpoints, for the instances that read them from this one.
     pub changelog: RefCell<Changelog>,
-    /// Time as of which the registrations known here match the store; none while the store does not
     /// All registrations as sent to followers, and when they were put together.
     pub first_page: RefCell<Option<(Time, Bytes)>>,
+    /// Time as of which the registrations known here match the store; none while the store does not
     /// answer or this instance does not read it.
     pub registrations_as_of: Cell<Option<Time>>,
     /// Whether the last call for registrations failed.
