A retry, its budget and who shares it show in log and metrics

E211 says so for each decision; metrics count decisions by service and show what is left and the number of instances that share it. No decision changes.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::attempt::{self, Job, Sent, Share};
 use crate::pool::Fault;
 use crate::refusal::{Refusal, bad_gateway, unavailable};
+use crate::retries::Reason;
 use crate::state::State;
 use crate::suspicion;
 
@@ -69,11 +70,11 @@
 }
 
 /// Whether a request that may have run can be retried at another endpoint.
-pub fn may_repeat(state: &State, job: &Job, trail: &Trail) -> bool {
+pub fn may_repeat(state: &State, job: &Job, trail: &Trail, reason: Reason) -> bool {
     job.route.kind.repeats()
         && trail.runs < job.route.attempts
         && !suspicion::is_poisonous(state, job.id(), job.fingerprint)
-        && state.may_retry(&job.service)
+        && state.may_retry(job.id(), &job.service, reason)
 }
 
 /// Whether another endpoint takes over from a silent one that may still answer: only if one has
@@ -81,7 +82,7 @@
 pub fn take_over(state: &State, job: &Job, trail: &Trail, silent: &id::Endpoint) -> bool {
     let mut exclude = trail.exclude.clone();
     exclude.push(silent.clone());
-    choose(state, job, &exclude).is_ok() && may_repeat(state, job, trail)
+    choose(state, job, &exclude).is_ok() && may_repeat(state, job, trail, Reason::Silent)
 }
 
 /// Chooses an endpoint among the versions that may run the request now, in order of preference.
@@ -238,7 +239,7 @@
                     pick.endpoint,
                     state.now().since(job.received_at).as_millis(),
                 ));
-                if may_repeat(state, job, trail) {
+                if may_repeat(state, job, trail, Reason::Interrupted) {
                     continue;
                 }
                 state.count_run(job.workspace.as_ref());
@@ -246,7 +247,7 @@
             }
         };
         trail.exclude.push(pick.endpoint);
-        if trail.sends >= MAX_SENDS || !state.may_retry(&job.service) {
+        if trail.sends >= MAX_SENDS || !state.may_retry(job.id(), &job.service, Reason::Rejected) {
             return Err(if trail.runs > 0 {
                 bad_gateway(reason)
             } else {
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -24,6 +24,7 @@
 use crate::outgoing::{Outgoing, answer};
 use crate::refusal::{self, Refusal, bad_gateway, timed_out, unavailable};
 use crate::relay;
+use crate::retries::Reason;
 use crate::state::{Open, State};
 use crate::stop;
 use crate::suspicion;
@@ -297,7 +298,7 @@
         match end {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(failure)) => {
-                if !dispatch::may_repeat(state, &job, &trail) {
+                if !dispatch::may_repeat(state, &job, &trail, Reason::Failed) {
                     return failure.answer.ok_or(failure.refusal);
                 }
             }
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -24,6 +24,7 @@
 use crate::dispatch::{self, Trail};
 use crate::outgoing::{self, Outgoing};
 use crate::refusal::{self, Refusal};
+use crate::retries::Reason;
 use crate::state::State;
 
 /// Largest response that is buffered.
@@ -263,7 +264,12 @@
                     }
                     Ok(Next::Broken(reason)) => {
                         self.finish(End::Broken);
-                        let can_resume = dispatch::may_repeat(&self.state, &self.job, &self.trail);
+                        let can_resume = dispatch::may_repeat(
+                            &self.state,
+                            &self.job,
+                            &self.trail,
+                            Reason::Interrupted,
+                        );
                         (reason, can_resume)
                     }
                     Err(_elapsed) if tokio::time::Instant::now() < due => {
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -71,5 +71,6 @@
         self.board.revision(self.version());
         let behind = self.adoption.lag.borrow().age(self.now());
         self.board.behind(behind.unwrap_or_default());
+        self.update_retry_gauges();
     }
 }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -36,7 +36,7 @@
 use crate::changelog::Changelog;
 use crate::health::Health;
 use crate::pool::Pool;
-use crate::retries::Retries;
+use crate::retries::{Reason, Retries};
 use crate::role::Standing;
 use crate::settings::Settings;
 use crate::time::{self, Clock};
@@ -350,9 +350,27 @@
     /// Whether a request may be retried at another endpoint of a service; takes one retry from the
     /// budget.
     #[must_use]
-    pub fn may_retry(&self, service: &id::Service) -> bool {
+    pub fn may_retry(&self, request: &str, service: &id::Service, reason: Reason) -> bool {
         let (now, members) = (self.now(), self.sharers());
-        self.retries.borrow_mut().allow(now, service, members)
+        let decision = self.retries.borrow_mut().decide(now, service, members);
+        event::RETRY.emit(format_args!(
+            "request={request} service={service} reason={reason} allowed={} balance={:.2} limit={:.2} sharers={members} first_attempts={} retries={}",
+            decision.allowed,
+            decision.balance,
+            decision.limit,
+            decision.first_attempts,
+            decision.retries,
+        ));
+        self.board.retry_decided(service, decision.allowed);
+        decision.allowed
+    }
+
+    /// Updates the gauges of the retry budgets.
+    pub fn update_retry_gauges(&self) {
+        self.board.retry_sharers(u64::from(self.sharers()));
+        for (service, balance) in self.retries.borrow().balances() {
+            self.board.retry_balance(service, balance);
+        }
     }
 
     /// Merges the endpoint time that an instance reports for its requests, by service.
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -88,6 +88,8 @@
     IN_STOP = 209 Info "read_in_stop";
     /// Endpoints died while they ran requests of this content.
     SUSPECTED = 210 Info "request_suspected";
+    /// The retry budget of a service allowed a retry, or refused it.
+    RETRY = 211 Info "retry";
     /// Notice arrived that an instance will be reclaimed.
     NOTICE = 301 Warn "reclaim_notice";
     /// An endpoint died.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -6,7 +6,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use coltsfoothall::id::Workspace;
+use coltsfoothall::id::{Service, Workspace};
 use coltsfoothall::record::Class;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
@@ -83,6 +83,9 @@
     between: Histogram<f64>,
     requests: Counter<u64>,
     retries: Counter<u64>,
+    retry_decisions: Counter<u64>,
+    retry_balance: Gauge<f64>,
+    retry_sharers: Gauge<u64>,
     recomputed: Counter<u64>,
     dropped: Counter<u64>,
     endpoints: Gauge<u64>,
@@ -140,6 +143,20 @@
             ),
             requests: count(&meter, "requests", "Requests ended, by code and outcome"),
             retries: count(&meter, "retries", "Attempts after a request's first"),
+            retry_decisions: count(
+                &meter,
+                "retry_decisions",
+                "Retries that the budget allowed or refused, by service",
+            ),
+            retry_balance: meter
+                .f64_gauge(qualified_name("retry_balance"))
+                .with_description("Retries left in the budget, by service")
+                .build(),
+            retry_sharers: level(
+                &meter,
+                "retry_sharers",
+                "Instances that share the retry budgets",
+            ),
             recomputed: count(&meter, "recomputed_tokens", "Tokens computed a second time"),
             dropped: count(
                 &meter,
@@ -226,6 +243,25 @@
         self.retries.add(1, &labels.0);
     }
 
+    /// Counts a decision of a service's retry budget. The configuration bounds the number of
+    /// services.
+    pub fn retry_decided(&self, service: &Service, allowed: bool) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        let result = KeyValue::new("result", if allowed { "allowed" } else { "refused" });
+        self.retry_decisions.add(1, &[service, result]);
+    }
+
+    /// Sets the retries that are left in a service's budget.
+    pub fn retry_balance(&self, service: &Service, balance: f64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.retry_balance.record(balance, &[service]);
+    }
+
+    /// Sets the number of instances that share the retry budgets.
+    pub fn retry_sharers(&self, count: u64) {
+        self.retry_sharers.record(count, &[]);
+    }
+
     /// Counts tokens that were computed a second time.
     pub fn recomputed(&self, labels: &Labels, tokens: u64) {
         self.recomputed.add(tokens, &labels.0);
