An instance's part of the retry slack follows the members that it knows

Callers saw nothing; endpoints got more retries than the budget allows, which makes an outage worse. Cause: the part was worked out when a process first sent a request to a service, from the members that it knew at that moment (three at least), and stayed for its life. Nine instances that start together held a third of the slack each. Class: a share of a changing whole that is fixed at its first use.

The part is taken anew at each decision; a balance above it is cut. As an instance that is gone may have spent its part just before, a lower number of members counts only after a window (bounds.retry_window).

--- a/coltsfoothall-forward/src/retries.rs
+++ b/coltsfoothall-forward/src/retries.rs
@@ -3,16 +3,8 @@
 use std::fmt;
 
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::retry::{Budget, Settings};
 use coltsfoothall::id;
-use coltsfoothall::retry::{Budget, Settings, Verdict};
-use coltsfoothall::size::Millis;
-
-/// Share of the retry slack that is used; the rest covers changes in membership.
-const SLACK_SHARE: f64 = 0.6;
-/// Share of the retry ratio that is used, for the same reason.
-const RATIO_SHARE: f64 = 0.8;
-/// Minimum number of members that are assumed to share a budget, as some may not be known yet.
-const MIN_MEMBERS: u32 = 3;
 
 /// Why a request is to be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,7 +49,6 @@
 struct Entry {
     service: id::Service,
     budget: Budget,
-    limit: f64,
     first_attempts: u64,
     retries: u64,
 }
@@ -65,40 +56,37 @@
 /// This instance's share of the retries of the fleet.
 #[derive(Debug)]
 pub struct Retries {
-    ratio: f64,
-    slack: f64,
+    settings: Settings,
     /// Sorted by service.
     entries: Vec<Entry>,
 }
 
 impl Retries {
-    /// Retries as a share of first attempts, plus a slack that all instances share.
+    /// Budgets of which all instances together have this much.
     #[must_use]
-    pub fn new(ratio: f64, slack: f64) -> Self {
+    pub fn new(settings: Settings) -> Self {
         Self {
-            ratio,
-            slack,
+            settings,
             entries: Vec::new(),
         }
     }
 
     /// Records the first attempt of a request.
-    pub fn record_first(&mut self, now: Time, service: &id::Service, members: u32) {
-        let entry = self.entry(service, members);
+    pub fn record_first(&mut self, now: Time, service: &id::Service, sharers: u32) {
+        let entry = self.entry(now, service, sharers);
         entry.first_attempts += 1;
-        entry.budget.record_first_attempt(now);
+        entry.budget.record_first(now, sharers);
     }
 
     /// Decides whether a request may be retried; takes the retry from the budget.
-    pub fn decide(&mut self, now: Time, service: &id::Service, members: u32) -> Decision {
-        let entry = self.entry(service, members);
-        let verdict = entry.budget.retry(now, 1, &mut rand::rng());
-        let allowed = matches!(verdict, Verdict::After(_));
+    pub fn decide(&mut self, now: Time, service: &id::Service, sharers: u32) -> Decision {
+        let entry = self.entry(now, service, sharers);
+        let allowed = entry.budget.take(now, sharers);
         entry.retries += u64::from(allowed);
         Decision {
             allowed,
-            balance: entry.budget.remaining(),
-            limit: entry.limit,
+            balance: entry.budget.balance(),
+            limit: entry.budget.limit(),
             first_attempts: entry.first_attempts,
             retries: entry.retries,
         }
@@ -107,29 +95,19 @@
     /// The retries that are left, by service.
     pub fn balances(&self) -> impl Iterator<Item = (&id::Service, f64)> {
         let entries = self.entries.iter();
-        entries.map(|entry| (&entry.service, entry.budget.remaining()))
+        entries.map(|entry| (&entry.service, entry.budget.balance()))
     }
 
-    fn entry(&mut self, service: &id::Service, members: u32) -> &mut Entry {
+    fn entry(&mut self, now: Time, service: &id::Service, sharers: u32) -> &mut Entry {
         let found = self
             .entries
             .binary_search_by(|have| have.service.cmp(service));
         let index = match found {
             Ok(index) => index,
             Err(index) => {
-                let share = self.slack * SLACK_SHARE / f64::from(members.max(MIN_MEMBERS));
-                let limit = share.max(1.0);
-                let budget = Budget::new(Settings {
-                    ratio: self.ratio * RATIO_SHARE,
-                    burst: limit,
-                    floor: 0.0,
-                    wait: Millis(0),
-                    ..Settings::default()
-                });
                 let entry = Entry {
                     service: service.clone(),
-                    budget,
-                    limit,
+                    budget: Budget::new(self.settings.clone(), now, sharers),
                     first_attempts: 0,
                     retries: 0,
                 };
--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -40,6 +40,8 @@
     pub retry_ratio: f64,
     /// Additional retries in one window, over all instances.
     pub retry_slack: f64,
+    /// Span in which retries are counted.
+    pub retry_window: Millis,
     /// Length of a usage window.
     pub usage_window: Millis,
     /// Time after a window's end in which its report is due.
@@ -56,6 +58,7 @@
             lease: Millis(3_000),
             retry_ratio: 0.2,
             retry_slack: 20.0,
+            retry_window: Millis(10_000),
             usage_window: Millis(5_000),
             usage_due: Millis(10_000),
             drain: Millis(2_000),
@@ -155,6 +158,15 @@
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             return Err(Fault::new("bounds.retry_ratio", "is not within 0 to 1"));
         }
+        if !self.bounds.retry_slack.is_finite() || self.bounds.retry_slack < 0.0 {
+            return Err(Fault::new(
+                "bounds.retry_slack",
+                "is not a number of retries",
+            ));
+        }
+        if self.bounds.retry_window.0 == 0 {
+            return Err(Fault::new("bounds.retry_window", "is zero"));
+        }
         if self.bounds.usage_window.0 == 0 {
             return Err(Fault::new("bounds.usage_window", "is zero"));
         }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -18,6 +18,7 @@
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
+use coltsfoothall::forward::retry;
 use coltsfoothall::forward::roster::{Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
 use coltsfoothall::forward::upgrade;
@@ -197,10 +198,11 @@
             open: Cell::new(0),
             board,
             served: Cell::new(0),
-            retries: RefCell::new(Retries::new(
-                settings.bounds.retry_ratio,
-                settings.bounds.retry_slack,
-            )),
+            retries: RefCell::new(Retries::new(retry::Settings {
+                ratio: settings.bounds.retry_ratio,
+                slack: settings.bounds.retry_slack,
+                window: settings.bounds.retry_window.duration(),
+            })),
             departures: RefCell::default(),
             store_returned_at: Cell::new(None),
             meters: RefCell::default(),
@@ -341,20 +343,20 @@
 
     /// Counts a request that is sent to a service for the first time.
     pub fn count_sent(&self, service: &id::Service) {
-        let (now, members) = (self.now(), self.sharers());
+        let (now, sharers) = (self.now(), self.sharers());
         self.retries
             .borrow_mut()
-            .record_first(now, service, members);
+            .record_first(now, service, sharers);
     }
 
     /// Whether a request may be retried at another endpoint of a service; takes one retry from the
     /// budget.
     #[must_use]
     pub fn may_retry(&self, request: &str, service: &id::Service, reason: Reason) -> bool {
-        let (now, members) = (self.now(), self.sharers());
-        let decision = self.retries.borrow_mut().decide(now, service, members);
+        let (now, sharers) = (self.now(), self.sharers());
+        let decision = self.retries.borrow_mut().decide(now, service, sharers);
         event::RETRY.emit(format_args!(
-            "request={request} service={service} reason={reason} allowed={} balance={:.2} limit={:.2} sharers={members} first_attempts={} retries={}",
+            "request={request} service={service} reason={reason} allowed={} balance={:.2} limit={:.2} sharers={sharers} first_attempts={} retries={}",
             decision.allowed,
             decision.balance,
             decision.limit,
--- a/coltsfoothall-forward/tests/retries.rs
+++ b/coltsfoothall-forward/tests/retries.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::retry::Settings;
 use coltsfoothall::id;
 use coltsfoothall_forward::retries::Retries;
 use rand::{Rng, SeedableRng};
@@ -24,6 +25,14 @@
     (985, 1_086.0, 1_040.0),
 ];
 
+fn retries(slack: f64) -> Retries {
+    Retries::new(Settings {
+        ratio: RATIO,
+        slack,
+        window: Duration::from_millis(WINDOW_MS),
+    })
+}
+
 /// A fleet whose requests go to a random instance each.
 struct Fleet {
     now_ms: u64,
@@ -52,7 +61,7 @@
             now_ms: 0,
             slack,
             rate,
-            instances: (0..size).map(|_| Retries::new(RATIO, slack)).collect(),
+            instances: (0..size).map(|_| retries(slack)).collect(),
             started_ms: vec![0; size],
             sharers: vec![size as u32; size],
             failing: 0.0,
@@ -65,7 +74,7 @@
     }
 
     fn restart(&mut self, index: usize) {
-        self.instances[index] = Retries::new(RATIO, self.slack);
+        self.instances[index] = retries(self.slack);
         self.started_ms[index] = self.now_ms;
     }
 
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -24,6 +24,7 @@
 pub mod poll;
 pub mod rate_limit;
 pub mod reader;
+pub mod retry;
 pub mod role;
 pub mod roster;
 pub mod stop;
