A new process has no retries to spend until requests and time have added some

Endpoints that lost answers got more retries than the budget allows whenever instances restarted in series, so that an outage was made worse by what was done against it. Cause: a budget was full when its process started, while the window still held the retries of the process before: with n restarts in 10 s the fleet had n + 1 times the slack. Class: a limit whose state dies with the process although its window does not.

A balance now begins at zero; first attempts add to it, and time adds half of the part of the slack within a window, of which it holds the other half. So the retries of any window are at most what balances held at its start and what was added within it, however often processes start.

--- a/coltsfoothall/src/forward/retry.rs
+++ b/coltsfoothall/src/forward/retry.rs
@@ -1,16 +1,21 @@
 //! The retry budget of a service, of which each instance spends a part without coordination.
 //!
 //! All instances together may send a share of the requests as retries, and a slack beyond it. An
-//! instance pays retries from a balance: first attempts add to it, up to the instance's part of the
-//! slack.
+//! instance pays retries from a balance, to which first attempts and time add up to a limit. So the
+//! retries of a window are at most the limits at its start and what is added within it, whichever
+//! processes add it. A balance that began above zero would break this: the window still holds the
+//! retries of the process before.
 
 use std::time::Duration;
 
 use crate::clock::Time;
 
-/// Share of the slack that is used; the rest covers members that are not known yet.
-const SLACK_SHARE: f64 = 0.6;
-/// Share of the ratio that is used, for the same reason.
+/// Share of the slack that balances may hold. What this and the next two shares leave covers
+/// members that are not known yet.
+const HELD_SLACK_SHARE: f64 = 0.3;
+/// Share of the slack that time adds within a window.
+const ADDED_SLACK_SHARE: f64 = 0.3;
+/// Share of the ratio that first attempts add.
 const RATIO_SHARE: f64 = 0.8;
 /// Minimum number of members that are assumed to share a budget, as some may not be known yet.
 const MIN_SHARERS: u32 = 3;
@@ -65,23 +70,24 @@
     settings: Settings,
     balance: f64,
     sharers: Sharers,
+    /// When time last added to the balance.
+    updated: Time,
 }
 
 impl Budget {
-    /// Creates a full budget that this many instances share.
+    /// Creates an empty budget that this many instances share.
     #[must_use]
     pub fn new(settings: Settings, now: Time, sharers: u32) -> Self {
         let sharers = Sharers {
             count: sharers.max(MIN_SHARERS),
             known_at: now,
         };
-        let mut budget = Self {
+        Self {
             settings,
             balance: 0.0,
             sharers,
-        };
-        budget.balance = budget.limit();
-        budget
+            updated: now,
+        }
     }
 
     /// Records the first attempt of a request.
@@ -109,12 +115,20 @@
     /// Upper bound of the balance.
     #[must_use]
     pub fn limit(&self) -> f64 {
-        let part = self.settings.slack / f64::from(self.sharers.count);
-        (part * SLACK_SHARE).max(1.0)
+        (self.part() * HELD_SLACK_SHARE).max(1.0)
+    }
+
+    /// This instance's part of the slack.
+    fn part(&self) -> f64 {
+        self.settings.slack / f64::from(self.sharers.count)
     }
 
     fn advance(&mut self, now: Time, sharers: u32) {
         self.sharers.update(now, sharers, self.settings.window);
-        self.balance = self.balance.min(self.limit());
+        let span = now.since(self.updated).as_secs_f64();
+        self.updated = now;
+        let windows = span / self.settings.window.as_secs_f64();
+        let balance = self.balance + self.part() * ADDED_SLACK_SHARE * windows;
+        self.balance = balance.min(self.limit());
     }
 }
