Parts of the retry slack below one retry are not rounded up

Endpoints of a large fleet could get more retries than the budget allows when all of them fail at once. Cause: an instance held at least one whole retry, so that the instances of a fleet larger than its slack held more than the slack together. Class: a bound that is divided and then rounded up by each holder.

A balance may now hold a part below one. As few balances of a large fleet ever reach one, what a balance may hold grows with the requests of its last window, which the platform counts too (0.4 of the ratio held, 0.5 added by first attempts, 0.8 added before), and a balance under one is spent on a retry that is sent with that probability.

--- a/coltsfoothall-forward/src/retries.rs
+++ b/coltsfoothall-forward/src/retries.rs
@@ -57,6 +57,8 @@
 #[derive(Debug)]
 pub struct Retries {
     settings: Settings,
+    /// Seed of the random choices.
+    seed: u64,
     /// Sorted by service.
     entries: Vec<Entry>,
 }
@@ -64,9 +66,10 @@
 impl Retries {
     /// Budgets of which all instances together have this much.
     #[must_use]
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings, seed: u64) -> Self {
         Self {
             settings,
+            seed,
             entries: Vec::new(),
         }
     }
@@ -107,7 +110,7 @@
             Err(index) => {
                 let entry = Entry {
                     service: service.clone(),
-                    budget: Budget::new(self.settings.clone(), now, sharers),
+                    budget: Budget::new(self.settings.clone(), self.seed, now, sharers),
                     first_attempts: 0,
                     retries: 0,
                 };
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -198,11 +198,14 @@
             open: Cell::new(0),
             board,
             served: Cell::new(0),
-            retries: RefCell::new(Retries::new(retry::Settings {
-                ratio: settings.bounds.retry_ratio,
-                slack: settings.bounds.retry_slack,
-                window: settings.bounds.retry_window.duration(),
-            })),
+            retries: RefCell::new(Retries::new(
+                retry::Settings {
+                    ratio: settings.bounds.retry_ratio,
+                    slack: settings.bounds.retry_slack,
+                    window: settings.bounds.retry_window.duration(),
+                },
+                boot,
+            )),
             departures: RefCell::default(),
             store_returned_at: Cell::new(None),
             meters: RefCell::default(),
--- a/coltsfoothall-forward/tests/retries.rs
+++ b/coltsfoothall-forward/tests/retries.rs
@@ -25,12 +25,13 @@
     (985, 1_086.0, 1_040.0),
 ];
 
-fn retries(slack: f64) -> Retries {
-    Retries::new(Settings {
+fn retries(slack: f64, seed: u64) -> Retries {
+    let settings = Settings {
         ratio: RATIO,
         slack,
         window: Duration::from_millis(WINDOW_MS),
-    })
+    };
+    Retries::new(settings, seed)
 }
 
 /// A fleet whose requests go to a random instance each.
@@ -61,7 +62,7 @@
             now_ms: 0,
             slack,
             rate,
-            instances: (0..size).map(|_| retries(slack)).collect(),
+            instances: (0..size as u64).map(|seed| retries(slack, seed)).collect(),
             started_ms: vec![0; size],
             sharers: vec![size as u32; size],
             failing: 0.0,
@@ -74,7 +75,7 @@
     }
 
     fn restart(&mut self, index: usize) {
-        self.instances[index] = retries(self.slack);
+        self.instances[index] = retries(self.slack, self.random.random());
         self.started_ms[index] = self.now_ms;
     }
 
@@ -236,9 +237,12 @@
         fleet.failing = 0.02;
         fleet.run(20_000);
         (fleet.asked, fleet.allowed) = (0, 0);
-        for index in 0..40 {
+        for index in (0..size).cycle() {
             fleet.run(1_000);
-            fleet.restart(index % size);
+            fleet.restart(index);
+            if fleet.asked >= 1_000 {
+                break;
+            }
         }
         let share = fleet.allowed as f64 / fleet.asked as f64;
         println!("{size} instances: {share:.3} are retried");
--- a/coltsfoothall/src/forward/retry.rs
+++ b/coltsfoothall/src/forward/retry.rs
@@ -4,19 +4,27 @@
 //! instance pays retries from a balance, to which first attempts and time add up to a limit. So the
 //! retries of a window are at most the limits at its start and what is added within it, whichever
 //! processes add it. A balance that began above zero would break this: the window still holds the
-//! retries of the process before.
+//! retries of the process before. The limits grow with the requests of the last window, which the
+//! platform counts too, so that the many instances of a large fleet need no whole retry each.
 
 use std::time::Duration;
 
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
 use crate::clock::Time;
 
-/// Share of the slack that balances may hold. What this and the next two shares leave covers
-/// members that are not known yet.
+/// Share of the slack that balances may hold. What this and the next three shares leave covers
+/// members that are not known yet, and requests that arrive later than they were sent.
 const HELD_SLACK_SHARE: f64 = 0.3;
 /// Share of the slack that time adds within a window.
 const ADDED_SLACK_SHARE: f64 = 0.3;
+/// Share of the ratio that balances may hold for the requests of the last window.
+const HELD_RATIO_SHARE: f64 = 0.4;
 /// Share of the ratio that first attempts add.
-const RATIO_SHARE: f64 = 0.8;
+const ADDED_RATIO_SHARE: f64 = 0.5;
+/// Number of parts in which the requests of the last window are counted.
+const SLOTS: usize = 10;
 /// Minimum number of members that are assumed to share a budget, as some may not be known yet.
 const MIN_SHARERS: u32 = 3;
 
@@ -64,12 +72,39 @@
     }
 }
 
+/// Counts the requests of the last window, rounded down to whole slots.
+#[derive(Debug, Clone, Default)]
+struct Recent {
+    /// The newest slot first.
+    counts: [u32; SLOTS],
+    /// Number of the newest slot since the start of the process.
+    newest: u64,
+}
+
+impl Recent {
+    /// Moves on to the slot of this time.
+    fn advance(&mut self, now: Time, window: Duration) {
+        let slot_micros = (window.as_micros() as u64 / SLOTS as u64).max(1);
+        let slot = now.as_micros() / slot_micros;
+        let passed = slot.saturating_sub(self.newest).min(SLOTS as u64) as usize;
+        self.counts.copy_within(..SLOTS - passed, passed);
+        self.counts[..passed].fill(0);
+        self.newest = self.newest.max(slot);
+    }
+
+    fn count(&self) -> u32 {
+        self.counts.iter().sum()
+    }
+}
+
 /// This instance's part of the budget of a service.
 #[derive(Debug, Clone)]
 pub struct Budget {
     settings: Settings,
     balance: f64,
     sharers: Sharers,
+    recent: Recent,
+    random: Pcg64Mcg,
     /// When time last added to the balance.
     updated: Time,
 }
@@ -77,7 +112,7 @@
 impl Budget {
     /// Creates an empty budget that this many instances share.
     #[must_use]
-    pub fn new(settings: Settings, now: Time, sharers: u32) -> Self {
+    pub fn new(settings: Settings, seed: u64, now: Time, sharers: u32) -> Self {
         let sharers = Sharers {
             count: sharers.max(MIN_SHARERS),
             known_at: now,
@@ -86,24 +121,29 @@
             settings,
             balance: 0.0,
             sharers,
+            recent: Recent::default(),
+            random: Pcg64Mcg::seed_from_u64(seed),
             updated: now,
         }
     }
 
     /// Records the first attempt of a request.
     pub fn record_first(&mut self, now: Time, sharers: u32) {
-        self.balance += self.settings.ratio * RATIO_SHARE;
+        self.balance += self.settings.ratio * ADDED_RATIO_SHARE;
+        self.recent.advance(now, self.settings.window);
+        self.recent.counts[0] += 1;
         self.advance(now, sharers);
     }
 
-    /// Takes one retry from the balance. Returns whether one was left.
+    /// Takes one retry from the balance. Returns whether the retry may be sent.
+    ///
+    /// A balance under one is spent on a retry that is sent with this probability: in a large fleet
+    /// few balances ever reach one, and rounding them up would exceed the budget.
     pub fn take(&mut self, now: Time, sharers: u32) -> bool {
         self.advance(now, sharers);
-        let allowed = self.balance >= 1.0;
-        if allowed {
-            self.balance -= 1.0;
-        }
-        allowed
+        let spent = self.balance.min(1.0);
+        self.balance -= spent;
+        self.random.random_bool(spent)
     }
 
     /// Retries that are left.
@@ -115,7 +155,8 @@
     /// Upper bound of the balance.
     #[must_use]
     pub fn limit(&self) -> f64 {
-        (self.part() * HELD_SLACK_SHARE).max(1.0)
+        let requests = f64::from(self.recent.count());
+        self.part() * HELD_SLACK_SHARE + requests * self.settings.ratio * HELD_RATIO_SHARE
     }
 
     /// This instance's part of the slack.
@@ -125,6 +166,7 @@
 
     fn advance(&mut self, now: Time, sharers: u32) {
         self.sharers.update(now, sharers, self.settings.window);
+        self.recent.advance(now, self.settings.window);
         let span = now.since(self.updated).as_secs_f64();
         self.updated = now;
         let windows = span / self.settings.window.as_secs_f64();
