Instances on standby have no part of the retry slack

Endpoints of a large fleet could get more retries than the budget allows from callers that keep their connections to instances that went on standby. Cause: an instance on standby took the part of an active one, slack / (active + 1), however many were on standby; found while looking for budgets that are divided by the wrong number. Class: a share of a whole whose holders are more than those it is divided by.

--- a/coltsfoothall-forward/src/retries.rs
+++ b/coltsfoothall-forward/src/retries.rs
@@ -75,15 +75,15 @@
     }
 
     /// Records the first attempt of a request.
-    pub fn record_first(&mut self, now: Time, service: &id::Service, sharers: u32) {
-        let entry = self.entry(now, service, sharers);
+    pub fn record_first(&mut self, now: Time, service: &id::Service, sharers: Option<u32>) {
+        let entry = self.entry(now, service);
         entry.first_attempts += 1;
         entry.budget.record_first(now, sharers);
     }
 
     /// Decides whether a request may be retried; takes the retry from the budget.
-    pub fn decide(&mut self, now: Time, service: &id::Service, sharers: u32) -> Decision {
-        let entry = self.entry(now, service, sharers);
+    pub fn decide(&mut self, now: Time, service: &id::Service, sharers: Option<u32>) -> Decision {
+        let entry = self.entry(now, service);
         let allowed = entry.budget.take(now, sharers);
         entry.retries += u64::from(allowed);
         Decision {
@@ -101,7 +101,7 @@
         entries.map(|entry| (&entry.service, entry.budget.balance()))
     }
 
-    fn entry(&mut self, now: Time, service: &id::Service, sharers: u32) -> &mut Entry {
+    fn entry(&mut self, now: Time, service: &id::Service) -> &mut Entry {
         let found = self
             .entries
             .binary_search_by(|have| have.service.cmp(service));
@@ -110,7 +110,7 @@
             Err(index) => {
                 let entry = Entry {
                     service: service.clone(),
-                    budget: Budget::new(self.settings.clone(), self.seed, now, sharers),
+                    budget: Budget::new(self.settings.clone(), self.seed, now),
                     first_attempts: 0,
                     retries: 0,
                 };
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -19,6 +19,7 @@
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
 use coltsfoothall::forward::retry;
+use coltsfoothall::forward::role::Role;
 use coltsfoothall::forward::roster::{Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
 use coltsfoothall::forward::upgrade;
@@ -344,9 +345,15 @@
         roster.share_limits(now, &self.name, &fleet);
     }
 
+    /// Number of instances that have a part of the retry slack, this one included; none on standby.
+    /// There are so many on standby that parts of theirs would leave little to the active ones.
+    fn retry_sharers(&self) -> Option<u32> {
+        (self.role() == Role::Active).then(|| self.sharers())
+    }
+
     /// Counts a request that is sent to a service for the first time.
     pub fn count_sent(&self, service: &id::Service) {
-        let (now, sharers) = (self.now(), self.sharers());
+        let (now, sharers) = (self.now(), self.retry_sharers());
         self.retries
             .borrow_mut()
             .record_first(now, service, sharers);
@@ -356,13 +363,14 @@
     /// budget.
     #[must_use]
     pub fn may_retry(&self, request: &str, service: &id::Service, reason: Reason) -> bool {
-        let (now, sharers) = (self.now(), self.sharers());
+        let (now, sharers) = (self.now(), self.retry_sharers());
         let decision = self.retries.borrow_mut().decide(now, service, sharers);
         event::RETRY.emit(format_args!(
-            "request={request} service={service} reason={reason} allowed={} balance={:.2} limit={:.2} sharers={sharers} first_attempts={} retries={}",
+            "request={request} service={service} reason={reason} allowed={} balance={:.2} limit={:.2} sharers={} first_attempts={} retries={}",
             decision.allowed,
             decision.balance,
             decision.limit,
+            sharers.unwrap_or_default(),
             decision.first_attempts,
             decision.retries,
         ));
@@ -372,7 +380,8 @@
 
     /// Updates the gauges of the retry budgets.
     pub fn update_retry_gauges(&self) {
-        self.board.retry_sharers(u64::from(self.sharers()));
+        let sharers = self.retry_sharers().unwrap_or_default();
+        self.board.retry_sharers(u64::from(sharers));
         for (service, balance) in self.retries.borrow().balances() {
             self.board.retry_balance(service, balance);
         }
--- a/coltsfoothall-forward/tests/retries.rs
+++ b/coltsfoothall-forward/tests/retries.rs
@@ -42,8 +42,8 @@
     instances: Vec<Retries>,
     /// When each process started.
     started_ms: Vec<u64>,
-    /// Number of instances that each believes to share the budget.
-    sharers: Vec<u32>,
+    /// Number of instances that each believes to share the budget; none on standby.
+    sharers: Vec<Option<u32>>,
     /// Share of the attempts that fail.
     failing: f64,
     /// When requests were sent.
@@ -64,7 +64,7 @@
             rate,
             instances: (0..size as u64).map(|seed| retries(slack, seed)).collect(),
             started_ms: vec![0; size],
-            sharers: vec![size as u32; size],
+            sharers: vec![Some(size as u32); size],
             failing: 0.0,
             requests: Vec::new(),
             repeats: Vec::new(),
@@ -184,9 +184,9 @@
 fn members_unknown_first() {
     for (size, rate, slack) in FLEETS {
         let mut fleet = Fleet::new(size, rate, slack);
-        fleet.sharers = vec![1; size];
+        fleet.sharers = vec![Some(1); size];
         fleet.run(1_000);
-        fleet.sharers = vec![size as u32; size];
+        fleet.sharers = vec![Some(size as u32); size];
         fleet.run(14_000);
         fleet.failing = 1.0;
         fleet.run(15_000);
@@ -217,7 +217,7 @@
         fleet.failing = 1.0;
         for round in 0..12_u64 {
             let known = (size as u64 * (1 + round % 4) / 4).max(1) as u32;
-            fleet.sharers = vec![known; size];
+            fleet.sharers = vec![Some(known); size];
             for index in 0..size {
                 if (index as u64 + round).is_multiple_of(3) {
                     fleet.restart(index);
@@ -229,6 +229,22 @@
     }
 }
 
+/// Each instance on standby took the part of an active one, though many instances are on standby,
+/// and callers keep their connections to it.
+#[test]
+fn standby_without_part() {
+    let (size, rate, slack) = FLEETS[3];
+    let mut fleet = Fleet::new(size, rate, slack);
+    let active = 60;
+    let on_standby = active..size;
+    fleet.sharers = vec![Some(active as u32); size];
+    fleet.sharers[on_standby.clone()].fill(None);
+    fleet.run(30_000);
+    fleet.failing = 1.0;
+    fleet.run(15_000);
+    fleet.assert_kept("most on standby");
+}
+
 /// Failures that are rare are retried, also while instances restart one after the other.
 #[test]
 fn rare_failures() {
--- a/coltsfoothall/src/forward/retry.rs
+++ b/coltsfoothall/src/forward/retry.rs
@@ -103,6 +103,8 @@
     settings: Settings,
     balance: f64,
     sharers: Sharers,
+    /// Whether this instance has a part of the slack.
+    has_part: bool,
     recent: Recent,
     random: Pcg64Mcg,
     /// When time last added to the balance.
@@ -110,25 +112,27 @@
 }
 
 impl Budget {
-    /// Creates an empty budget that this many instances share.
+    /// Creates an empty budget.
     #[must_use]
-    pub fn new(settings: Settings, seed: u64, now: Time, sharers: u32) -> Self {
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Self {
         let sharers = Sharers {
-            count: sharers.max(MIN_SHARERS),
+            count: MIN_SHARERS,
             known_at: now,
         };
         Self {
             settings,
             balance: 0.0,
             sharers,
+            has_part: false,
             recent: Recent::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
             updated: now,
         }
     }
 
-    /// Records the first attempt of a request.
-    pub fn record_first(&mut self, now: Time, sharers: u32) {
+    /// Records the first attempt of a request; `sharers` instances have a part of the slack, but
+    /// not this one if it is none.
+    pub fn record_first(&mut self, now: Time, sharers: Option<u32>) {
         self.balance += self.settings.ratio * ADDED_RATIO_SHARE;
         self.recent.advance(now, self.settings.window);
         self.recent.counts[0] += 1;
@@ -139,7 +143,7 @@
     ///
     /// A balance under one is spent on a retry that is sent with this probability: in a large fleet
     /// few balances ever reach one, and rounding them up would exceed the budget.
-    pub fn take(&mut self, now: Time, sharers: u32) -> bool {
+    pub fn take(&mut self, now: Time, sharers: Option<u32>) -> bool {
         self.advance(now, sharers);
         let spent = self.balance.min(1.0);
         self.balance -= spent;
@@ -161,11 +165,17 @@
 
     /// This instance's part of the slack.
     fn part(&self) -> f64 {
+        if !self.has_part {
+            return 0.0;
+        }
         self.settings.slack / f64::from(self.sharers.count)
     }
 
-    fn advance(&mut self, now: Time, sharers: u32) {
-        self.sharers.update(now, sharers, self.settings.window);
+    fn advance(&mut self, now: Time, sharers: Option<u32>) {
+        self.has_part = sharers.is_some();
+        if let Some(sharers) = sharers {
+            self.sharers.update(now, sharers, self.settings.window);
+        }
         self.recent.advance(now, self.settings.window);
         let span = now.since(self.updated).as_secs_f64();
         self.updated = now;
