--- a/coltsfoothall-forward/tests/retries.rs
+++ b/coltsfoothall-forward/tests/retries.rs
@@ -229,6 +229,21 @@
     }
 }
 
+/// A third of the instances is cut off and keeps counting all; the others no longer count them.
+#[test]
+fn third_cut_off() {
+    for (size, rate, slack) in FLEETS {
+        let mut fleet = Fleet::new(size, rate, slack);
+        fleet.run(5_000);
+        let rest = size - size / 3;
+        fleet.sharers[..rest].fill(Some(rest as u32));
+        fleet.run(20_000);
+        fleet.failing = 1.0;
+        fleet.run(15_000);
+        fleet.assert_kept("a third cut off");
+    }
+}
+
 /// Each instance on standby took the part of an active one, though many instances are on standby,
 /// and callers keep their connections to it.
 #[test]
