--- a/coltsfoothall-forward/src/retries.rs
+++ b/coltsfoothall-forward/src/retries.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Applies new settings.
+    pub fn reload(&mut self, settings: Settings) {
+        for entry in &mut self.entries {
+            entry.budget.reload(settings.clone());
+        }
+        self.settings = settings;
+    }
+
     /// Records the first attempt of a request.
     pub fn record_first(&mut self, now: Time, service: &id::Service, sharers: Option<u32>) {
         let entry = self.entry(now, service);
--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use coltsfoothall::forward::reader;
+use coltsfoothall::forward::{reader, retry};
 use coltsfoothall::id;
 use coltsfoothall::size::{Megabits, Millis};
 use coltsfoothall_shell::journal::Log;
@@ -50,6 +50,18 @@
     pub drain: Millis,
 }
 
+impl Bounds {
+    /// What all instances together may retry.
+    #[must_use]
+    pub fn retries(&self) -> retry::Settings {
+        retry::Settings {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window: self.retry_window.duration(),
+        }
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -18,7 +18,6 @@
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
-use coltsfoothall::forward::retry;
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::forward::roster::{Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
@@ -199,14 +198,7 @@
             open: Cell::new(0),
             board,
             served: Cell::new(0),
-            retries: RefCell::new(Retries::new(
-                retry::Settings {
-                    ratio: settings.bounds.retry_ratio,
-                    slack: settings.bounds.retry_slack,
-                    window: settings.bounds.retry_window.duration(),
-                },
-                boot,
-            )),
+            retries: RefCell::new(Retries::new(settings.bounds.retries(), boot)),
             departures: RefCell::default(),
             store_returned_at: Cell::new(None),
             meters: RefCell::default(),
@@ -250,6 +242,8 @@
             log: previous.log.clone(),
             ..settings
         });
+        let retries = self.settings().bounds.retries();
+        self.retries.borrow_mut().reload(retries);
         event::RELOADED.emit(format_args!("seeds={:?}", self.settings().seeds));
     }
 
@@ -345,8 +339,8 @@
         roster.share_limits(now, &self.name, &fleet);
     }
 
-    /// Number of instances that have a part of the retry slack, this one included; none on standby.
-    /// There are so many on standby that parts of theirs would leave little to the active ones.
+    /// Number of instances that have a part of the retry slack, this one included; none on standby,
+    /// as that number does not count those on standby.
     fn retry_sharers(&self) -> Option<u32> {
         (self.role() == Role::Active).then(|| self.sharers())
     }
--- a/coltsfoothall/src/forward/retry.rs
+++ b/coltsfoothall/src/forward/retry.rs
@@ -49,10 +49,8 @@
     }
 }
 
-/// Number of instances that share a budget.
-///
-/// An instance that is gone may have spent its part just before, so that a lower number counts only
-/// after a window.
+/// Number of instances that share a budget. An instance that is gone may have spent its part just
+/// before, so a lower number counts only after a window.
 #[derive(Debug, Clone, Copy)]
 struct Sharers {
     count: u32,
@@ -130,6 +128,12 @@
         }
     }
 
+    /// Applies new settings; what is left stays, up to the new limit.
+    pub fn reload(&mut self, settings: Settings) {
+        self.settings = settings;
+        self.balance = self.balance.min(self.limit());
+    }
+
     /// Records the first attempt of a request; `sharers` instances have a part of the slack, but
     /// not this one if it is none.
     pub fn record_first(&mut self, now: Time, sharers: Option<u32>) {
--- a/coltsfoothall/tests/forward_retry.rs
+++ b/coltsfoothall/tests/forward_retry.rs
@@ -53,6 +53,20 @@
     assert!((30..=50).contains(&count), "{count}, limit {limit}");
 }
 
+/// The settings that were in force at the first request stayed for the life of the process.
+#[test]
+fn settings_reloaded() {
+    let mut budget = budget();
+    assert!(allowed(&mut budget, at(60_000), Some(3), 2) > 0);
+    budget.reload(Settings {
+        ratio: 0.0,
+        slack: 0.0,
+        ..Settings::default()
+    });
+    budget.record_first(at(60_000), Some(3));
+    assert_eq!(allowed(&mut budget, at(120_000), Some(3), 100), 0);
+}
+
 /// An instance that is gone may have spent its part just before.
 #[test]
 fn lost_members_keep_parts() {
