--- a/coltsfoothall-forward/src/stop.rs
+++ b/coltsfoothall-forward/src/stop.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coltsfoothall::clock::Time;
 use coltsfoothall::forward::stop::{Need, Stop};
 use coltsfoothall_shell::event;
 use tokio::net::UdpSocket;
@@ -82,7 +81,6 @@
     let need = Need {
         limit: job.due.since(now),
         longest: state.durations.borrow().longest(&job.route.name),
-        uptime: now.since(Time::START),
         elsewhere: other_is_ready(state),
     };
     event::IN_STOP.emit(format_args!(
--- a/coltsfoothall/src/forward/stop.rs
+++ b/coltsfoothall/src/forward/stop.rs
@@ -3,8 +3,7 @@
 //! All times count from the signal, as does the time after which the platform kills the process.
 //! An accepted request must be answered. While other instances accept callers, a request is
 //! therefore accepted only if its time limit ends before this process does. If there is no other
-//! instance, it is accepted if it is expected to end in time, as far as this process has run long
-//! enough to tell.
+//! instance, it is accepted if it is expected to end in time.
 
 use std::time::Duration;
 
@@ -35,8 +34,6 @@
     pub limit: Duration,
     /// Longest recent time of a request on the same route, if known.
     pub longest: Option<Duration>,
-    /// Time since the process started. No answer that it has seen took longer.
-    pub uptime: Duration,
     /// Whether another instance accepts requests.
     pub elsewhere: bool,
 }
@@ -46,9 +43,7 @@
     #[must_use]
     pub fn time(self) -> Duration {
         match self.longest {
-            Some(longest) if !self.elsewhere && self.uptime >= self.limit => {
-                longest.min(self.limit)
-            }
+            Some(longest) if !self.elsewhere => longest.min(self.limit),
             _ => self.limit,
         }
     }
