Endpoints and services that an instance cannot reach show in log and metrics

A log could not say which endpoints an instance holds for out of reach, since when and by what fault, nor that it reaches none of a service: E305 and E306, the gauges endpoints{state="unreachable"} and lost_services, and a count in E205. Nothing is decided by them yet.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::adapter::{Call, Forward, Reply};
 use crate::pool::{Fault, Link, Payload};
 use crate::probe;
+use crate::reach;
 use crate::state::State;
 
 /// An admitted request.
@@ -275,7 +276,7 @@
         let fresh = pooled.is_none();
         let mut link = match pooled.take() {
             Some(link) => link,
-            None => match Link::open(pick.endpoint.clone(), pick.address).await {
+            None => match reach::open(state, &pick.endpoint, pick.address).await {
                 Ok(link) => link,
                 Err(fault) => return Err((fault, share)),
             },
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod outgoing;
 pub mod pool;
 pub mod probe;
+mod reach;
 pub mod refusal;
 pub mod registrations;
 pub mod relay;
--- a/coltsfoothall-forward/src/probe.rs
+++ b/coltsfoothall-forward/src/probe.rs
@@ -7,7 +7,8 @@
 
 use coltsfoothall::id;
 
-use crate::pool::{Fault, Link};
+use crate::pool::Fault;
+use crate::reach;
 use crate::state::State;
 
 /// Starts to connect to an endpoint that interrupted a run, unless it is leaving or such an attempt
@@ -29,7 +30,7 @@
     probed.insert(index, endpoint.clone());
     let (state, endpoint) = (Rc::clone(state), endpoint.clone());
     tokio::task::spawn_local(async move {
-        let opened = Link::open(endpoint.clone(), address).await;
+        let opened = reach::open(&state, &endpoint, address).await;
         state.probed.borrow_mut().retain(|other| *other != endpoint);
         match opened {
             Ok(link) if state.roster.borrow().node(&endpoint).is_some() => {
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -49,10 +49,11 @@
         let served = self.served.take();
         let coverage = self.coverage();
         event::SERVED.emit(format_args!(
-            "served={served} open={} version={} endpoints={} members={} heard={} store_calls={}",
+            "served={served} open={} version={} endpoints={} unreachable={} members={} heard={} store_calls={}",
             self.open.get(),
             self.version(),
             self.roster.borrow().nodes().len(),
+            self.roster.borrow().unreachable().count(),
             coverage.members,
             coverage.reporting,
             self.calls
@@ -67,6 +68,10 @@
         self.board.endpoints("leaving", leaving);
         self.board
             .endpoints("ready", roster.nodes().len() as u64 - leaving);
+        self.board
+            .endpoints("unreachable", roster.unreachable().count() as u64);
+        let lost_services = self.lost_services.borrow().len() as u64;
+        self.board.lost_services(lost_services);
         self.board.members(u64::from(self.coverage().members));
         self.board.revision(self.version());
         let behind = self.adoption.lag.borrow().age(self.now());
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -133,6 +133,8 @@
     pub calls: Calls,
     /// Evidence about requests that crash endpoints.
     pub suspicions: RefCell<Tracker>,
+    /// Services of which this instance reaches no endpoint, sorted.
+    pub lost_services: RefCell<Vec<id::Service>>,
     /// Endpoints that are being connected to because they interrupted a run, sorted.
     pub probed: RefCell<Vec<id::Endpoint>>,
     pub(crate) next_attempt: Cell<u64>,
@@ -193,6 +195,7 @@
             reported: Cell::default(),
             calls: Calls::default(),
             suspicions: RefCell::new(Tracker::new(suspicion::Settings::default())),
+            lost_services: RefCell::default(),
             probed: RefCell::default(),
             next_attempt: Cell::new(boot),
             open: Cell::new(0),
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -98,6 +98,10 @@
     ENDPOINT = 303 Info "endpoint";
     /// The limit that an endpoint names in its answers changed, or cannot be read.
     ENDPOINT_LIMIT = 304 Info "endpoint_limit";
+    /// This instance can no longer open connections to an endpoint, or can again.
+    ENDPOINT_REACH = 305 Info "endpoint_reach";
+    /// This instance can no longer open connections to any endpoint of a service, or can again.
+    SERVICE_REACH = 306 Warn "service_reach";
     /// This instance became or ceased to be the steward of a service, which issues its orders.
     STEWARD = 311 Info "steward";
     /// An order was sent to an engine.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -89,6 +89,7 @@
     recomputed: Counter<u64>,
     dropped: Counter<u64>,
     endpoints: Gauge<u64>,
+    lost_services: Gauge<u64>,
     members: Gauge<u64>,
     revision: Gauge<u64>,
     behind: Gauge<u64>,
@@ -164,6 +165,11 @@
                 "Pieces of answers dropped, by reason",
             ),
             endpoints: level(&meter, "endpoints", "Endpoints, by state"),
+            lost_services: level(
+                &meter,
+                "lost_services",
+                "Services of which this instance reaches no endpoint",
+            ),
             members: level(&meter, "members", "Entry instances that are members"),
             revision: level(&meter, "revision", "Revision of the configuration in force"),
             behind: level(
@@ -278,6 +284,11 @@
             .record(count, &[KeyValue::new("state", state)]);
     }
 
+    /// Sets the number of services of which this instance reaches no endpoint.
+    pub fn lost_services(&self, count: u64) {
+        self.lost_services.record(count, &[]);
+    }
+
     /// Sets the number of entry instances that are members.
     pub fn members(&self, count: u64) {
         self.members.record(count, &[]);
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -23,6 +23,7 @@
 pub mod peer;
 pub mod poll;
 pub mod rate_limit;
+pub mod reach;
 pub mod reader;
 pub mod retry;
 pub mod role;
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -144,6 +144,8 @@
     pub(super) others_failed: Vec<(u64, u32)>,
     /// Moving average of the time to a first event, relative to the expected time.
     pub(super) slowness: f64,
+    /// When a connection to it could not be opened, if none was opened since.
+    pub(super) lost_at: Option<Time>,
     pub(super) avoided_until: Time,
     pub(super) full_until: Time,
     /// The limit that it names, or that has ended not long ago.
@@ -167,6 +169,7 @@
             failed: 0,
             others_failed: Vec::new(),
             slowness: 1.0,
+            lost_at: None,
             avoided_until: Time::START,
             full_until: Time::START,
             limit: None,
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -12,6 +12,7 @@
 use crate::forward::node::{
     Entry, Listing, Load, Node, SLOWNESS_BOUNDS, SLOWNESS_WEIGHT, SUCCESS_WEIGHT, Waiting,
 };
+use crate::forward::reach::Contact;
 use crate::id;
 use crate::size::Millis;
 
@@ -94,6 +95,8 @@
     ended: Vec<Ended>,
     /// Endpoints whose own registration said that they are leaving, sorted.
     announced: Vec<id::Endpoint>,
+    /// Sorted by service.
+    pub(super) contacts: Vec<Contact>,
 }
 
 /// Bounds the memory for ended endpoints of a process that runs for long.
@@ -115,6 +118,7 @@
             endpoint_time: Vec::new(),
             ended: Vec::new(),
             announced: Vec::new(),
+            contacts: Vec::new(),
         }
     }
 
