An endpoint that is out of reach is probed by the instance itself

Callers of an instance that had lost its links got 503 after five attempts of 400 ms each, one after the other, for the whole of a cut.

Cause: nobody concluded from connections that cannot be opened. Now an endpoint is out of reach from the first one that fails until a probe of this instance's own opens one; it is not chosen meanwhile. A first failure also probes two other endpoints, and two of each other service once one is lost, and an endpoint that leaves a request without an answer for 0.5 s is probed on a new connection. If all are out of reach, or eight in a row, requests are refused at once.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -276,7 +276,7 @@
         let fresh = pooled.is_none();
         let mut link = match pooled.take() {
             Some(link) => link,
-            None => match reach::open(state, &pick.endpoint, pick.address).await {
+            None => match Link::open(pick.endpoint.clone(), pick.address).await {
                 Ok(link) => link,
                 Err(fault) => return Err((fault, share)),
             },
@@ -290,6 +290,9 @@
                     let fault = Fault::Broken("the answer belongs to another request".into());
                     return Err((fault, share));
                 }
+                if fresh {
+                    reach::record_reached(state, &pick.endpoint);
+                }
                 if !reply.misdirected {
                     share.record_limit(&reply.limit);
                 }
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coltsfoothall::forward::choice::{Pick, Unavailable};
+use coltsfoothall::forward::reach::SILENCE_TIMEOUT;
 use coltsfoothall::forward::roster::End;
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
@@ -12,6 +13,7 @@
 
 use crate::attempt::{self, Job, Sent, Share};
 use crate::pool::Fault;
+use crate::reach;
 use crate::refusal::{Refusal, bad_gateway, unavailable};
 use crate::retries::Reason;
 use crate::state::State;
@@ -113,10 +115,18 @@
     let exclude = trail.exclude.clone();
     let response_timeout = response_timeout(job, trail, pick);
     let mut sending = pin!(attempt::send(state, job, pick, &exclude, after));
+    // A connection that was opened before a cut hangs, but a new one fails at once.
+    let until_check = response_timeout.min(SILENCE_TIMEOUT);
+    if let Ok(outcome) = tokio::time::timeout(until_check, sending.as_mut()).await {
+        return Some(outcome);
+    }
+    reach::check_silent(state, &pick.endpoint);
+    let mut wait = response_timeout.saturating_sub(until_check);
     loop {
-        if let Ok(outcome) = tokio::time::timeout(response_timeout, sending.as_mut()).await {
+        if let Ok(outcome) = tokio::time::timeout(wait, sending.as_mut()).await {
             return Some(outcome);
         }
+        wait = response_timeout;
         // The request may be running there.
         trail.runs += 1;
         if take_over(state, job, trail, &pick.endpoint) {
@@ -182,6 +192,12 @@
             Err(Unavailable::Absent) => {
                 return Err(unavailable("no endpoint", NO_ENDPOINT_RETRY_DELAY));
             }
+            Err(Unavailable::Unreachable) => {
+                return Err(unavailable(
+                    "no endpoint is in reach",
+                    NO_ENDPOINT_RETRY_DELAY,
+                ));
+            }
             Err(Unavailable::Large) => {
                 return Err(unavailable(
                     "larger than an engine's memory",
@@ -206,7 +222,7 @@
         };
         let reason = match outcome {
             Ok(sent) if sent.reply.misdirected => {
-                sent.share.end(End::Unreachable);
+                sent.share.end(End::Misdirected);
                 "another endpoint has the address"
             }
             Ok(sent) if sent.reply.not_run => {
@@ -219,6 +235,7 @@
                 return Ok(sent);
             }
             Err((fault @ (Fault::Refused(_) | Fault::Unsent(_)), share)) => {
+                reach::record_unreachable(state, &pick.endpoint, &fault);
                 share.end(End::Unreachable);
                 if matches!(fault, Fault::Refused(_)) {
                     state.record_crash(&pick.endpoint);
--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -127,6 +127,12 @@
         })
     }
 
+    /// Whether the connection is closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the headers of the response.
     ///
     /// # Errors
--- a/coltsfoothall-forward/src/probe.rs
+++ b/coltsfoothall-forward/src/probe.rs
@@ -30,15 +30,10 @@
     probed.insert(index, endpoint.clone());
     let (state, endpoint) = (Rc::clone(state), endpoint.clone());
     tokio::task::spawn_local(async move {
-        let opened = reach::open(&state, &endpoint, address).await;
+        let opened = reach::probe(&state, &endpoint, address).await;
         state.probed.borrow_mut().retain(|other| *other != endpoint);
-        match opened {
-            Ok(link) if state.roster.borrow().node(&endpoint).is_some() => {
-                let now = tokio::time::Instant::now();
-                state.pool.borrow_mut().put(link, now, None);
-            }
-            Err(Fault::Refused(_)) => state.record_crash(&endpoint),
-            Ok(_) | Err(Fault::Unsent(_) | Fault::Broken(_)) => {}
+        if let Err(Fault::Refused(_)) = opened {
+            state.record_crash(&endpoint);
         }
     });
 }
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::attempt::{Checkout, Job, Sent, Share};
 use crate::dispatch::{self, Trail};
 use crate::outgoing::{self, Outgoing};
+use crate::reach;
 use crate::refusal::{self, Refusal};
 use crate::retries::Reason;
 use crate::state::State;
@@ -273,6 +274,9 @@
                         (reason, can_resume)
                     }
                     Err(_elapsed) if tokio::time::Instant::now() < due => {
+                        if let Some(endpoint) = &endpoint {
+                            reach::check_silent(&self.state, endpoint);
+                        }
                         if !self.can_take_over() {
                             continue;
                         }
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -26,7 +26,7 @@
 use crate::outgoing::{Outgoing, answer, empty, json};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{configuration, duty, gossip, membership, registrations, stop};
+use crate::{configuration, duty, gossip, membership, reach, registrations, stop};
 
 /// Interval between summary log lines.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
@@ -120,6 +120,7 @@
         Rc::clone(state),
         Rc::clone(socket),
     ));
+    tokio::task::spawn_local(reach::watch(Rc::clone(state)));
     tokio::task::spawn_local(duty::register(Rc::clone(state)));
     tokio::task::spawn_local(duty::campaign(Rc::clone(state)));
     tokio::task::spawn_local(duty::run_leader(Rc::clone(state)));
--- a/coltsfoothall-forward/src/suspicion.rs
+++ b/coltsfoothall-forward/src/suspicion.rs
@@ -46,7 +46,7 @@
                 self.next_attempt.set(attempt.wrapping_add(1));
                 suspicions.record_interrupted(now, attempt, endpoint.clone(), fingerprint, began);
             }
-            End::Failed | End::Refused | End::Unreachable | End::Abandoned => {}
+            End::Failed | End::Refused | End::Unreachable | End::Misdirected | End::Abandoned => {}
         }
     }
 
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -127,6 +127,8 @@
 pub enum Unavailable {
     /// The service has no endpoint that takes work.
     Absent,
+    /// No endpoint that could run the request is in reach of this instance.
+    Unreachable,
     /// All endpoints are full.
     Full,
     /// The request needs more memory than an endpoint has.
@@ -137,7 +139,7 @@
     /// Chooses the endpoint with the lowest cost.
     ///
     /// # Errors
-    /// No endpoint takes work, all are full, or the request fits in none.
+    /// No endpoint takes work, none is in reach, all are full, or the request fits in none.
     pub fn choose(&self, now: Time, query: &Query<'_>) -> Result<Pick, Unavailable> {
         let needed = query.prompt.plus(query.answer);
         if query.memory.is_some_and(|memory| needed > memory) {
@@ -150,10 +152,17 @@
         let mut unavailable = Unavailable::Absent;
         let mut best: Option<(&Node, Estimate)> = None;
         let mut among = 0;
+        let is_lost = self.is_lost(query.service);
         for node in &self.nodes {
             if !query.allows(node) || query.exclude.contains(&node.entry.id) {
                 continue;
             }
+            if is_lost || !node.is_reachable() {
+                if unavailable == Unavailable::Absent {
+                    unavailable = Unavailable::Unreachable;
+                }
+                continue;
+            }
             let limited = node.limit.as_ref().is_some_and(|limit| !limit.allows(now));
             if limited || self.is_full(now, node, query) {
                 unavailable = Unavailable::Full;
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -146,6 +146,10 @@
     pub(super) slowness: f64,
     /// When a connection to it could not be opened, if none was opened since.
     pub(super) lost_at: Option<Time>,
+    /// When this instance last began to open a connection only to learn whether it can.
+    pub(super) probed_at: Time,
+    /// When it last sent the first part of an answer.
+    pub(super) answered_at: Time,
     pub(super) avoided_until: Time,
     pub(super) full_until: Time,
     /// The limit that it names, or that has ended not long ago.
@@ -170,6 +174,8 @@
             others_failed: Vec::new(),
             slowness: 1.0,
             lost_at: None,
+            probed_at: Time::START,
+            answered_at: now,
             avoided_until: Time::START,
             full_until: Time::START,
             limit: None,
--- a/coltsfoothall/src/forward/reach.rs
+++ b/coltsfoothall/src/forward/reach.rs
@@ -6,8 +6,12 @@
 //! A service is lost to this instance if all its endpoints are out of reach, or so many of them
 //! that were tried one after the other that the rest need not be tried.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
 use crate::clock::Time;
 use crate::forward::node::Node;
 use crate::forward::roster::Roster;
@@ -17,6 +21,11 @@
 /// meanwhile, for all others to be assumed to be so as well.
 const MIN_LOST: usize = 8;
 
+/// Time between two probes of an endpoint.
+const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Time without an answer after which an endpoint that has requests is probed.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// When a connection to any endpoint of a service was last opened.
 #[derive(Debug, Clone)]
 pub(super) struct Contact {
@@ -31,6 +40,18 @@
         self.lost_at.is_none()
     }
 
+    pub(super) fn record_lost(&mut self, now: Time) {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(now);
+            self.probed_at = now;
+        }
+    }
+
+    fn take_probe(&mut self, now: Time) -> (id::Endpoint, SocketAddr) {
+        self.probed_at = now;
+        (self.entry.id.clone(), self.entry.address)
+    }
+
     fn takes_work(&self, service: &id::Service) -> bool {
         self.entry.service == *service && !self.entry.leaving
     }
@@ -44,8 +65,8 @@
             return false;
         };
         let node = &mut self.nodes[index];
-        let newly = node.lost_at.is_none();
-        node.lost_at.get_or_insert(now);
+        let newly = node.is_reachable();
+        node.record_lost(now);
         newly
     }
 
@@ -66,6 +87,61 @@
         lost_at.map(|lost_at| now.since(lost_at))
     }
 
+    /// At most `max` endpoints that are out of reach and were not probed for
+    /// [`PROBE_PERIOD`], those first that were not for longest. They count as probed now.
+    pub fn take_probes(&mut self, now: Time, max: usize) -> Vec<(id::Endpoint, SocketAddr)> {
+        let mut due: Vec<&mut Node> = self
+            .nodes
+            .iter_mut()
+            .filter(|node| !node.is_reachable() && now.since(node.probed_at) >= PROBE_PERIOD)
+            .collect();
+        due.sort_by_key(|node| node.probed_at);
+        due.truncate(max);
+        due.into_iter().map(|node| node.take_probe(now)).collect()
+    }
+
+    /// At most `max` endpoints of a service that are in reach as far as is known, chosen at random
+    /// from those that were not probed for [`PROBE_PERIOD`]. They count as probed now.
+    pub fn take_sample(
+        &mut self,
+        now: Time,
+        service: &id::Service,
+        max: usize,
+        random: &mut impl Rng,
+    ) -> Vec<(id::Endpoint, SocketAddr)> {
+        let known = self.nodes.iter_mut().filter(|node| {
+            node.takes_work(service)
+                && node.is_reachable()
+                && now.since(node.probed_at) >= PROBE_PERIOD
+        });
+        let sample = known.choose_multiple(random, max);
+        sample
+            .into_iter()
+            .map(|node| node.take_probe(now))
+            .collect()
+    }
+
+    /// The address of an endpoint that is to be probed as it has not answered for
+    /// [`SILENCE_TIMEOUT`]; none if it has, is leaving or was probed not long ago.
+    pub fn take_silent(&mut self, now: Time, id: &id::Endpoint) -> Option<SocketAddr> {
+        let index = self.index(id).ok()?;
+        let node = &mut self.nodes[index];
+        let due = !node.entry.leaving
+            && now.since(node.answered_at) >= SILENCE_TIMEOUT
+            && now.since(node.probed_at) >= PROBE_PERIOD;
+        due.then(|| node.take_probe(now).1)
+    }
+
+    /// Services other than this one that have endpoints, sorted.
+    #[must_use]
+    pub fn other_services(&self, service: &id::Service) -> Vec<id::Service> {
+        let services = self.nodes.iter().map(|node| &node.entry.service);
+        let mut services: Vec<&id::Service> = services.filter(|other| *other != service).collect();
+        services.sort_unstable();
+        services.dedup();
+        services.into_iter().cloned().collect()
+    }
+
     /// Endpoints that this instance cannot reach.
     pub fn unreachable(&self) -> impl Iterator<Item = &Node> {
         self.nodes.iter().filter(|node| !node.is_reachable())
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -45,6 +45,8 @@
     Broken,
     /// The endpoint could not be reached.
     Unreachable,
+    /// Another endpoint listens at its address.
+    Misdirected,
     /// Canceled by this instance; no evidence about the endpoint.
     Abandoned,
 }
@@ -343,6 +345,7 @@
         run.load = run.load.minus(prefilled);
         node.own = node.own.minus(prefilled);
         node.waiting.retain(|open| open.number != run.number);
+        node.answered_at = now;
         let ratio = took.as_secs_f64() / run.expected.as_secs_f64().max(0.005);
         let (min, max) = SLOWNESS_BOUNDS;
         node.slowness += SLOWNESS_WEIGHT * (ratio * node.slowness - node.slowness);
@@ -393,7 +396,8 @@
                 node.record_failure(now);
             }
             End::Refused => node.full_until = now + avoid_period / 5,
-            End::Unreachable => node.avoided_until = now + avoid_period,
+            End::Unreachable => node.record_lost(now),
+            End::Misdirected => node.avoided_until = now + avoid_period,
             End::Abandoned => {}
         }
     }
