A request is handed to an instance that reaches its endpoints

Cause: nothing led a request from an instance that is cut off to one that is not; each took its own view for the state of the service. Now heartbeats name the services that an instance has lost, and a request that no endpoint in reach can run is handed to one that has not, in its failure domain first unless most of that is cut off, on the TCP port beside that of the heartbeats. Once only; the recipient counts runs, retries and rates that are not charged yet, says whether the request ran, and refuses what it has no room for. If no instance reaches the service the request is refused at once. A hop that breaks may have run and is not repeated.

--- a/coltsfoothall-forward/src/adapter.rs
+++ b/coltsfoothall-forward/src/adapter.rs
@@ -96,6 +96,8 @@
     pub keep_alive: Option<Duration>,
     /// The endpoint closes the connection after this response.
     pub close: bool,
+    /// Time after which a refused request may be sent again, if the response names one.
+    pub retry_after: Option<Duration>,
     /// The requests that the endpoint takes from all instances together.
     pub limit: limit::Notice,
 }
@@ -106,6 +108,14 @@
     fn parse_call(&self, head: &HeaderMap) -> Call;
     /// Builds the headers for an endpoint from those of the caller.
     fn request_headers(&self, head: &HeaderMap, forward: &Forward<'_>) -> HeaderMap;
+    /// Builds the headers for another instance that runs a caller's request, which has `time_left`
+    /// and resumes after the event `after`, if given.
+    fn handover_headers(
+        &self,
+        head: &HeaderMap,
+        time_left: Duration,
+        after: Option<&str>,
+    ) -> HeaderMap;
     /// Parses the headers of an endpoint's response.
     fn parse_reply(&self, status: u16, head: &HeaderMap) -> Reply;
     /// Builds the headers for the caller from those of the endpoint.
--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -16,11 +16,12 @@
 use coltsfoothall::suspicion::Fingerprint;
 use coltsfoothall_shell::event;
 use http::request::Parts;
-use http::{Request, Response, Uri};
+use http::{HeaderMap, Request, Response, Uri};
 use hyper::body::Incoming;
 
 use crate::adapter::{Call, Forward, Reply};
-use crate::pool::{Fault, Link, Payload};
+use crate::intake::Origin;
+use crate::pool::{Fault, Link, Payload, Target};
 use crate::probe;
 use crate::reach;
 use crate::state::State;
@@ -50,6 +51,10 @@
     pub received_at: Time,
     /// Deadline of its response.
     pub due: Time,
+    /// Number of endpoints that may run it.
+    pub attempts: u32,
+    /// Who sent it to this instance.
+    pub origin: Origin,
 }
 
 impl Job {
@@ -100,8 +105,8 @@
     started_at: Time,
     /// Whether the first event, or the complete response, was counted.
     answered: bool,
-    /// The endpoint.
-    pub endpoint: id::Endpoint,
+    /// The endpoint, or the instance that the request was handed to.
+    pub target: Target,
 }
 
 impl Share {
@@ -123,7 +128,30 @@
             version: pick.version.clone(),
             started_at: now,
             answered: false,
-            endpoint: pick.endpoint.clone(),
+            target: Target::Endpoint(pick.endpoint.clone()),
+        }
+    }
+
+    /// The share of a request that another instance runs, which counts its load and its outcome.
+    pub(crate) fn remote(state: &Rc<State>, job: &Job, target: Target) -> Self {
+        Self {
+            state: Rc::clone(state),
+            run: None,
+            fingerprint: job.fingerprint,
+            route: std::sync::Arc::clone(&job.route),
+            service: job.service.clone(),
+            version: None,
+            started_at: state.now(),
+            answered: true,
+            target,
+        }
+    }
+
+    /// Counts the run for its workspace, unless another instance does.
+    pub fn count_run(&self, job: &Job) {
+        match &self.target {
+            Target::Endpoint(_) => self.state.count_run(job.workspace.as_ref()),
+            Target::Instance(_) => {}
         }
     }
 
@@ -149,7 +177,7 @@
 
     /// Records what the response says of the endpoint's limit.
     pub fn record_limit(&self, notice: &Notice) {
-        let (endpoint, now) = (&self.endpoint, self.state.now());
+        let (endpoint, now) = (&self.target, self.state.now());
         let Some(run) = &self.run else {
             return;
         };
@@ -188,14 +216,15 @@
     }
 
     fn finish(&mut self, end: End) {
-        if let Some(run) = self.run.take() {
-            let now = self.state.now();
-            self.state.roster.borrow_mut().finish(now, &run, end);
-            self.state
-                .record_evidence(&self.endpoint, self.fingerprint, self.started_at, end);
-            if end == End::Broken {
-                probe::start(&self.state, &self.endpoint);
-            }
+        let (Some(run), Target::Endpoint(endpoint)) = (self.run.take(), &self.target) else {
+            return;
+        };
+        let now = self.state.now();
+        self.state.roster.borrow_mut().finish(now, &run, end);
+        self.state
+            .record_evidence(endpoint, self.fingerprint, self.started_at, end);
+        if end == End::Broken {
+            probe::start(&self.state, endpoint);
         }
     }
 }
@@ -239,6 +268,23 @@
 }
 
 impl Sent {
+    /// A response whose request body was passed on completely if `body_sent` is set.
+    pub(crate) fn new(
+        response: Response<Incoming>,
+        reply: Reply,
+        link: Link,
+        share: Share,
+        body_sent: Rc<Cell<bool>>,
+    ) -> Self {
+        Self {
+            response,
+            reply,
+            link,
+            share,
+            body_sent,
+        }
+    }
+
     /// Splits the response into its parts.
     #[must_use]
     pub fn split(self) -> (Response<Incoming>, Reply, Share, Checkout) {
@@ -268,15 +314,16 @@
     let query = job.query(&state.domain, exclude, &Versions::Any);
     let share = Share::new(state, pick, &query, job);
     let body_sent = Rc::new(Cell::new(false));
+    let target = Target::Endpoint(pick.endpoint.clone());
     let mut pooled = {
         let now = tokio::time::Instant::now();
-        state.pool.borrow_mut().take(&pick.endpoint, now)
+        state.pool.borrow_mut().take(&target, now)
     };
     loop {
         let fresh = pooled.is_none();
         let mut link = match pooled.take() {
             Some(link) => link,
-            None => match Link::open(pick.endpoint.clone(), pick.address).await {
+            None => match Link::open(target.clone(), pick.address).await {
                 Ok(link) => link,
                 Err(fault) => return Err((fault, share)),
             },
@@ -296,13 +343,7 @@
                 if !reply.misdirected {
                     share.record_limit(&reply.limit);
                 }
-                return Ok(Sent {
-                    response,
-                    reply,
-                    link,
-                    share,
-                    body_sent,
-                });
+                return Ok(Sent::new(response, reply, link, share, body_sent));
             }
             // The pooled connection was closed before anything was written: retry on a new one.
             Err(Fault::Unsent(_)) if !fresh => {}
@@ -329,6 +370,15 @@
             last_event_id: after,
         },
     );
+    build_request(job, headers, body_sent)
+}
+
+/// The request of a job with other headers; `body_sent` is set when its body has been passed on.
+pub(crate) fn build_request(
+    job: &Job,
+    headers: HeaderMap,
+    body_sent: &Rc<Cell<bool>>,
+) -> Request<Payload> {
     let payload = Payload::new(job.body.clone(), Rc::clone(body_sent));
     let mut request = Request::new(payload);
     *request.method_mut() = job.head.method.clone();
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -12,7 +12,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempt::{self, Job, Sent, Share};
-use crate::pool::Fault;
+use crate::handover;
+use crate::intake::Origin;
+use crate::pool::{Fault, Target};
 use crate::reach;
 use crate::refusal::{Refusal, bad_gateway, unavailable};
 use crate::retries::Reason;
@@ -44,16 +46,43 @@
 pub struct Trail {
     /// Endpoints that failed or rejected it.
     pub exclude: Vec<id::Endpoint>,
+    /// Instances that it was handed to.
+    pub recipients: Vec<id::Instance>,
+    /// Whether its first attempt is counted towards the retry budget.
+    pub counted: bool,
     /// Number of times that it was sent.
     pub sends: usize,
     /// Number of times that it was sent and may have run.
     pub runs: u32,
 }
 
+impl Trail {
+    /// The trail of a request before its first attempt here.
+    #[must_use]
+    pub fn new(origin: Origin) -> Self {
+        let counted = match origin {
+            Origin::Caller => false,
+            Origin::Instance(terms) => terms.counted,
+        };
+        Self {
+            counted,
+            ..Self::default()
+        }
+    }
+
+    /// Leaves a target out from now on.
+    pub fn exclude(&mut self, target: Target) {
+        match target {
+            Target::Endpoint(endpoint) => self.exclude.push(endpoint),
+            Target::Instance(instance) => self.recipients.push(instance),
+        }
+    }
+}
+
 /// How long to wait for the headers of a response before another endpoint may take over. A request
 /// that may run only once, or has no attempt left, waits until its deadline.
 fn response_timeout(job: &Job, trail: &Trail, pick: &Pick) -> Duration {
-    let last = trail.runs + 1 >= job.route.attempts;
+    let last = trail.runs + 1 >= job.attempts;
     if last || !job.route.kind.repeats() {
         return LAST_ATTEMPT_TIMEOUT;
     }
@@ -74,7 +103,7 @@
 /// Whether a request that may have run can be retried at another endpoint.
 pub fn may_repeat(state: &State, job: &Job, trail: &Trail, reason: Reason) -> bool {
     job.route.kind.repeats()
-        && trail.runs < job.route.attempts
+        && trail.runs < job.attempts
         && !suspicion::is_poisonous(state, job.id(), job.fingerprint)
         && state.may_retry(job.id(), &job.service, reason)
 }
@@ -84,7 +113,9 @@
 pub fn take_over(state: &State, job: &Job, trail: &Trail, silent: &id::Endpoint) -> bool {
     let mut exclude = trail.exclude.clone();
     exclude.push(silent.clone());
-    choose(state, job, &exclude).is_ok() && may_repeat(state, job, trail, Reason::Silent)
+    let is_possible =
+        choose(state, job, &exclude).is_ok() || handover::is_possible(state, job, trail);
+    is_possible && may_repeat(state, job, trail, Reason::Silent)
 }
 
 /// Chooses an endpoint among the versions that may run the request now, in order of preference.
@@ -172,7 +203,15 @@
         if trail.sends > 0 && suspicion::is_poisonous(state, job.id(), job.fingerprint) {
             return Err(suspicion::refusal(trail.runs));
         }
-        let pick = match choose(state, job, &trail.exclude) {
+        let chosen = choose(state, job, &trail.exclude);
+        if matches!(
+            chosen,
+            Err(Unavailable::Absent | Unavailable::Unreachable | Unavailable::Full)
+        ) && let Some(result) = handover::send(state, job, trail, after).await
+        {
+            return result;
+        }
+        let pick = match chosen {
             // A response that would be late anyway would delay others as well; this request has not
             // run yet.
             Ok(pick) if trail.sends == 0 && is_late(job, &pick) => {
@@ -205,7 +244,7 @@
                 ));
             }
         };
-        if trail.sends == 0 {
+        if !std::mem::replace(&mut trail.counted, true) {
             state.count_sent(&job.service);
         }
         trail.sends += 1;
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -17,7 +17,7 @@
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
-use crate::message::{Extension, Heartbeat, Message, Supplement};
+use crate::message::{Extension, Heartbeat, Message, Reach, Supplement};
 use crate::relays::Relayed;
 use crate::state::State;
 use crate::upgrades;
@@ -74,6 +74,7 @@
             heartbeat,
             extension: Some(extension),
             supplement: Some(Supplement::new(state, round)),
+            reach: Some(Reach::new(state)),
         }
     }
 
@@ -93,6 +94,7 @@
             heartbeat: Heartbeat::common(state, round),
             extension: Some(extension),
             supplement: Some(Supplement::new(state, round)),
+            reach: Some(Reach::new(state)),
         }
     }
 }
@@ -116,6 +118,14 @@
     }
 }
 
+impl Reach {
+    fn new(state: &State) -> Self {
+        Self {
+            lost: state.lost_services.borrow().clone(),
+        }
+    }
+}
+
 impl Heartbeat {
     /// What both heartbeats and digests hold.
     fn common(state: &State, round: usize) -> Self {
@@ -280,6 +290,7 @@
         heartbeat,
         extension,
         supplement,
+        reach,
     } = message;
     let boot = heartbeat.profile.boot;
     if boot == state.boot {
@@ -316,7 +327,10 @@
         let mut roster = state.roster.borrow_mut();
         roster.merge_limits(now, &supplement.limits, relays);
     }
-    state.peers.borrow_mut().record_status(now, &name, status);
+    let mut peers = state.peers.borrow_mut();
+    peers.record_status(now, &name, status);
+    peers.record_lost(&name, reach.map(|reach| reach.lost));
+    drop(peers);
     let mut rate_limiter = state.rate_limiter.borrow_mut();
     match status.map(|status| status.role) {
         Some(Role::Standby) => rate_limiter.merge_relayed(now, boot, &report),
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::config::{Config, Route};
+use coltsfoothall::forward::handover::Terms;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::Fingerprint;
 use coltsfoothall_shell::event;
@@ -69,32 +70,84 @@
     }
 }
 
+/// Who sent a request to this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another instance, for one of its callers; it has charged the request.
+    Instance(Terms),
+}
+
+/// What a refusal of a request names.
+#[derive(Debug)]
+pub struct Refused {
+    id: Option<String>,
+    path: String,
+    received_at: Time,
+}
+
+impl Refused {
+    /// Logs the refusal and builds the response.
+    pub fn answer(&self, state: &State, refusal: &Refusal) -> Response<Outgoing> {
+        let id = self.id.as_deref();
+        refuse(state, id, &self.path, self.received_at, refusal)
+    }
+}
+
 async fn serve(
     state: &Rc<State>,
     request: Request<Incoming>,
     connection: &Connection,
 ) -> Response<Outgoing> {
+    let (result, refused) = process(state, request, connection, Origin::Caller).await;
+    result.unwrap_or_else(|refusal| refused.answer(state, &refusal))
+}
+
+/// Admits a request and runs it.
+pub async fn process(
+    state: &Rc<State>,
+    request: Request<Incoming>,
+    connection: &Connection,
+    origin: Origin,
+) -> (Result<Response<Outgoing>, Refusal>, Refused) {
     let received_at = state.now();
     let (head, content) = request.into_parts();
     let call = state.adapter.parse_call(&head.headers);
-    let id = call.id.clone();
-    let path = head.uri.path().to_owned();
+    let refused = Refused {
+        id: call.id.clone(),
+        path: head.uri.path().to_owned(),
+        received_at,
+    };
+    let arrival = Arrival {
+        call,
+        received_at,
+        origin,
+    };
     let result = if connection.is_ambiguous() {
         Err(Refusal::Bad(StatusCode::BAD_REQUEST, "two framings"))
     } else {
-        match admit(state, connection, call, head, content, received_at).await {
+        match admit(state, connection, arrival, head, content).await {
             Ok(job) => finish(state, job).await,
             Err(refusal) => Err(refusal),
         }
     };
-    result.unwrap_or_else(|refusal| refuse(state, id.as_deref(), &path, received_at, &refusal))
+    (result, refused)
+}
+
+/// How a request came here.
+struct Arrival {
+    call: Call,
+    received_at: Time,
+    origin: Origin,
 }
 
 /// Runs an admitted request and records its outcome.
 async fn finish(state: &Rc<State>, job: Job) -> Result<Response<Outgoing>, Refusal> {
     let job = Rc::new(job);
     let result = run(state, Rc::clone(&job)).await;
-    if let Some(workspace) = &job.workspace {
+    // The instance that took the request from its caller accounts for it.
+    if let (Some(workspace), Origin::Caller) = (&job.workspace, job.origin) {
         if let Err(Refusal::NotRun(..)) = &result {
             let mut rate_limiter = state.rate_limiter.borrow_mut();
             rate_limiter.give_back(workspace, job.units());
@@ -144,11 +197,15 @@
 async fn admit(
     state: &Rc<State>,
     connection: &Connection,
-    call: Call,
+    arrival: Arrival,
     head: http::request::Parts,
     content: Incoming,
-    received_at: Time,
 ) -> Result<Job, Refusal> {
+    let Arrival {
+        call,
+        received_at,
+        origin,
+    } = arrival;
     let Some(configuration) = state.configuration() else {
         return Err(unavailable("no configuration yet", NOT_READY_RETRY_DELAY));
     };
@@ -198,7 +255,13 @@
     let engine = config
         .service(&service)
         .and_then(|service| service.engine.as_ref());
+    let attempts = match origin {
+        Origin::Caller => route.attempts,
+        Origin::Instance(terms) => route.attempts.min(terms.attempts),
+    };
     let job = Job {
+        attempts,
+        origin,
         route: std::sync::Arc::clone(route),
         memory: engine.map(|engine| engine.memory),
         service,
@@ -214,7 +277,10 @@
     // This precedes the rate limit: the instance that takes over a refused request charges its
     // tokens too.
     stop::check(state, &job, connection)?;
-    charge(state, &job)?;
+    match origin {
+        Origin::Caller => charge(state, &job)?,
+        Origin::Instance(_) => {}
+    }
     Ok(job)
 }
 
@@ -285,7 +351,7 @@
 }
 
 async fn send(state: &Rc<State>, job: Rc<Job>) -> Result<Response<Outgoing>, Refusal> {
-    let mut trail = Trail::default();
+    let mut trail = Trail::new(job.origin);
     let due = state.clock.instant(job.due);
     loop {
         let sent = match tokio::time::timeout_at(due, dispatch::next(state, &job, &mut trail, None))
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod fetch;
 pub mod follower;
 pub mod gossip;
+pub mod handover;
 pub mod health;
 pub mod intake;
 pub mod listen;
--- a/coltsfoothall-forward/src/message.rs
+++ b/coltsfoothall-forward/src/message.rs
@@ -82,6 +82,13 @@
     pub limits: Vec<Counted<limit::Report>>,
 }
 
+/// What versions after those that send a [`Supplement`] add. It follows the supplement.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Reach {
+    /// Services of which the sender reaches no endpoint, sorted.
+    pub lost: Vec<id::Service>,
+}
+
 /// A datagram between instances.
 #[derive(Debug, Clone)]
 pub struct Message {
@@ -91,6 +98,8 @@
     pub extension: Option<Extension>,
     /// Absent from instances of an older version.
     pub supplement: Option<Supplement>,
+    /// Absent from instances of an older version.
+    pub reach: Option<Reach>,
 }
 
 impl Message {
@@ -104,12 +113,15 @@
             bytes.extend(rmp_serde::to_vec(extension)?);
             if let Some(supplement) = &self.supplement {
                 bytes.extend(rmp_serde::to_vec(supplement)?);
+                if let Some(reach) = &self.reach {
+                    bytes.extend(rmp_serde::to_vec(reach)?);
+                }
             }
         }
         Ok(bytes)
     }
 
-    /// Decodes a datagram of any version. What follows the supplement is of a later one.
+    /// Decodes a datagram of any version. What follows its known parts is of a later one.
     ///
     /// # Errors
     /// The datagram is no heartbeat.
@@ -118,7 +130,9 @@
         let heartbeat = rmp_serde::from_read(&mut rest)?;
         let extension = next(&mut rest)?;
         let supplement = next(&mut rest)?;
+        let reach = next(&mut rest)?;
         Ok(Self {
+            reach,
             heartbeat,
             extension,
             supplement,
--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -1,7 +1,8 @@
-//! Pool of connections to endpoints; each carries one request at a time.
+//! Pool of connections to endpoints and other instances; each carries one request at a time.
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -77,10 +78,28 @@
     }
 }
 
-/// A connection to an endpoint. Dropping it closes it.
+/// Where a connection leads.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Target {
+    /// To an endpoint.
+    Endpoint(id::Endpoint),
+    /// To another instance, which runs requests that are handed to it.
+    Instance(id::Instance),
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Endpoint(id) => write!(f, "{id}"),
+            Self::Instance(id) => write!(f, "{id}"),
+        }
+    }
+}
+
+/// A connection. Dropping it closes it.
 #[derive(Debug)]
 pub struct Link {
-    endpoint: id::Endpoint,
+    target: Target,
     sender: SendRequest<Payload>,
     _driver: Driver,
     expires_at: Instant,
@@ -101,8 +120,8 @@
     /// Opens a connection.
     ///
     /// # Errors
-    /// The endpoint cannot be reached.
-    pub async fn open(endpoint: id::Endpoint, address: SocketAddr) -> Result<Self, Fault> {
+    /// The target cannot be reached.
+    pub async fn open(target: Target, address: SocketAddr) -> Result<Self, Fault> {
         let unsent = |error: String| Fault::Unsent(error);
         let stream = socket::connect(address).await.map_err(|error| {
             let reason = error.to_string();
@@ -120,13 +139,19 @@
             let _ended = connection.await;
         }));
         Ok(Self {
-            endpoint,
+            target,
             sender,
             _driver: driver,
             expires_at: Instant::now(),
         })
     }
 
+    /// Where it leads.
+    #[must_use]
+    pub fn target(&self) -> &Target {
+        &self.target
+    }
+
     /// Whether the connection is closed.
     #[must_use]
     pub fn is_closed(&self) -> bool {
@@ -155,21 +180,21 @@
 
 #[derive(Debug)]
 struct Group {
-    endpoint: id::Endpoint,
+    target: Target,
     links: Vec<Link>,
 }
 
-/// Idle connections to all endpoints.
+/// Idle connections to all targets.
 #[derive(Debug, Default)]
 pub struct Pool {
-    /// Sorted by endpoint.
+    /// Sorted by target.
     groups: Vec<Group>,
 }
 
 impl Pool {
     /// Takes an idle connection that is still open.
-    pub fn take(&mut self, endpoint: &id::Endpoint, now: Instant) -> Option<Link> {
-        let index = self.index(endpoint).ok()?;
+    pub fn take(&mut self, target: &Target, now: Instant) -> Option<Link> {
+        let index = self.index(target).ok()?;
         let links = &mut self.groups[index].links;
         while let Some(link) = links.pop() {
             if link.sender.is_ready() && now < link.expires_at {
@@ -188,10 +213,10 @@
                 .max(keep_alive / 2)
         });
         link.expires_at = now + idle_timeout;
-        let endpoint = link.endpoint.clone();
-        let index = self.index(&endpoint).unwrap_or_else(|index| {
+        let target = link.target.clone();
+        let index = self.index(&target).unwrap_or_else(|index| {
             let links = Vec::new();
-            self.groups.insert(index, Group { endpoint, links });
+            self.groups.insert(index, Group { target, links });
             index
         });
         let links = &mut self.groups[index].links;
@@ -203,13 +228,14 @@
 
     /// Closes the idle connections to an endpoint that is gone.
     pub fn remove(&mut self, endpoint: &id::Endpoint) {
-        if let Ok(index) = self.index(endpoint) {
+        let target = Target::Endpoint(endpoint.clone());
+        if let Ok(index) = self.index(&target) {
             self.groups.remove(index);
         }
     }
 
-    fn index(&self, endpoint: &id::Endpoint) -> Result<usize, usize> {
+    fn index(&self, target: &Target) -> Result<usize, usize> {
         self.groups
-            .binary_search_by(|group| group.endpoint.cmp(endpoint))
+            .binary_search_by(|group| group.target.cmp(target))
     }
 }
--- a/coltsfoothall-forward/src/reach.rs
+++ b/coltsfoothall-forward/src/reach.rs
@@ -11,7 +11,7 @@
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
 
-use crate::pool::{Fault, Link};
+use crate::pool::{Fault, Link, Target};
 use crate::state::State;
 
 /// Interval between two rounds of probes.
@@ -81,7 +81,7 @@
 }
 
 async fn open_settled(endpoint: &id::Endpoint, address: SocketAddr) -> Result<Link, Fault> {
-    let link = Link::open(endpoint.clone(), address).await?;
+    let link = Link::open(Target::Endpoint(endpoint.clone()), address).await?;
     tokio::time::sleep(SETTLE_TIME).await;
     if link.is_closed() {
         return Err(Fault::Unsent("a new connection was closed".into()));
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use coltsfoothall::forward::roster::End;
-use coltsfoothall::id;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::http as body;
 use coltsfoothall_wire::sse::Splitter;
@@ -23,6 +22,7 @@
 use crate::attempt::{Checkout, Job, Sent, Share};
 use crate::dispatch::{self, Trail};
 use crate::outgoing::{self, Outgoing};
+use crate::pool::Target;
 use crate::reach;
 use crate::refusal::{self, Refusal};
 use crate::retries::Reason;
@@ -64,11 +64,11 @@
     trail: &mut Trail,
 ) -> Result<Response<Outgoing>, Failure> {
     let status = sent.response.status();
-    let endpoint = sent.share.endpoint.clone();
+    let endpoint = sent.share.target.clone();
     if status.is_success() && (!sent.reply.signed || sent.reply.encoded) {
-        state.count_run(job.workspace.as_ref());
+        sent.share.count_run(job);
         sent.share.end(End::Failed);
-        trail.exclude.push(endpoint);
+        trail.exclude(endpoint);
         return Err(Failure::broken("the answer is not the endpoint's own"));
     }
     if status.is_success() && job.route.kind.streams() {
@@ -77,7 +77,7 @@
     let (response, _reply, mut share, checkout) = sent.split();
     let (head, content) = response.into_parts();
     let read = body::read(content, MAX_BUFFERED_BYTES).await;
-    state.count_run(job.workspace.as_ref());
+    share.count_run(job);
     share.record_first_event();
     match read {
         Ok(bytes) => {
@@ -94,7 +94,7 @@
                 }
                 return Ok(answer);
             }
-            trail.exclude.push(endpoint);
+            trail.exclude(endpoint);
             Err(Failure {
                 refusal: refusal::bad_gateway("the endpoint failed"),
                 answer: Some(answer),
@@ -111,14 +111,14 @@
                 "request={} endpoint={endpoint} reason={error:?}",
                 job.id()
             ));
-            trail.exclude.push(endpoint);
+            trail.exclude(endpoint);
             Err(Failure::broken("the answer is not whole"))
         }
     }
 }
 
 /// Logs a response that took longer than the target of its route.
-fn log_late(state: &State, job: &Job, endpoint: &id::Endpoint) {
+fn log_late(state: &State, job: &Job, endpoint: &Target) {
     let took = state.now().since(job.received_at);
     if took > job.route.target_latency.duration() {
         event::LATE.emit(format_args!(
@@ -160,7 +160,7 @@
     sent: Sent,
     trail: &mut Trail,
 ) -> Result<Response<Outgoing>, Failure> {
-    let endpoint = sent.share.endpoint.clone();
+    let endpoint = sent.share.target.clone();
     let (response, _reply, share, checkout) = sent.split();
     let (head, content) = response.into_parts();
     let mut relay = Relay {
@@ -184,15 +184,15 @@
                 "request={} endpoint={endpoint} reason={reason:?} events=0",
                 job.id()
             ));
-            trail.exclude.push(endpoint);
+            trail.exclude(endpoint);
             return Err(Failure::broken(
                 "the stream broke off before its first event",
             ));
         }
     };
-    state.count_run(job.workspace.as_ref());
     log_late(state, job, &endpoint);
     if let Some(share) = &mut relay.share {
+        share.count_run(job);
         share.record_first_event();
         share.record_answer(false);
     }
@@ -255,7 +255,7 @@
         let due = self.state.clock.instant(self.job.due);
         loop {
             let stall = self.stall_deadline();
-            let endpoint = self.share.as_ref().map(|share| share.endpoint.clone());
+            let endpoint = self.share.as_ref().map(|share| share.target.clone());
             let (reason, can_resume) =
                 match tokio::time::timeout_at(stall.min(due), self.read()).await {
                     Ok(Next::Events(bytes)) => return Some(Ok(bytes)),
@@ -274,14 +274,16 @@
                         (reason, can_resume)
                     }
                     Err(_elapsed) if tokio::time::Instant::now() < due => {
-                        if let Some(endpoint) = &endpoint {
+                        if let Some(Target::Endpoint(endpoint)) = &endpoint {
                             reach::check_silent(&self.state, endpoint);
                         }
                         if !self.can_take_over() {
                             continue;
                         }
                         self.finish(End::Broken);
-                        self.trail.exclude.extend(endpoint.clone());
+                        if let Some(endpoint) = endpoint.clone() {
+                            self.trail.exclude(endpoint);
+                        }
                         ("no event came".into(), true)
                     }
                     Err(_elapsed) => return Some(Err(self.abort("its time is over"))),
@@ -289,7 +291,7 @@
             event::BROKE_OFF.emit(format_args!(
                 "request={} endpoint={} reason={reason:?} events={}",
                 self.job.id(),
-                endpoint.as_ref().map_or("-", id::Endpoint::as_str),
+                endpoint.map_or_else(|| "-".into(), |endpoint| endpoint.to_string()),
                 self.splitter.events()
             ));
             if !can_resume {
@@ -309,7 +311,7 @@
     /// resume.
     fn stall_deadline(&self) -> tokio::time::Instant {
         let now = tokio::time::Instant::now();
-        let last = self.trail.runs >= self.job.route.attempts;
+        let last = self.trail.runs >= self.job.attempts;
         if last || !self.job.route.kind.repeats() {
             return self.state.clock.instant(self.job.due);
         }
@@ -318,10 +320,12 @@
 
     /// Whether another endpoint can take over from this one, which is stalled.
     fn can_take_over(&self) -> bool {
-        let share = self.share.as_ref();
-        share.is_some_and(|share| {
-            dispatch::take_over(&self.state, &self.job, &self.trail, &share.endpoint)
-        })
+        match self.share.as_ref().map(|share| &share.target) {
+            Some(Target::Endpoint(endpoint)) => {
+                dispatch::take_over(&self.state, &self.job, &self.trail, endpoint)
+            }
+            Some(Target::Instance(_)) | None => false,
+        }
     }
 
     /// Resumes the stream after its last event at another endpoint.
@@ -336,7 +340,7 @@
         event::RESUMED.emit(format_args!(
             "request={} endpoint={} after={}",
             self.job.id(),
-            sent.share.endpoint,
+            sent.share.target,
             after.as_deref().unwrap_or("-")
         ));
         let (response, _reply, share, checkout) = sent.split();
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -21,6 +21,7 @@
 use crate::adapter::Adapter;
 use crate::connection::Connection;
 use crate::fetch::{COMPRESSED_CONFIGURATION_PATH, CONFIGURATION_PATH, ENDPOINTS_PATH};
+use crate::handover::Receiver;
 use crate::intake::Front;
 use crate::listen::{self, Connections, Handler, Limits};
 use crate::outgoing::{Outgoing, answer, empty, json};
@@ -159,9 +160,14 @@
     let listen = state.settings().listen.clone();
     let control: Rc<dyn Handler> = Rc::new(Control(Rc::clone(state)));
     let front: Rc<dyn Handler> = Rc::new(Front(Rc::clone(state)));
+    let receiver: Rc<dyn Handler> = Rc::new(Receiver(Rc::clone(state)));
+    let peer = listen
+        .front
+        .map(|front| SocketAddr::new(front.ip(), state.settings().peer_port));
     let others = Connections::default();
     let parts = [
         ("callers", listen.front, &front, callers),
+        ("requests of peers", peer, &receiver, callers),
         ("readiness", listen.readiness, &control, &others),
         ("addresses", listen.directory, &control, &others),
         ("control", listen.control, &control, &others),
--- a/coltsfoothall-forward/tests/message.rs
+++ b/coltsfoothall-forward/tests/message.rs
@@ -10,7 +10,7 @@
 use coltsfoothall::forward::rate_limit::Total;
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::size::{Megabits, Millis};
-use coltsfoothall_forward::message::{Extension, Heartbeat, Message, Supplement};
+use coltsfoothall_forward::message::{Extension, Heartbeat, Message, Reach, Supplement};
 
 fn heartbeat() -> Heartbeat {
     Heartbeat {
@@ -64,6 +64,9 @@
         supplement: Some(Supplement {
             limits: vec![limit()],
         }),
+        reach: Some(Reach {
+            lost: vec!["reader".parse().unwrap()],
+        }),
     }
 }
 
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -90,6 +90,8 @@
     SUSPECTED = 210 Info "request_suspected";
     /// The retry budget of a service allowed a retry, or refused it.
     RETRY = 211 Info "retry";
+    /// A request was handed to another instance, as this one reaches no endpoint that could run it.
+    HANDED_OVER = 212 Info "handed_over";
     /// Notice arrived that an instance will be reclaimed.
     NOTICE = 301 Warn "reclaim_notice";
     /// An endpoint died.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -90,6 +90,7 @@
     dropped: Counter<u64>,
     endpoints: Gauge<u64>,
     lost_services: Gauge<u64>,
+    handed_over: Counter<u64>,
     members: Gauge<u64>,
     revision: Gauge<u64>,
     behind: Gauge<u64>,
@@ -165,6 +166,11 @@
                 "Pieces of answers dropped, by reason",
             ),
             endpoints: level(&meter, "endpoints", "Endpoints, by state"),
+            handed_over: count(
+                &meter,
+                "handed_over",
+                "Requests handed to other instances, by result",
+            ),
             lost_services: level(
                 &meter,
                 "lost_services",
@@ -284,6 +290,11 @@
             .record(count, &[KeyValue::new("state", state)]);
     }
 
+    /// Counts a request that was handed to another instance.
+    pub fn handed_over(&self, result: &'static str) {
+        self.handed_over.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Sets the number of services of which this instance reaches no endpoint.
     pub fn lost_services(&self, count: u64) {
         self.lost_services.record(count, &[]);
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -12,6 +12,7 @@
 pub mod duration;
 pub mod egress;
 pub mod gossip;
+pub mod handover;
 pub mod history;
 pub mod lag;
 pub mod latency;
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -113,6 +113,8 @@
     pub(super) selected: Option<Time>,
     /// When it was selected and did not report.
     pub(super) failed: Option<Time>,
+    /// Services of which it reaches no endpoint, sorted; none if it does not report them.
+    pub(super) lost: Option<Vec<id::Service>>,
 }
 
 impl Peer {
@@ -129,6 +131,7 @@
             vouched: None,
             selected: None,
             failed: None,
+            lost: None,
         }
     }
 
@@ -410,7 +413,7 @@
         before.count()
     }
 
-    fn active(&self, now: Time) -> impl Iterator<Item = &Peer> + Clone {
+    pub(super) fn active(&self, now: Time) -> impl Iterator<Item = &Peer> + Clone {
         self.peers
             .iter()
             .filter(move |peer| peer.is_active() && self.is_alive(now, peer))
--- a/coltsfoothall/src/forward/reach.rs
+++ b/coltsfoothall/src/forward/reach.rs
@@ -147,6 +147,12 @@
         self.nodes.iter().filter(|node| !node.is_reachable())
     }
 
+    /// Whether any endpoint of a service is out of reach of this instance.
+    #[must_use]
+    pub fn has_unreachable(&self, service: &id::Service) -> bool {
+        self.unreachable().any(|node| node.takes_work(service))
+    }
+
     /// Whether this instance reaches no endpoint of a service that has some.
     #[must_use]
     pub fn is_lost(&self, service: &id::Service) -> bool {
