A refused connection is a crash only while another endpoint is in reach

Cause: the instance took its own view for the endpoint's state. Now it connects to another endpoint first, and without one in reach the lapse of the registration decides, as it did before refused connections counted.

A cut from some endpoints alone that refuses still looks like their crash.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::handover;
 use crate::intake::Origin;
 use crate::pool::{Fault, Target};
+use crate::probe;
 use crate::reach;
 use crate::refusal::{Refusal, bad_gateway, unavailable};
 use crate::retries::Reason;
@@ -277,7 +278,10 @@
                 reach::record_unreachable(state, &pick.endpoint, &fault);
                 share.end(End::Unreachable);
                 if matches!(fault, Fault::Refused(_)) {
-                    state.record_crash(&pick.endpoint);
+                    let (state, endpoint) = (Rc::clone(state), pick.endpoint.clone());
+                    tokio::task::spawn_local(async move {
+                        probe::confirm_crash(&state, &endpoint).await;
+                    });
                 }
                 if trail.sends < MAX_SENDS {
                     trail.exclude.push(pick.endpoint);
--- a/coltsfoothall-forward/src/probe.rs
+++ b/coltsfoothall-forward/src/probe.rs
@@ -1,7 +1,8 @@
 //! Detects the crash of an endpoint that interrupted a run.
 //!
 //! A registration outlives its endpoint by several heartbeats, but a process that is gone refuses
-//! connections at once.
+//! connections at once. An instance that is cut off sees the same of all endpoints, so that a
+//! refused connection counts only while another endpoint is in reach.
 
 use std::rc::Rc;
 
@@ -33,7 +34,15 @@
         let opened = reach::probe(&state, &endpoint, address).await;
         state.probed.borrow_mut().retain(|other| *other != endpoint);
         if let Err(Fault::Refused(_)) = opened {
-            state.record_crash(&endpoint);
+            confirm_crash(&state, &endpoint).await;
         }
     });
 }
+
+/// Records the crash of an endpoint that refuses connections, unless this instance reaches no other
+/// endpoint either. The lapse of its registration tells then.
+pub async fn confirm_crash(state: &Rc<State>, endpoint: &id::Endpoint) {
+    if reach::reaches_others(state, endpoint).await {
+        state.record_crash(endpoint);
+    }
+}
--- a/coltsfoothall-forward/src/reach.rs
+++ b/coltsfoothall-forward/src/reach.rs
@@ -63,13 +63,9 @@
     endpoint: &id::Endpoint,
     address: SocketAddr,
 ) -> Result<(), Fault> {
-    let opened = open_settled(endpoint, address).await;
-    match opened {
+    match open_settled(endpoint, address).await {
         Ok(link) => {
-            if state.roster.borrow().node(endpoint).is_some() {
-                let now = tokio::time::Instant::now();
-                state.pool.borrow_mut().put(link, now, None);
-            }
+            keep(state, endpoint, link);
             record_reached(state, endpoint);
             Ok(())
         }
@@ -80,6 +76,33 @@
     }
 }
 
+/// Whether any other endpoint is in reach: if none is, a failure says nothing of its endpoint.
+pub async fn reaches_others(state: &Rc<State>, endpoint: &id::Endpoint) -> bool {
+    let others = {
+        let roster = state.roster.borrow();
+        roster.others(endpoint, SAMPLE, &mut rand::rng())
+    };
+    for (other, address) in others {
+        let target = Target::Endpoint(other.clone());
+        match Link::open(target, address).await {
+            Ok(link) => {
+                keep(state, &other, link);
+                return true;
+            }
+            Err(fault) => record_unreachable(state, &other, &fault),
+        }
+    }
+    false
+}
+
+/// Keeps a new connection for a request, unless its endpoint is gone.
+fn keep(state: &State, endpoint: &id::Endpoint, link: Link) {
+    if state.roster.borrow().node(endpoint).is_some() {
+        let now = tokio::time::Instant::now();
+        state.pool.borrow_mut().put(link, now, None);
+    }
+}
+
 async fn open_settled(endpoint: &id::Endpoint, address: SocketAddr) -> Result<Link, Fault> {
     let link = Link::open(Target::Endpoint(endpoint.clone()), address).await?;
     tokio::time::sleep(SETTLE_TIME).await;
--- a/coltsfoothall/src/forward/reach.rs
+++ b/coltsfoothall/src/forward/reach.rs
@@ -121,6 +121,27 @@
             .collect()
     }
 
+    /// At most `max` other endpoints, chosen at random, those in reach first.
+    pub fn others(
+        &self,
+        id: &id::Endpoint,
+        max: usize,
+        random: &mut impl Rng,
+    ) -> Vec<(id::Endpoint, SocketAddr)> {
+        let others = |reachable: bool| {
+            self.nodes.iter().filter(move |node| {
+                node.entry.id != *id && !node.entry.leaving && node.is_reachable() == reachable
+            })
+        };
+        let mut chosen = others(true).choose_multiple(random, max);
+        let missing = max - chosen.len();
+        chosen.extend(others(false).choose_multiple(random, missing));
+        let addresses = chosen.into_iter();
+        addresses
+            .map(|node| (node.entry.id.clone(), node.entry.address))
+            .collect()
+    }
+
     /// The address of an endpoint that is to be probed as it has not answered for
     /// [`SILENCE_TIMEOUT`]; none if it has, is leaving or was probed not long ago.
     pub fn take_silent(&mut self, now: Time, id: &id::Endpoint) -> Option<SocketAddr> {
