Interrupted runs count as failures for others once the endpoint is in reach

An instance that lost its links broke off what it had open and reported each endpoint as failing, up to three failures a heartbeat; the others avoided all of them.

--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -141,6 +141,8 @@
     pub(super) failures_updated: Time,
     /// Failures seen by this instance since it started.
     pub(super) failed: u32,
+    /// Interrupted runs that are no failures of the endpoint unless it turns out to be in reach.
+    pub(super) unconfirmed: u32,
     /// Failures reported by other instances, by boot number.
     pub(super) others_failed: Vec<(u64, u32)>,
     /// Moving average of the time to a first event, relative to the expected time.
@@ -174,6 +176,7 @@
             failures: 0.0,
             failures_updated: now,
             failed: 0,
+            unconfirmed: 0,
             others_failed: Vec::new(),
             slowness: 1.0,
             lost_at: None,
--- a/coltsfoothall/src/forward/reach.rs
+++ b/coltsfoothall/src/forward/reach.rs
@@ -44,6 +44,7 @@
         if self.lost_at.is_none() {
             self.lost_at = Some(now);
             self.probed_at = now;
+            self.unconfirmed = 0;
         }
     }
 
@@ -76,6 +77,7 @@
         let index = self.index(id).ok()?;
         let node = &mut self.nodes[index];
         let lost_at = node.lost_at.take();
+        node.failed += std::mem::take(&mut node.unconfirmed);
         let service = node.entry.service.clone();
         match self
             .contacts
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -400,10 +400,14 @@
         node.waiting.retain(|open| open.number != run.number);
         match end {
             End::Whole => node.failures -= SUCCESS_WEIGHT * node.failures,
-            End::Failed | End::Broken => {
+            End::Failed => {
                 node.failed += 1;
                 node.record_failure(now);
             }
+            End::Broken => {
+                node.unconfirmed += 1;
+                node.record_failure(now);
+            }
             End::Refused => node.full_until = now + avoid_period / 5,
             End::Unreachable => node.record_lost(now),
             End::Misdirected => node.avoided_until = now + avoid_period,
--- a/coltsfoothall/tests/forward_reach.rs
+++ b/coltsfoothall/tests/forward_reach.rs
@@ -48,8 +48,13 @@
     roster
 }
 
-/// Sends a request to an endpoint that cannot be reached.
-fn fail(roster: &mut Roster, now: Time, exclude: &[id::Endpoint]) -> Option<id::Endpoint> {
+/// Sends a request that ends this way.
+fn send(
+    roster: &mut Roster,
+    now: Time,
+    exclude: &[id::Endpoint],
+    end: End,
+) -> Option<id::Endpoint> {
     let (service, domain) = (service(), "north".parse().unwrap());
     let query = Query {
         service: &service,
@@ -63,7 +68,7 @@
     };
     let pick = roster.choose(now, &query).ok()?;
     let run = roster.begin(now, &pick, &query);
-    roster.finish(now, &run, End::Unreachable);
+    roster.finish(now, &run, end);
     Some(pick.endpoint)
 }
 
@@ -74,14 +79,58 @@
     let mut roster = roster(&["a", "b", "c"]);
     let mut tried = Vec::new();
     for _ in 0..3 {
-        let endpoint = fail(&mut roster, at(100), &tried).unwrap();
+        let endpoint = send(&mut roster, at(100), &tried, End::Unreachable).unwrap();
         tried.push(endpoint);
     }
     for seconds in 1..20 {
-        let again = fail(&mut roster, at(1_000 * seconds), &[]);
+        let again = send(&mut roster, at(1_000 * seconds), &[], End::Unreachable);
         assert_eq!(
             again, None,
             "tried after {seconds} s without a sign of life"
         );
     }
 }
+
+/// Guards against an instance that loses its links and reports all endpoints as failing, so that
+/// the others avoid them.
+#[test]
+fn lost_links_no_failures() {
+    let mut roster = roster(&["a"]);
+    let endpoint = send(&mut roster, at(100), &[], End::Broken).unwrap();
+    assert_eq!(roster.failure_counts(), [], "not known to be its failure");
+    assert!(roster.record_unreachable(at(120), &endpoint));
+    let _lost = roster.record_reached(at(5_000), &endpoint);
+    assert_eq!(roster.failure_counts(), [], "the links were lost");
+    send(&mut roster, at(6_000), &[], End::Broken).unwrap();
+    let _lost = roster.record_reached(at(6_020), &endpoint);
+    let failed: Vec<u32> = roster
+        .failure_counts()
+        .iter()
+        .map(|count| count.value)
+        .collect();
+    assert_eq!(failed, [1], "it broke a run off and is in reach");
+}
+
+/// Guards against a service that is taken for lost while an endpoint of it is in reach, and against
+/// a large one of which each endpoint is tried before it is.
+#[test]
+fn services_lost() {
+    let names: Vec<String> = (0..30).map(|number| format!("e-{number:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut roster = roster(&names);
+    let service = service();
+    for (number, name) in names.iter().enumerate().take(8) {
+        assert!(!roster.is_lost(&service), "after {number} endpoints");
+        let now = at(100 + number as u64);
+        let _newly = roster.record_unreachable(now, &name.parse().unwrap());
+    }
+    assert_eq!(roster.lost_services(), [service.clone()]);
+    let _lost = roster.record_reached(at(200), &names[9].parse().unwrap());
+    assert!(!roster.is_lost(&service), "one was reached since");
+    for name in &names {
+        let _newly = roster.record_unreachable(at(300), &name.parse().unwrap());
+    }
+    assert!(roster.is_lost(&service));
+    let _lost = roster.record_reached(at(400), &names[3].parse().unwrap());
+    assert_eq!(roster.lost_services(), []);
+}
