TCP_USER_TIMEOUT decides when keepalive gives up

The constants named two probes, a second apart, and beside them 2.5 s as the time for which data may stay unacknowledged. As on Linux the latter decides for probes too, whatever their count: the count said something else than what happens, and is gone (own connections, calls to the store). No library sets the option by itself: tokio and hyper do not, and both places that do are ours. idle_ends and unacknowledged_ends, on real sockets with a filter that drops what arrives, end after 3.0 s with 100 probes allowed; they hold before as well.

--- a/coltsfoothall-forward/src/socket.rs
+++ b/coltsfoothall-forward/src/socket.rs
@@ -11,14 +11,14 @@
 /// Timeout of connecting to an endpoint or peer: the longest hop takes a few milliseconds, and a
 /// lost SYN is retransmitted only after a second.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which sent data may stay unacknowledged before the connection is closed.
+/// Time for which sent data may stay unacknowledged before the connection is closed. On Linux the
+/// same time, and not the number of probes, decides when keepalive gives up: at the first probe that
+/// is due once the peer has been silent for so long.
 const ACK_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time after which keepalive probes are sent.
 const KEEPALIVE_DELAY: Duration = Duration::from_secs(1);
 /// Interval between keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered probes after which the connection is closed.
-const MAX_KEEPALIVE_PROBES: u32 = 2;
 
 /// Sets the options on an accepted or an opened connection.
 ///
@@ -30,8 +30,7 @@
     socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_DELAY)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(MAX_KEEPALIVE_PROBES);
+        .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&probes)
 }
 
--- a/coltsfoothall-wire/src/client.rs
+++ b/coltsfoothall-wire/src/client.rs
@@ -21,9 +21,8 @@
 /// Idle time before the first TCP keepalive probe, and the interval between probes. Keepalive
 /// detects a peer that vanished while a call waits for its answer.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keepalive probes after which a connection is closed.
-const MAX_KEEPALIVE_PROBES: u32 = 2;
-/// How long sent data may stay unacknowledged before the peer is considered gone.
+/// How long sent data may stay unacknowledged before the peer is considered gone. On Linux the same
+/// time, and not the number of probes, decides when keepalive gives up.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Longest pause within an answer whose size is not known in advance. It is long enough for
 /// lost packets to be retransmitted.
@@ -118,7 +117,6 @@
         connector.set_nodelay(true);
         connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
-        connector.set_keepalive_retries(Some(MAX_KEEPALIVE_PROBES));
         connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
