Connections that live on are used while new ones are refused to all

An instance whose new connections are refused, and that can hand its requests to nobody, refused them although connections to endpoints were open in its pool. Now these are the last resort.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -136,6 +136,25 @@
     found
 }
 
+/// Chooses an endpoint to which a connection is still open, if no other instance can run the
+/// request: connections may live on while new ones are refused.
+fn choose_kept(state: &State, job: &Job, trail: &Trail) -> Option<Pick> {
+    let kept = {
+        let now = tokio::time::Instant::now();
+        state.pool.borrow().kept(now)
+    };
+    let versions = state
+        .upgrades
+        .borrow()
+        .versions(&job.service, &job.route.name);
+    let roster = state.roster.borrow();
+    let mut picks = versions.iter().filter_map(|versions| {
+        let query = job.query(&state.domain, &trail.exclude, versions);
+        roster.choose_kept(state.now(), &query, &kept).ok()
+    });
+    picks.next()
+}
+
 /// Sends a request to one endpoint; none if it stays silent and another one takes over.
 async fn send(
     state: &Rc<State>,
@@ -212,6 +231,12 @@
         {
             return result;
         }
+        let chosen = match chosen {
+            Err(Unavailable::Unreachable) => {
+                choose_kept(state, job, trail).ok_or(Unavailable::Unreachable)
+            }
+            chosen => chosen,
+        };
         let pick = match chosen {
             // A response that would be late anyway would delay others as well; this request has not
             // run yet.
--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -226,6 +226,20 @@
         }
     }
 
+    /// Endpoints to which an idle connection is open, sorted.
+    #[must_use]
+    pub fn kept(&self, now: Instant) -> Vec<id::Endpoint> {
+        let open = self.groups.iter().filter(|group| {
+            let mut links = group.links.iter();
+            links.any(|link| link.sender.is_ready() && now < link.expires_at)
+        });
+        let endpoints = open.filter_map(|group| match &group.target {
+            Target::Endpoint(id) => Some(id.clone()),
+            Target::Instance(_) => None,
+        });
+        endpoints.collect()
+    }
+
     /// Closes the idle connections to an endpoint that is gone.
     pub fn remove(&mut self, endpoint: &id::Endpoint) {
         let target = Target::Endpoint(endpoint.clone());
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -141,6 +141,29 @@
     /// # Errors
     /// No endpoint takes work, none is in reach, all are full, or the request fits in none.
     pub fn choose(&self, now: Time, query: &Query<'_>) -> Result<Pick, Unavailable> {
+        self.choose_from(now, query, None)
+    }
+
+    /// Chooses among the endpoints `kept`, sorted, to which a connection is open, whether or not a
+    /// new one could be opened.
+    ///
+    /// # Errors
+    /// None of them takes work, all are full, or the request fits in none.
+    pub fn choose_kept(
+        &self,
+        now: Time,
+        query: &Query<'_>,
+        kept: &[id::Endpoint],
+    ) -> Result<Pick, Unavailable> {
+        self.choose_from(now, query, Some(kept))
+    }
+
+    fn choose_from(
+        &self,
+        now: Time,
+        query: &Query<'_>,
+        kept: Option<&[id::Endpoint]>,
+    ) -> Result<Pick, Unavailable> {
         let needed = query.prompt.plus(query.answer);
         if query.memory.is_some_and(|memory| needed > memory) {
             return Err(Unavailable::Large);
@@ -157,7 +180,11 @@
             if !query.allows(node) || query.exclude.contains(&node.entry.id) {
                 continue;
             }
-            if is_lost || !node.is_reachable() {
+            let in_reach = match kept {
+                Some(kept) => kept.binary_search(&node.entry.id).is_ok(),
+                None => !is_lost && node.is_reachable(),
+            };
+            if !in_reach {
                 if unavailable == Unavailable::Absent {
                     unavailable = Unavailable::Unreachable;
                 }
--- a/coltsfoothall/tests/forward_reach.rs
+++ b/coltsfoothall/tests/forward_reach.rs
@@ -124,7 +124,7 @@
         let now = at(100 + number as u64);
         let _newly = roster.record_unreachable(now, &name.parse().unwrap());
     }
-    assert_eq!(roster.lost_services(), [service.clone()]);
+    assert_eq!(roster.lost_services(), std::slice::from_ref(&service));
     let _lost = roster.record_reached(at(200), &names[9].parse().unwrap());
     assert!(!roster.is_lost(&service), "one was reached since");
     for name in &names {
