--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -223,20 +223,26 @@
         if trail.sends > 0 && suspicion::is_poisonous(state, job.id(), job.fingerprint) {
             return Err(suspicion::refusal(trail.runs));
         }
-        let chosen = choose(state, job, &trail.exclude);
+        let mut chosen = choose(state, job, &trail.exclude);
         if matches!(
             chosen,
             Err(Unavailable::Absent | Unavailable::Unreachable | Unavailable::Full)
-        ) && let Some(result) = handover::send(state, job, trail, after).await
-        {
-            return result;
-        }
-        let chosen = match chosen {
-            Err(Unavailable::Unreachable) => {
-                choose_kept(state, job, trail).ok_or(Unavailable::Unreachable)
+        ) {
+            let handed = handover::send(state, job, trail, after).await;
+            if let Some(Ok(sent)) = handed {
+                return Ok(sent);
             }
-            chosen => chosen,
-        };
+            // A request that was handed over and may have run there is not sent again.
+            let may_have_run = matches!(handed, Some(Err(Refusal::Unknown(..))));
+            if chosen == Err(Unavailable::Unreachable)
+                && !may_have_run
+                && let Some(pick) = choose_kept(state, job, trail)
+            {
+                chosen = Ok(pick);
+            } else if let Some(Err(refusal)) = handed {
+                return Err(refusal);
+            }
+        }
         let pick = match chosen {
             // A response that would be late anyway would delay others as well; this request has not
             // run yet.
