Hand-overs are paid like retries, and do not follow from overload

Found on reading the change, without a play that showed it: with one endpoint out of reach and all others full, each refused request went to three other instances, which see the same endpoints full; an instance that refused it may have had it rejected by an endpoint, an arrival that no budget paid; and an endpoint that is silent while another is gone had its request handed to an instance that might send it to the same endpoint again.

Now a request that found endpoints full is handed over only if half of them are out of reach here; each recipient after one that refused costs a retry; and silence leads to a hand-over only if the whole service is lost. The choice looks for a lost service only once it met an endpoint out of reach.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -115,7 +115,7 @@
     let mut exclude = trail.exclude.clone();
     exclude.push(silent.clone());
     let is_possible =
-        choose(state, job, &exclude).is_ok() || handover::is_possible(state, job, trail);
+        choose(state, job, &exclude).is_ok() || handover::can_take_over(state, job, trail);
     is_possible && may_repeat(state, job, trail, Reason::Silent)
 }
 
@@ -224,11 +224,8 @@
             return Err(suspicion::refusal(trail.runs));
         }
         let mut chosen = choose(state, job, &trail.exclude);
-        if matches!(
-            chosen,
-            Err(Unavailable::Absent | Unavailable::Unreachable | Unavailable::Full)
-        ) {
-            let handed = handover::send(state, job, trail, after).await;
+        if let Err(reason) = chosen {
+            let handed = handover::send(state, job, trail, reason, after).await;
             if let Some(Ok(sent)) = handed {
                 return Ok(sent);
             }
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::choice::Unavailable;
 use coltsfoothall::forward::handover::Terms;
 use coltsfoothall::forward::peer::Profile;
 use coltsfoothall_shell::event;
@@ -26,6 +27,7 @@
 use crate::outgoing::Outgoing;
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::refusal::{Refusal, bad_gateway, unavailable};
+use crate::retries::Reason;
 use crate::state::{Open, State};
 
 /// Request header with the [`Terms`] of a request that is handed over.
@@ -50,21 +52,38 @@
 /// What became of a request that was sent to another instance.
 enum Outcome {
     Answered(Box<Sent>),
-    /// It did not run; the recipient may have said when to come back.
-    NotRun(Option<Duration>),
+    /// The recipient refused it without running it, and may have said when to come back. Endpoints
+    /// may have rejected it there.
+    Refused(Option<Duration>),
+    /// The recipient did not get it.
+    Unsent,
     Unknown,
 }
 
-/// Whether a request can be handed to another instance now.
-pub fn is_possible(state: &State, job: &Job, trail: &Trail) -> bool {
+/// Whether another instance can take a request over from an endpoint that is silent, as this one
+/// reaches none. One that reaches others might send it to the same endpoint again.
+pub fn can_take_over(state: &State, job: &Job, trail: &Trail) -> bool {
+    state.roster.borrow().is_lost(&job.service)
+        && is_possible(state, job, trail, Unavailable::Unreachable)
+}
+
+/// Whether a request that no endpoint in reach can run can be handed to another instance now.
+fn is_possible(state: &State, job: &Job, trail: &Trail, reason: Unavailable) -> bool {
     job.origin == Origin::Caller
-        && needs_other(state, job, trail)
+        && trail.recipients.len() < MAX_RECIPIENTS
+        && others_may_run(state, job, reason)
         && recipient(state, job, trail).is_some()
 }
 
 /// Whether endpoints that could run a request may be in reach of other instances alone.
-fn needs_other(state: &State, job: &Job, trail: &Trail) -> bool {
-    trail.recipients.len() < MAX_RECIPIENTS && state.roster.borrow().has_unreachable(&job.service)
+fn others_may_run(state: &State, job: &Job, reason: Unavailable) -> bool {
+    let roster = state.roster.borrow();
+    match reason {
+        Unavailable::Absent | Unavailable::Unreachable => roster.has_unreachable(&job.service),
+        // All instances see the same endpoints full, unless this one sees only a few of them.
+        Unavailable::Full => roster.is_mostly_unreachable(&job.service),
+        Unavailable::Large => false,
+    }
 }
 
 fn recipient(state: &State, job: &Job, trail: &Trail) -> Option<Profile> {
@@ -80,10 +99,11 @@
     state: &Rc<State>,
     job: &Job,
     trail: &mut Trail,
+    reason: Unavailable,
     after: Option<&str>,
 ) -> Option<Result<Sent, Refusal>> {
     let mut refusal = None;
-    while is_possible(state, job, trail) {
+    while is_possible(state, job, trail, reason) {
         let recipient = recipient(state, job, trail)?;
         trail.recipients.push(recipient.name.clone());
         let began = state.now();
@@ -102,7 +122,13 @@
                 trail.runs = job.attempts;
                 return Some(Err(bad_gateway("another instance broke it off")));
             }
-            Outcome::NotRun(retry_after) => refusal = Some(retry_after),
+            Outcome::Unsent => refusal = refusal.or(Some(None)),
+            Outcome::Refused(retry_after) => {
+                refusal = Some(retry_after);
+                if !state.may_retry(job.id(), &job.service, Reason::Rejected) {
+                    break;
+                }
+            }
         }
     }
     let retry_after = refusal?;
@@ -119,7 +145,8 @@
 fn log(state: &State, job: &Job, recipient: &Profile, began: Time, outcome: &Outcome) {
     let result = match outcome {
         Outcome::Answered(_sent) => "answered",
-        Outcome::NotRun(_retry_after) => "not_run",
+        Outcome::Refused(_retry_after) => "refused",
+        Outcome::Unsent => "unsent",
         Outcome::Unknown => "unknown",
     };
     state.board.handed_over(result);
@@ -150,7 +177,7 @@
             Some(link) => link,
             None => match Link::open(target.clone(), recipient.peer).await {
                 Ok(link) => link,
-                Err(_fault) => return Outcome::NotRun(None),
+                Err(_fault) => return Outcome::Unsent,
             },
         };
         let body_sent = Rc::new(Cell::new(false));
@@ -158,7 +185,7 @@
         match link.send(request).await {
             Ok(response) => return read(state, job, response, link, body_sent),
             Err(Fault::Unsent(_)) if !fresh => {}
-            Err(Fault::Unsent(_) | Fault::Refused(_)) => return Outcome::NotRun(None),
+            Err(Fault::Unsent(_) | Fault::Refused(_)) => return Outcome::Unsent,
             Err(Fault::Broken(_)) => return Outcome::Unknown,
         }
     }
@@ -192,7 +219,7 @@
     let reply = state.adapter.parse_reply(status, response.headers());
     if let Some(refused) = response.headers().get(&REFUSED) {
         return if refused == NOT_RUN {
-            Outcome::NotRun(reply.retry_after)
+            Outcome::Refused(reply.retry_after)
         } else {
             Outcome::Unknown
         };
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -175,16 +175,17 @@
         let mut unavailable = Unavailable::Absent;
         let mut best: Option<(&Node, Estimate)> = None;
         let mut among = 0;
-        let is_lost = self.is_lost(query.service);
+        let mut some_unreachable = false;
         for node in &self.nodes {
             if !query.allows(node) || query.exclude.contains(&node.entry.id) {
                 continue;
             }
             let in_reach = match kept {
                 Some(kept) => kept.binary_search(&node.entry.id).is_ok(),
-                None => !is_lost && node.is_reachable(),
+                None => node.is_reachable(),
             };
             if !in_reach {
+                some_unreachable = true;
                 if unavailable == Unavailable::Absent {
                     unavailable = Unavailable::Unreachable;
                 }
@@ -205,6 +206,9 @@
                 best = Some((node, Estimate { cost, ..estimate }));
             }
         }
+        if some_unreachable && kept.is_none() && self.is_lost(query.service) {
+            return Err(Unavailable::Unreachable);
+        }
         let (node, estimate) = best.ok_or(unavailable)?;
         Ok(Pick {
             endpoint: node.entry.id.clone(),
--- a/coltsfoothall/src/forward/reach.rs
+++ b/coltsfoothall/src/forward/reach.rs
@@ -176,6 +176,14 @@
         self.unreachable().any(|node| node.takes_work(service))
     }
 
+    /// Whether half of the endpoints of a service or more are out of reach of this instance.
+    #[must_use]
+    pub fn is_mostly_unreachable(&self, service: &id::Service) -> bool {
+        let takers = self.nodes.iter().filter(|node| node.takes_work(service));
+        let lost = takers.clone().filter(|node| !node.is_reachable()).count();
+        lost > 0 && lost * 2 >= takers.count()
+    }
+
     /// Whether this instance reaches no endpoint of a service that has some.
     #[must_use]
     pub fn is_lost(&self, service: &id::Service) -> bool {
