Eight endpoints lost at once are not a lost service while others may answer

Read in the change, before it landed: when many endpoints are lost in the same moment, as a rack, eight failures stood for the whole service until the two others that are probed had answered, some 20 ms, in which requests were refused or handed over.

--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -63,7 +63,7 @@
 /// Whether another instance can take a request over from an endpoint that is silent, as this one
 /// reaches none. One that reaches others might send it to the same endpoint again.
 pub fn can_take_over(state: &State, job: &Job, trail: &Trail) -> bool {
-    state.roster.borrow().is_lost(&job.service)
+    state.roster.borrow().is_lost(state.now(), &job.service)
         && is_possible(state, job, trail, Unavailable::Unreachable)
 }
 
--- a/coltsfoothall-forward/src/reach.rs
+++ b/coltsfoothall-forward/src/reach.rs
@@ -136,7 +136,7 @@
         let service = roster
             .node(endpoint)
             .map(|node| node.entry.service.clone())
-            .filter(|service| newly && !roster.is_lost(service));
+            .filter(|service| newly && !roster.is_lost(now, service));
         let sample =
             service.map(|service| roster.take_sample(now, &service, SAMPLE, &mut rand::rng()));
         (newly, sample.unwrap_or_default())
@@ -174,7 +174,10 @@
 pub fn update_services(state: &State) -> Vec<id::Service> {
     let (lost, endpoints) = {
         let roster = state.roster.borrow();
-        (roster.lost_services(), roster.unreachable().count())
+        (
+            roster.lost_services(state.now()),
+            roster.unreachable().count(),
+        )
     };
     let before = state.lost_services.replace(lost.clone());
     let log = |service: &id::Service, change: &str| {
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -206,7 +206,7 @@
                 best = Some((node, Estimate { cost, ..estimate }));
             }
         }
-        if some_unreachable && kept.is_none() && self.is_lost(query.service) {
+        if some_unreachable && kept.is_none() && self.is_lost(now, query.service) {
             return Err(Unavailable::Unreachable);
         }
         let (node, estimate) = best.ok_or(unavailable)?;
--- a/coltsfoothall/src/forward/reach.rs
+++ b/coltsfoothall/src/forward/reach.rs
@@ -21,6 +21,9 @@
 /// meanwhile, for all others to be assumed to be so as well.
 const MIN_LOST: usize = 8;
 
+/// Time after which a failure counts for that: other endpoints that are probed at once answer within
+/// it if they are in reach.
+const SAMPLE_TIME: Duration = Duration::from_millis(50);
 /// Time between two probes of an endpoint.
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
 /// Time without an answer after which an endpoint that has requests is probed.
@@ -186,7 +189,7 @@
 
     /// Whether this instance reaches no endpoint of a service that has some.
     #[must_use]
-    pub fn is_lost(&self, service: &id::Service) -> bool {
+    pub fn is_lost(&self, now: Time, service: &id::Service) -> bool {
         let contact = self.contact(service);
         let takers = self.nodes.iter().filter(|node| node.takes_work(service));
         let (mut known, mut lost, mut lost_since_contact) = (0, 0, 0);
@@ -194,7 +197,9 @@
             known += 1;
             if let Some(lost_at) = node.lost_at {
                 lost += 1;
-                lost_since_contact += usize::from(contact.is_none_or(|contact| contact < lost_at));
+                let counts = now.since(lost_at) >= SAMPLE_TIME
+                    && contact.is_none_or(|contact| contact < lost_at);
+                lost_since_contact += usize::from(counts);
             }
         }
         known > 0 && (lost == known || lost_since_contact >= MIN_LOST)
@@ -202,12 +207,14 @@
 
     /// Services of which this instance reaches no endpoint, sorted.
     #[must_use]
-    pub fn lost_services(&self) -> Vec<id::Service> {
+    pub fn lost_services(&self, now: Time) -> Vec<id::Service> {
         let mut services: Vec<&id::Service> =
             self.unreachable().map(|node| &node.entry.service).collect();
         services.sort_unstable();
         services.dedup();
-        let lost = services.into_iter().filter(|service| self.is_lost(service));
+        let lost = services
+            .into_iter()
+            .filter(|service| self.is_lost(now, service));
         lost.cloned().collect()
     }
 
