--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -340,10 +340,7 @@
     let mut share = Share::new(state, pick, &query, job);
     let body_sent = Rc::new(Cell::new(false));
     let target = Target::Endpoint(pick.endpoint.clone());
-    let mut pooled = {
-        let now = tokio::time::Instant::now();
-        state.pool.borrow_mut().take(&target, now)
-    };
+    let mut pooled = take_pooled(state, &target);
     loop {
         let fresh = pooled.is_none();
         let mut link = match pooled.take() {
@@ -399,6 +396,12 @@
     build_request(job, headers, body_sent)
 }
 
+/// An idle connection from the pool.
+pub(crate) fn take_pooled(state: &State, target: &Target) -> Option<Link> {
+    let now = tokio::time::Instant::now();
+    state.pool.borrow_mut().take(target, now)
+}
+
 /// The request of a job with other headers; `body_sent` is set when its body has been passed on.
 pub(crate) fn build_request(
     job: &Job,
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -167,10 +167,7 @@
     after: Option<&str>,
 ) -> Outcome {
     let target = Target::Instance(recipient.name.clone());
-    let mut pooled = {
-        let now = tokio::time::Instant::now();
-        state.pool.borrow_mut().take(&target, now)
-    };
+    let mut pooled = attempt::take_pooled(state, &target);
     loop {
         let fresh = pooled.is_none();
         let mut link = match pooled.take() {
@@ -238,10 +235,8 @@
 
 impl Handler for Receiver {
     fn limits(&self) -> Limits {
-        let configuration = self.0.configuration();
-        let limits = configuration.map_or_else(Default::default, |have| have.config.limits);
         Limits {
-            max_head_bytes: limits.head + MAX_ADDED_BYTES,
+            max_head_bytes: intake::caller_limits(&self.0).head + MAX_ADDED_BYTES,
             head_timeout: HEAD_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
         }
@@ -270,8 +265,7 @@
     mut request: Request<Incoming>,
     connection: &Connection,
 ) -> Response<Outgoing> {
-    let terms = take_terms(request.headers_mut());
-    let Some(terms) = terms else {
+    let Some(terms) = take_terms(request.headers_mut()) else {
         return refused(
             crate::outgoing::empty(http::StatusCode::BAD_REQUEST),
             NOT_RUN,
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
-use coltsfoothall::forward::config::{Config, Route};
+use coltsfoothall::forward::config::{self, Config, Route};
 use coltsfoothall::forward::handover::Terms;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::Fingerprint;
@@ -41,8 +41,7 @@
 
 impl Handler for Front {
     fn limits(&self) -> Limits {
-        let configuration = self.0.configuration();
-        let limits = configuration.map_or_else(Default::default, |have| have.config.limits);
+        let limits = caller_limits(&self.0);
         Limits {
             max_head_bytes: limits.head,
             head_timeout: limits.head_wait,
@@ -70,6 +69,12 @@
     }
 }
 
+/// What the configuration in force allows callers; nothing before there is one.
+pub(crate) fn caller_limits(state: &State) -> config::Limits {
+    let configuration = state.configuration();
+    configuration.map_or_else(Default::default, |have| have.config.limits)
+}
+
 /// Who sent a request to this instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Origin {
