Log and metrics say which version began a stream and which goes on

A reader of the log could not tell whether a stream stayed at the version that began it, nor that a caller took a stream up. No change of behaviour.

--- a/coltsfoothall-forward/src/adapter.rs
+++ b/coltsfoothall-forward/src/adapter.rs
@@ -62,6 +62,10 @@
     pub tokens: Option<(Tokens, Tokens)>,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
+    /// The request that began the stream, if the caller resumes one and names it.
+    pub resumes: Option<String>,
+    /// The last event that the caller has received, if it resumes a stream.
+    pub last_event_id: Option<String>,
 }
 
 /// What an endpoint is sent in addition to the caller's own headers.
--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    /// The version that the endpoint reported when it was chosen; none if it reported none or
+    /// another instance chose it.
+    #[must_use]
+    pub fn version(&self) -> Option<&id::Version> {
+        self.version.as_ref()
+    }
+
     /// Counts the run for its workspace, unless another instance does.
     pub fn count_run(&self, job: &Job) {
         match &self.target {
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -187,6 +187,11 @@
     }
 }
 
+/// A version for the log, or `-`.
+pub fn version_name(version: Option<&id::Version>) -> &str {
+    version.map_or("-", id::Version::as_str)
+}
+
 /// Logs the chosen endpoint: for every retry, and for the first send of one request in
 /// [`REQUESTS_PER_CHOICE_LOG`], sampled by request id so that all instances log the same requests.
 fn log_choice(state: &State, job: &Job, trail: &Trail, pick: &Pick) {
@@ -194,9 +199,10 @@
         return;
     }
     event::CHOSEN.emit(format_args!(
-        "request={} endpoint={} service={} among={} wait_ms={} unread={} sending={} excluded={} pace={}",
+        "request={} endpoint={} version={} service={} among={} wait_ms={} unread={} sending={} excluded={} pace={}",
         job.id(),
         pick.endpoint,
+        version_name(pick.version.as_ref()),
         job.service,
         pick.among,
         pick.wait.as_millis(),
@@ -280,9 +286,10 @@
         log_choice(state, job, trail, &pick);
         let Some(outcome) = send(state, job, &pick, trail, after).await else {
             event::BROKE_OFF.emit(format_args!(
-                "request={} endpoint={} reason=silent expected_ms={}",
+                "request={} endpoint={} version={} reason=silent expected_ms={}",
                 job.id(),
                 pick.endpoint,
+                version_name(pick.version.as_ref()),
                 pick.wait.as_millis(),
             ));
             trail.exclude.push(pick.endpoint);
@@ -322,9 +329,10 @@
                 trail.runs += 1;
                 trail.exclude.push(pick.endpoint.clone());
                 event::BROKE_OFF.emit(format_args!(
-                    "request={} endpoint={} reason={reason:?} after_ms={}",
+                    "request={} endpoint={} version={} reason={reason:?} after_ms={}",
                     job.id(),
                     pick.endpoint,
+                    version_name(pick.version.as_ref()),
                     state.now().since(job.received_at).as_millis(),
                 ));
                 if may_repeat(state, job, trail, Reason::Interrupted) {
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -279,6 +279,19 @@
         received_at,
         due,
     };
+    if let Some(began) = job
+        .call
+        .resumes
+        .as_deref()
+        .filter(|_| job.route.kind.streams())
+    {
+        event::TAKEN_UP.emit(format_args!(
+            "request={} resumes={began} after={} service={}",
+            job.id(),
+            job.call.last_event_id.as_deref().unwrap_or("-"),
+            job.service,
+        ));
+    }
     // This precedes the rate limit: the instance that takes over a refused request charges its
     // tokens too.
     stop::check(state, &job, connection)?;
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::forward::roster::End;
+use coltsfoothall::id;
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::http as body;
 use coltsfoothall_wire::sse::Splitter;
@@ -20,7 +21,7 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{Checkout, Job, Sent, Share};
-use crate::dispatch::{self, Trail};
+use crate::dispatch::{self, Trail, version_name};
 use crate::outgoing::{self, Outgoing};
 use crate::pool::Target;
 use crate::reach;
@@ -145,6 +146,17 @@
     /// Number of events already credited to an endpoint.
     counted: u64,
     ended: bool,
+    /// The version that sent its first event, if it is known.
+    began: Option<id::Version>,
+}
+
+/// How the version that goes on with a stream relates to the one that began it, as a metric label.
+fn relation(began: Option<&id::Version>, version: Option<&id::Version>) -> &'static str {
+    match (began, version) {
+        (Some(began), Some(version)) if began == version => "same",
+        (Some(_), Some(_)) => "other",
+        (None, _) | (_, None) => "unknown",
+    }
 }
 
 /// The next part of a stream.
@@ -173,7 +185,9 @@
         splitter: Splitter::default(),
         counted: 0,
         ended: false,
+        began: None,
     };
+    relay.began = relay.version().cloned();
     // Until the first event is sent, the request can still move to another endpoint.
     let first = match relay.read().await {
         Next::Events(bytes) => Some(bytes),
@@ -181,8 +195,9 @@
         Next::Broken(reason) => {
             relay.finish(End::Broken);
             event::BROKE_OFF.emit(format_args!(
-                "request={} endpoint={endpoint} reason={reason:?} events=0",
-                job.id()
+                "request={} endpoint={endpoint} version={} reason={reason:?} events=0",
+                job.id(),
+                version_name(relay.began.as_ref()),
             ));
             trail.exclude(endpoint);
             return Err(Failure::broken(
@@ -256,6 +271,7 @@
         loop {
             let stall = self.stall_deadline();
             let endpoint = self.share.as_ref().map(|share| share.target.clone());
+            let version = self.version().cloned();
             let (reason, can_resume) =
                 match tokio::time::timeout_at(stall.min(due), self.read()).await {
                     Ok(Next::Events(bytes)) => return Some(Ok(bytes)),
@@ -289,9 +305,10 @@
                     Err(_elapsed) => return Some(Err(self.abort("its time is over"))),
                 };
             event::BROKE_OFF.emit(format_args!(
-                "request={} endpoint={} reason={reason:?} events={}",
+                "request={} endpoint={} version={} reason={reason:?} events={}",
                 self.job.id(),
                 endpoint.map_or_else(|| "-".into(), |endpoint| endpoint.to_string()),
+                version_name(version.as_ref()),
                 self.splitter.events()
             ));
             if !can_resume {
@@ -337,12 +354,17 @@
         if !sent.response.status().is_success() || !sent.reply.signed {
             return Err(refusal::bad_gateway("the next endpoint failed"));
         }
+        let version = sent.share.version();
         event::RESUMED.emit(format_args!(
-            "request={} endpoint={} after={}",
+            "request={} endpoint={} version={} began={} after={}",
             self.job.id(),
             sent.share.target,
+            version_name(version),
+            version_name(self.began.as_ref()),
             after.as_deref().unwrap_or("-")
         ));
+        let relation = relation(self.began.as_ref(), version);
+        state.board.stream_resumed("instance", relation);
         let (response, _reply, share, checkout) = sent.split();
         self.content = response.into_body();
         self.share = Some(share);
@@ -368,14 +390,20 @@
         self.state
             .record_duration(&self.job.route, self.job.received_at);
         event::CUT.emit(format_args!(
-            "request={} reason={reason:?} events={} ms={}",
+            "request={} reason={reason:?} began={} events={} ms={}",
             self.job.id(),
+            version_name(self.began.as_ref()),
             self.splitter.events(),
             self.state.now().since(self.job.received_at).as_millis()
         ));
         io::Error::other(reason)
     }
 
+    /// The version of the endpoint that sends the stream now.
+    fn version(&self) -> Option<&id::Version> {
+        self.share.as_ref().and_then(Share::version)
+    }
+
     fn finish(&mut self, end: End) {
         if let Some(share) = self.share.take() {
             let events = self.splitter.events();
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -92,6 +92,8 @@
     RETRY = 211 Info "retry";
     /// A request was handed to another instance, as this one reaches no endpoint that could run it.
     HANDED_OVER = 212 Info "handed_over";
+    /// A caller resumes a stream that an earlier request of it began.
+    TAKEN_UP = 213 Info "stream_taken_up";
     /// Notice arrived that an instance will be reclaimed.
     NOTICE = 301 Warn "reclaim_notice";
     /// An endpoint died.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -91,6 +91,7 @@
     endpoints: Gauge<u64>,
     lost_services: Gauge<u64>,
     handed_over: Counter<u64>,
+    resumed: Counter<u64>,
     members: Gauge<u64>,
     revision: Gauge<u64>,
     behind: Gauge<u64>,
@@ -171,6 +172,11 @@
                 "handed_over",
                 "Requests handed to other instances, by result",
             ),
+            resumed: count(
+                &meter,
+                "streams_resumed",
+                "Streams resumed, by who resumed them and the version that goes on",
+            ),
             lost_services: level(
                 &meter,
                 "lost_services",
@@ -295,6 +301,13 @@
         self.handed_over.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a stream that is resumed by its `caller` or by the `instance`. `version` is `same` as
+    /// that of its first event, `other`, or `unknown`.
+    pub fn stream_resumed(&self, by: &'static str, version: &'static str) {
+        let labels = [KeyValue::new("by", by), KeyValue::new("version", version)];
+        self.resumed.add(1, &labels);
+    }
+
     /// Sets the number of services of which this instance reaches no endpoint.
     pub fn lost_services(&self, count: u64) {
         self.lost_services.record(count, &[]);
