--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -60,7 +60,7 @@
 impl Trail {
     /// The trail of a request before its first attempt here.
     #[must_use]
-    pub fn new(origin: Origin) -> Self {
+    pub fn new(origin: &Origin) -> Self {
         let counted = match origin {
             Origin::Caller => false,
             Origin::Instance(terms) => terms.counted,
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -110,8 +110,9 @@
         let terms = Terms {
             attempts: job.attempts.saturating_sub(trail.runs),
             counted: trail.counted,
+            version: None,
         };
-        let outcome = send_to(state, job, &recipient, terms, after).await;
+        let outcome = send_to(state, job, &recipient, &terms, after).await;
         log(state, job, &recipient, began, &outcome);
         match outcome {
             Outcome::Answered(sent) => {
@@ -163,7 +164,7 @@
     state: &Rc<State>,
     job: &Job,
     recipient: &Profile,
-    terms: Terms,
+    terms: &Terms,
     after: Option<&str>,
 ) -> Outcome {
     let target = Target::Instance(recipient.name.clone());
@@ -191,7 +192,7 @@
 fn request(
     state: &State,
     job: &Job,
-    terms: Terms,
+    terms: &Terms,
     after: Option<&str>,
     body_sent: &Rc<Cell<bool>>,
 ) -> Request<Payload> {
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -76,7 +76,7 @@
 }
 
 /// Who sent a request to this instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Origin {
     /// A caller.
     Caller,
@@ -152,7 +152,7 @@
     let job = Rc::new(job);
     let result = run(state, Rc::clone(&job)).await;
     // The instance that took the request from its caller accounts for it.
-    if let (Some(workspace), Origin::Caller) = (&job.workspace, job.origin) {
+    if let (Some(workspace), Origin::Caller) = (&job.workspace, &job.origin) {
         if let Err(Refusal::NotRun(..)) = &result {
             let mut rate_limiter = state.rate_limiter.borrow_mut();
             rate_limiter.give_back(workspace, job.units());
@@ -260,7 +260,7 @@
     let engine = config
         .service(&service)
         .and_then(|service| service.engine.as_ref());
-    let attempts = match origin {
+    let attempts = match &origin {
         Origin::Caller => route.attempts,
         Origin::Instance(terms) => route.attempts.min(terms.attempts),
     };
@@ -295,7 +295,7 @@
     // This precedes the rate limit: the instance that takes over a refused request charges its
     // tokens too.
     stop::check(state, &job, connection)?;
-    match origin {
+    match &job.origin {
         Origin::Caller => charge(state, &job)?,
         Origin::Instance(_) => {}
     }
@@ -369,7 +369,7 @@
 }
 
 async fn send(state: &Rc<State>, job: Rc<Job>) -> Result<Response<Outgoing>, Refusal> {
-    let mut trail = Trail::new(job.origin);
+    let mut trail = Trail::new(&job.origin);
     let due = state.clock.instant(job.due);
     loop {
         let sent = match tokio::time::timeout_at(due, dispatch::next(state, &job, &mut trail, None))
--- /dev/null
+++ b/coltsfoothall/src/forward/assignment.rs
@@ -0,0 +1,380 @@
+//! The leader's part in where streams begin: it assigns the slots of each service to the versions
+//! of its endpoints, in proportion to their capacity, and moves as few as possible.
+//!
+//! A slot moves in two steps. It is announced first, and moves once every instance knows that, or
+//! has not been confirmed for so long that it no longer trusts its table. A slot whose version has
+//! no endpoint left moves at once: no stream can go on there in any case.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::forward::version::{Label, Move, Present, Row, SLOTS, Table};
+use crate::id;
+
+/// Bounds of the assignment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Settings {
+    /// How long instances trust a table that nobody confirms.
+    pub trust: Duration,
+    /// Share by which the slots of a version may differ from its share of the capacity.
+    pub tolerance: f64,
+    /// Number of slots by which they may differ.
+    pub slack: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            trust: Duration::from_secs(6),
+            tolerance: 0.3,
+            slack: 4,
+        }
+    }
+}
+
+/// A service whose streams may be resumed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Demand {
+    /// The service.
+    pub service: id::Service,
+    /// The versions that may begin streams, sorted.
+    pub versions: Vec<Present>,
+    /// How long a stream may last, over all tries of its caller.
+    pub lifetime: Duration,
+    /// Whether streams may have begun at any version before there is a row.
+    pub settles: bool,
+}
+
+/// Since when a former version of a slot is remembered.
+#[derive(Debug, Clone)]
+struct Held {
+    service: id::Service,
+    since: Time,
+    /// None for a row that settles, or moves that are announced.
+    former: Option<(u8, Label)>,
+    announced: bool,
+}
+
+/// Assigns slots to versions.
+#[derive(Debug, Clone)]
+pub struct Editor {
+    settings: Settings,
+    table: Table,
+    held: Vec<Held>,
+}
+
+impl Editor {
+    /// Continues from the newest table, whose moves count from now.
+    #[must_use]
+    pub fn new(now: Time, table: Table, settings: Settings) -> Self {
+        let mut editor = Self {
+            settings,
+            table: Table::default(),
+            held: Vec::new(),
+        };
+        editor.written(now, table);
+        editor
+    }
+
+    /// The table that was written last.
+    #[must_use]
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Records that a table was written.
+    pub fn written(&mut self, now: Time, table: Table) {
+        let mut held = Vec::new();
+        for row in &table.rows {
+            let before = self.table.row(&row.service);
+            let mut hold = |former: Option<(u8, Label)>, announced: bool| {
+                let same = |held: &&Held| {
+                    held.service == row.service
+                        && held.former == former
+                        && held.announced == announced
+                };
+                // A slot may move away from the same version again.
+                let left_now = former.as_ref().is_some_and(|(slot, version)| {
+                    before.is_some_and(|row| row.version_of(*slot) == version)
+                });
+                let told_before =
+                    |one: &Move| before.is_some_and(|row| row.announced.binary_search(one).is_ok());
+                let new = announced && !row.announced.iter().all(told_before);
+                let known = self.held.iter().find(same);
+                let known = known.filter(|_| !left_now && !new);
+                let since = known.map_or(now, |known| known.since);
+                held.push(Held {
+                    service: row.service.clone(),
+                    since,
+                    former,
+                    announced,
+                });
+            };
+            if row.settling {
+                hold(None, false);
+            }
+            if !row.announced.is_empty() {
+                hold(None, true);
+            }
+            for one in &row.former {
+                let version = row.versions[usize::from(one.version)].clone();
+                hold(Some((one.slot, version)), false);
+            }
+        }
+        self.held = held;
+        self.table = table;
+    }
+
+    /// How long a move, the announcement of moves or the settling of a row is held.
+    fn age(
+        &self,
+        now: Time,
+        service: &id::Service,
+        former: Option<(u8, Label)>,
+        announced: bool,
+    ) -> Duration {
+        let same = |held: &&Held| {
+            held.service == *service && held.former == former && held.announced == announced
+        };
+        let held = self.held.iter().find(same);
+        held.map_or(Duration::ZERO, |held| now.since(held.since))
+    }
+
+    /// The next table, if there has to be another. `all_know` tells whether all instances know the
+    /// table that was written last.
+    #[must_use]
+    pub fn next(&self, now: Time, demands: &[Demand], all_know: bool) -> Option<Table> {
+        let mut rows: Vec<Row> = Vec::new();
+        for demand in demands {
+            match self.table.row(&demand.service) {
+                Some(row) => rows.push(self.advance(now, row, demand, all_know)),
+                None => rows.extend(create(demand)),
+            }
+        }
+        rows.sort_unstable_by(|a, b| a.service.cmp(&b.service));
+        let changed = rows != self.table.rows;
+        changed.then(|| Table {
+            generation: self.table.generation + 1,
+            rows,
+        })
+    }
+
+    fn advance(&self, now: Time, row: &Row, demand: &Demand, all_know: bool) -> Row {
+        if demand.versions.is_empty() {
+            return row.clone();
+        }
+        let mut next = row.clone();
+        let hold = self.settings.trust + demand.lifetime;
+        if row.settling {
+            next.settling = self.age(now, &row.service, None, false) < hold;
+        }
+        let capacities = index_versions(&mut next, demand);
+        let announced_for = self.age(now, &row.service, None, true);
+        if !next.announced.is_empty() && (all_know || announced_for >= self.settings.trust) {
+            apply_announced(&mut next, &capacities);
+        }
+        leave_absent(&mut next, &capacities);
+        if next.announced.is_empty() {
+            self.announce(&mut next, &capacities);
+        }
+        self.forget(now, row, &mut next, hold);
+        next
+    }
+
+    /// Announces moves if the slots of a version differ too much from its share of the capacity.
+    fn announce(&self, row: &mut Row, capacities: &[u32]) {
+        let targets = targets(capacities);
+        let differs = targets.iter().enumerate().any(|(version, target)| {
+            let count = row.count(version);
+            let allowed = (*target as f64 * self.settings.tolerance) as usize;
+            (count == 0) != (*target == 0)
+                || count.abs_diff(*target) > allowed.max(self.settings.slack)
+        });
+        if !differs {
+            return;
+        }
+        let mut counts: Vec<usize> = (0..targets.len())
+            .map(|version| row.count(version))
+            .collect();
+        for slot in 0..SLOTS {
+            let from = usize::from(row.slots[slot]);
+            if counts[from] <= targets[from] {
+                continue;
+            }
+            if let Some(to) = neediest(&counts, &targets) {
+                counts[from] -= 1;
+                counts[to] += 1;
+                row.announced.push(Move {
+                    slot: slot as u8,
+                    version: to as u8,
+                });
+            }
+        }
+    }
+
+    /// Forgets former versions that no stream of can last, all of a row at once to save writes.
+    fn forget(&self, now: Time, row: &Row, next: &mut Row, hold: Duration) {
+        let is_old = |one: &Move| {
+            let version = next.versions.get(usize::from(one.version));
+            let former = version.map(|version| (one.slot, version.clone()));
+            row.former.contains(one) && self.age(now, &row.service, former, false) >= hold
+        };
+        let kept: Vec<Move> = next
+            .former
+            .iter()
+            .filter(|one| !is_old(one))
+            .copied()
+            .collect();
+        let changed = next.slots != row.slots || next.announced != row.announced;
+        if kept.is_empty() || changed {
+            next.former = kept;
+        }
+        drop_unused(next);
+    }
+}
+
+/// The first row of a service.
+fn create(demand: &Demand) -> Option<Row> {
+    let capacities: Vec<u32> = demand.versions.iter().map(|one| one.capacity).collect();
+    let targets = targets(&capacities);
+    let mut slots = Vec::with_capacity(SLOTS);
+    for (version, target) in targets.iter().enumerate() {
+        slots.extend(std::iter::repeat_n(version as u8, *target));
+    }
+    (slots.len() == SLOTS).then(|| Row {
+        service: demand.service.clone(),
+        versions: demand
+            .versions
+            .iter()
+            .map(|one| one.version.clone())
+            .collect(),
+        slots,
+        announced: Vec::new(),
+        former: Vec::new(),
+        settling: demand.settles || demand.versions.len() > 1,
+    })
+}
+
+/// Adds the versions of a demand to a row, and returns the capacity of each version of the row.
+fn index_versions(row: &mut Row, demand: &Demand) -> Vec<u32> {
+    for one in &demand.versions {
+        if !row.versions.contains(&one.version) {
+            row.versions.push(one.version.clone());
+        }
+    }
+    let capacity = |version: &Label| {
+        let found = demand.versions.iter().find(|one| one.version == *version);
+        found.map_or(0, |present| present.capacity)
+    };
+    row.versions.iter().map(capacity).collect()
+}
+
+/// Number of slots of each version, in proportion to its capacity, and one at least if it has any.
+fn targets(capacities: &[u32]) -> Vec<usize> {
+    let all: u64 = capacities.iter().map(|many| u64::from(*many)).sum();
+    if all == 0 {
+        return vec![0; capacities.len()];
+    }
+    let exact = |many: u32| f64::from(many) * SLOTS as f64 / all as f64;
+    let mut targets: Vec<usize> = capacities
+        .iter()
+        .map(|many| (exact(*many) as usize).max(usize::from(*many > 0)))
+        .collect();
+    loop {
+        let given: usize = targets.iter().sum();
+        if given == SLOTS {
+            return targets;
+        }
+        let excess = |index: &usize| targets[*index] as f64 - exact(capacities[*index]);
+        let open = (0..targets.len()).filter(|index| capacities[*index] > 0);
+        let by_excess = |a: &usize, b: &usize| excess(a).total_cmp(&excess(b));
+        let changed = if given < SLOTS {
+            open.min_by(by_excess)
+        } else {
+            open.filter(|index| targets[*index] > 1).max_by(by_excess)
+        };
+        match changed {
+            Some(index) if given < SLOTS => targets[index] += 1,
+            Some(index) => targets[index] -= 1,
+            // More versions than slots.
+            None => return targets,
+        }
+    }
+}
+
+/// The version that lacks most slots.
+fn neediest(counts: &[usize], targets: &[usize]) -> Option<usize> {
+    let lack = |index: &usize| targets[*index].saturating_sub(counts[*index]);
+    let most = (0..targets.len()).max_by_key(lack)?;
+    (lack(&most) > 0).then_some(most)
+}
+
+/// Moves the slots that were announced, unless their new version has no endpoint left.
+fn apply_announced(row: &mut Row, capacities: &[u32]) {
+    for one in std::mem::take(&mut row.announced) {
+        if capacities[usize::from(one.version)] > 0 {
+            move_slot(row, one);
+        }
+    }
+}
+
+/// Moves the slots of versions without an endpoint to the others.
+fn leave_absent(row: &mut Row, capacities: &[u32]) {
+    let targets = targets(capacities);
+    let mut counts: Vec<usize> = (0..targets.len())
+        .map(|version| row.count(version))
+        .collect();
+    for slot in 0..SLOTS {
+        let from = usize::from(row.slots[slot]);
+        if capacities[from] > 0 {
+            continue;
+        }
+        let Some(to) = neediest(&counts, &targets) else {
+            return;
+        };
+        counts[from] -= 1;
+        counts[to] += 1;
+        row.announced.retain(|one| usize::from(one.slot) != slot);
+        let one = Move {
+            slot: slot as u8,
+            version: to as u8,
+        };
+        move_slot(row, one);
+    }
+}
+
+fn move_slot(row: &mut Row, one: Move) {
+    let slot = usize::from(one.slot);
+    let earlier = Move {
+        version: row.slots[slot],
+        ..one
+    };
+    row.slots[slot] = one.version;
+    if let Err(index) = row.former.binary_search(&earlier) {
+        row.former.insert(index, earlier);
+    }
+}
+
+/// Removes the versions that a row names no more.
+fn drop_unused(row: &mut Row) {
+    let moves = || row.announced.iter().chain(&row.former);
+    let is_used = |version: usize| {
+        row.count(version) > 0 || moves().any(|one| usize::from(one.version) == version)
+    };
+    let used: Vec<bool> = (0..row.versions.len()).map(is_used).collect();
+    let renamed = |version: u8| {
+        let before = &used[..usize::from(version)];
+        before.iter().filter(|used| **used).count() as u8
+    };
+    for slot in &mut row.slots {
+        *slot = renamed(*slot);
+    }
+    for one in row.announced.iter_mut().chain(&mut row.former) {
+        one.version = renamed(one.version);
+    }
+    let mut used = used.iter();
+    row.versions
+        .retain(|_| used.next().copied().unwrap_or(true));
+    row.announced.sort_unstable();
+    row.former.sort_unstable();
+}
--- a/coltsfoothall/src/forward/handover.rs
+++ b/coltsfoothall/src/forward/handover.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::Time;
 use crate::forward::peer::{Peer, Peers, Profile};
+use crate::forward::version::Label;
 use crate::id;
 
 quick_error! {
@@ -18,24 +19,47 @@
     pub enum Error {
         /// Not the form in which terms are written.
         Form(text: String) {
-            display("{text:?} is not \"ATTEMPTS counted\" or \"ATTEMPTS new\"")
+            display("{text:?} is not \"ATTEMPTS counted\" or \"ATTEMPTS new\", nor one of them and \"=VERSION\"")
         }
     }
 }
 
 /// What the recipient of a request has to keep to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Terms {
     /// Number of times that the request may still run.
     pub attempts: u32,
     /// Whether the sender has counted its first attempt towards the retry budget.
     pub counted: bool,
+    /// The only version that may run it, if the sender knows one.
+    pub version: Option<Label>,
 }
 
 impl fmt::Display for Terms {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let state = if self.counted { "counted" } else { "new" };
-        write!(f, "{} {state}", self.attempts)
+        write!(f, "{} {state}", self.attempts)?;
+        match &self.version {
+            Some(version) => write!(f, " {}", write_label(version)),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Writes a version as `=VERSION`, and `=` for that of endpoints that report none.
+#[must_use]
+pub fn write_label(version: &Label) -> String {
+    version
+        .as_ref()
+        .map_or_else(|| "=".into(), |version| format!("={version}"))
+}
+
+/// Parses what [`write_label`] writes.
+#[must_use]
+pub fn parse_label(text: &str) -> Option<Label> {
+    match text.strip_prefix('=')? {
+        "" => Some(None),
+        version => version.parse().ok().map(Some),
     }
 }
 
@@ -44,15 +68,23 @@
 
     fn from_str(text: &str) -> Result<Self, Error> {
         let form = || Error::Form(text.into());
-        let (attempts, state) = text.split_once(' ').ok_or_else(form)?;
-        let counted = match state {
-            "counted" => true,
-            "new" => false,
-            _ => return Err(form()),
+        let mut parts = text.split(' ');
+        let attempts = parts.next().ok_or_else(form)?;
+        let counted = match parts.next() {
+            Some("counted") => true,
+            Some("new") => false,
+            Some(_) | None => return Err(form()),
         };
+        let version = parts
+            .next()
+            .map(|label| parse_label(label).ok_or_else(form));
+        if parts.next().is_some() {
+            return Err(form());
+        }
         Ok(Self {
             attempts: attempts.parse().map_err(|_number| form())?,
             counted,
+            version: version.transpose()?,
         })
     }
 }
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! changes too fast for the store.
 
 pub mod active;
+pub mod assignment;
 pub mod brittle;
 pub mod capacity;
 pub mod choice;
@@ -31,6 +32,8 @@
 pub mod role;
 pub mod roster;
 pub mod stop;
+pub mod stream;
 pub mod upgrade;
 pub mod usage;
 pub mod verdict;
+pub mod version;
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -128,6 +128,8 @@
     /// When it is reclaimed, if that is known.
     pub until: Option<Time>,
     pub(super) listing: Listing,
+    /// When this instance first knew of it.
+    pub(super) listed_at: Time,
     /// Load from this instance.
     pub(super) own: Load,
     /// Load reported by the other instances.
@@ -169,6 +171,7 @@
             until: entry.leaves.map(|leaves| now + leaves),
             entry,
             listing,
+            listed_at: now,
             own: Load::default(),
             others: Load::default(),
             cached: Vec::new(),
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -115,6 +115,8 @@
     pub(super) failed: Option<Time>,
     /// Services of which it reaches no endpoint, sorted; none if it does not report them.
     pub(super) lost: Option<Vec<id::Service>>,
+    /// Generation of the table of versions that it has.
+    pub(super) generation: u64,
 }
 
 impl Peer {
@@ -132,6 +134,7 @@
             selected: None,
             failed: None,
             lost: None,
+            generation: 0,
         }
     }
 
@@ -254,6 +257,20 @@
         }
     }
 
+    /// Records the generation of the table of versions that an instance has.
+    pub fn record_generation(&mut self, name: &id::Instance, generation: u64) {
+        if let Ok(index) = self.index(name) {
+            self.peers[index].generation = generation;
+        }
+    }
+
+    /// Whether all members are heard and have this generation of the table of versions.
+    #[must_use]
+    pub fn all_have(&self, now: Time, generation: u64) -> bool {
+        let has = |peer: &Peer| self.is_heard(now, peer) && peer.generation >= generation;
+        self.role == Role::Active && self.peers.iter().all(has)
+    }
+
     /// Removes instances that are neither registered nor alive. Returns their boot numbers.
     pub fn expire(&mut self, now: Time) -> Vec<u64> {
         let removal_timeout = self.settings.removal_timeout;
--- /dev/null
+++ b/coltsfoothall/src/forward/stream.rs
@@ -0,0 +1,270 @@
+//! What an instance knows of the versions that began streams: the table of all instances, and the
+//! streams that it, or another instance that told it, has begun.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+use crate::forward::version::{Binding, Label, Present, Table};
+use crate::id;
+use crate::size::Millis;
+
+/// Bounds of what is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// How long the table is trusted after a leader was last known to have no newer one.
+    pub trust: Duration,
+    /// How long the beginning of a stream is remembered.
+    pub retention: Duration,
+    /// Maximum number of beginnings that are remembered, at about 100 bytes each.
+    pub max_starts: usize,
+    /// How long a new table is sent to others in each heartbeat.
+    pub spread_period: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            trust: Duration::from_secs(6),
+            retention: Duration::from_secs(60),
+            max_starts: 8_192,
+            spread_period: Duration::from_millis(1_500),
+        }
+    }
+}
+
+/// The service of a request as this instance sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The service.
+    pub service: &'a id::Service,
+    /// Versions of its endpoints, sorted.
+    pub present: &'a [Present],
+    /// Whether an upgrade decides where its requests go.
+    pub upgrading: bool,
+    /// Whether all members are heard, so that none can have a newer table.
+    pub covered: bool,
+}
+
+/// The version that began a stream, as one instance tells others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// Hash of the id of the request that began it.
+    pub hash: u64,
+    /// The service.
+    pub service: id::Service,
+    /// The version.
+    pub version: Label,
+}
+
+/// What an instance tells others in a heartbeat.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Generation of its table; none before it knows whether there is one.
+    pub generation: Option<u64>,
+    /// How long ago a leader had no newer one.
+    pub confirmed: Option<Millis>,
+    /// The table, while others may lack it.
+    pub table: Option<Table>,
+    /// Streams that began where the table does not tell.
+    pub starts: Vec<Told>,
+}
+
+/// The version that began a stream.
+#[derive(Debug, Clone)]
+struct Start {
+    told: Told,
+    at: Time,
+    /// When others have to be told, as the table does not tell.
+    tell_at: Option<Time>,
+}
+
+/// What an instance knows of the versions that began streams.
+#[derive(Debug, Clone)]
+pub struct Tracker {
+    settings: Settings,
+    table: Table,
+    /// Whether it is known which table there is, if any.
+    known: bool,
+    /// The newest generation that is known to exist.
+    newest: u64,
+    /// When a leader last had no newer table than this instance.
+    confirmed_at: Option<Time>,
+    /// Until when the table is sent in each heartbeat.
+    spread_until: Time,
+    /// Sorted by hash.
+    starts: Vec<Start>,
+}
+
+impl Tracker {
+    /// Creates the state of an instance that knows nothing.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            table: Table::default(),
+            known: false,
+            newest: 0,
+            confirmed_at: None,
+            spread_until: Time::START,
+            starts: Vec::new(),
+        }
+    }
+
+    /// The newest table that is known.
+    #[must_use]
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Whether it is known which table there is.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// Applies a table that the store held at the time `at`, or none if it held none. Returns
+    /// whether it is newer than the one known.
+    pub fn apply(&mut self, now: Time, at: Time, table: Option<Table>) -> bool {
+        self.known = true;
+        let table = table.unwrap_or_default();
+        if !table.is_valid() || table.generation < self.table.generation {
+            return false;
+        }
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.adopt(now, table)
+    }
+
+    /// Sends the table to others for a time, as one lacks it.
+    fn spread(&mut self, now: Time) {
+        self.spread_until = self.spread_until.max(now + self.settings.spread_period);
+    }
+
+    fn adopt(&mut self, now: Time, table: Table) -> bool {
+        if table.generation <= self.table.generation {
+            return false;
+        }
+        self.newest = self.newest.max(table.generation);
+        self.table = table;
+        self.spread(now);
+        for start in &mut self.starts {
+            let row = self.table.row(&start.told.service);
+            let tells = row.and_then(|row| row.began(start.told.hash)).is_some();
+            if !tells && start.tell_at.is_none() {
+                start.tell_at = Some(now);
+            }
+        }
+        true
+    }
+
+    /// Records that this instance leads: nobody else writes a newer table.
+    pub fn confirm(&mut self, now: Time) {
+        self.confirmed_at = Some(now);
+    }
+
+    /// Where a new stream begins.
+    #[must_use]
+    pub fn begin(&self, _now: Time, _hash: u64, _view: View<'_>) -> Binding {
+        Binding::Free
+    }
+
+    /// Where a stream goes on that a caller takes up. `hash` is that of the id of the request that
+    /// began it, if the caller names it.
+    #[must_use]
+    pub fn resume(&self, _now: Time, _hash: Option<u64>, _view: View<'_>) -> Binding {
+        Binding::Free
+    }
+
+    /// Records the version that sent the first event of a stream.
+    pub fn record_start(&mut self, now: Time, hash: u64, service: &id::Service, version: &Label) {
+        let row = self.table.row(service);
+        let tells = row.and_then(|row| row.began(hash)) == Some(version);
+        let told = Told {
+            hash,
+            service: service.clone(),
+            version: version.clone(),
+        };
+        self.insert(Start {
+            told,
+            at: now,
+            tell_at: (!tells).then_some(now),
+        });
+    }
+
+    fn insert(&mut self, start: Start) {
+        if self.starts.len() >= self.settings.max_starts {
+            self.forget(start.at);
+        }
+        let hash = start.told.hash;
+        match self
+            .starts
+            .binary_search_by_key(&hash, |start| start.told.hash)
+        {
+            Ok(index) => {
+                let known = &mut self.starts[index];
+                known.at = start.at;
+                known.tell_at = known.tell_at.max(start.tell_at);
+            }
+            Err(index) => self.starts.insert(index, start),
+        }
+    }
+
+    /// Removes the beginnings that are old, and the oldest half of them if all are recent.
+    fn forget(&mut self, now: Time) {
+        let oldest = now - self.settings.retention;
+        self.starts.retain(|start| start.at >= oldest);
+        if self.starts.len() < self.settings.max_starts {
+            return;
+        }
+        let mut times: Vec<Time> = self.starts.iter().map(|start| start.at).collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.starts.retain(|start| start.at > median);
+    }
+
+    /// What others are told: the streams that began within `span`, `rows` at most, and the table if
+    /// it is new or `whole` is set.
+    pub fn report(&mut self, now: Time, span: Duration, rows: usize, whole: bool) -> Report {
+        let oldest = now - self.settings.retention;
+        self.starts.retain(|start| start.at >= oldest);
+        let recent = self
+            .starts
+            .iter()
+            .filter(|start| start.tell_at.is_some_and(|at| at >= now - span));
+        let spread = self.table.generation > 0 && (whole || now < self.spread_until);
+        Report {
+            generation: self.is_known().then_some(self.table.generation),
+            confirmed: self.confirmed_at.map(|at| Millis::from(now.since(at))),
+            table: spread.then(|| self.table.clone()),
+            starts: recent.take(rows).map(|start| start.told.clone()).collect(),
+        }
+    }
+
+    /// Merges what another instance tells. Returns whether it told a newer table.
+    pub fn merge(&mut self, now: Time, report: Report) -> bool {
+        let Some(generation) = report.generation else {
+            self.spread(now);
+            return false;
+        };
+        self.newest = self.newest.max(generation);
+        let table = report.table.filter(Table::is_valid);
+        let adopted = table.is_some_and(|table| self.adopt(now, table));
+        if self.table.generation == generation {
+            self.known = true;
+            let confirmed = report.confirmed.map(|age| now - age.duration());
+            self.confirmed_at = self.confirmed_at.max(confirmed);
+        } else if self.table.generation > generation {
+            self.spread(now);
+        }
+        for told in report.starts {
+            self.insert(Start {
+                told,
+                at: now,
+                tell_at: None,
+            });
+        }
+        adopted
+    }
+}
--- a/coltsfoothall/src/forward/upgrade.rs
+++ b/coltsfoothall/src/forward/upgrade.rs
@@ -15,6 +15,7 @@
 use crate::clock::Time;
 use crate::forward::history::Position;
 use crate::forward::verdict::{Count, Detector};
+use crate::forward::version::Label;
 use crate::id;
 use crate::size::Millis;
 
@@ -97,6 +98,8 @@
     Only(id::Version),
     /// All versions but this one.
     Without(id::Version),
+    /// Only this version, which may be that of endpoints that report none.
+    Exactly(Label),
 }
 
 impl Versions {
@@ -108,6 +111,7 @@
             Self::Any => true,
             Self::Only(only) => version == Some(only),
             Self::Without(without) => version != Some(without),
+            Self::Exactly(_only) => true,
         }
     }
 }
