A stream goes on only at the version that began it

Callers got streams with events of two versions of an endpoint's software, in one answer or over their tries: about half of all that were resumed while two versions served, which is what chance gives.

Cause: the choice for a stream that goes on was that for a new request. Nothing on the path remembered which version had sent the first event, Resumes was read nowhere, and what one instance could have known died with it.

A resumable stream now begins at the version that a table names for the hash of its request's id, so that any instance tells from Resumes where it began, also after all others died. The leader writes the table to the store, by the capacity of each version; heartbeats spread it. A slot is announced before it moves and remembered for as long as its streams may last; what the table does not tell, instances tell each other. The choice, a hop and the resumption in one answer keep to the version; one that is not known is refused at once.

--- a/coltsfoothall-forward/src/adapter.rs
+++ b/coltsfoothall-forward/src/adapter.rs
@@ -148,6 +148,8 @@
     Live,
     /// State that a leader leaves to its successor.
     Notes,
+    /// The newest tables of the versions that begin streams.
+    Versions,
 }
 
 /// A key of the store and its value.
@@ -172,7 +174,8 @@
     pub position: Position,
 }
 
-/// An atomic write to the keyspaces that the instances own. Names begin with `live/` or `notes/`.
+/// An atomic write to the keyspaces that the instances own. Names begin with `live/`,
+/// `notes/` or `versions/`.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Write {
     /// Keys that must not exist.
--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -11,6 +11,7 @@
 use coltsfoothall::forward::limit::{Notice, Rate};
 use coltsfoothall::forward::roster::{End, Run};
 use coltsfoothall::forward::upgrade::Versions;
+use coltsfoothall::forward::version::{Binding, Label};
 use coltsfoothall::id;
 use coltsfoothall::size::Tokens;
 use coltsfoothall::suspicion::Fingerprint;
@@ -20,7 +21,7 @@
 use hyper::body::Incoming;
 
 use crate::adapter::{Call, Forward, Reply};
-use crate::intake::Origin;
+use crate::origin::Origin;
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::probe;
 use crate::reach;
@@ -55,6 +56,8 @@
     pub attempts: u32,
     /// Who sent it to this instance.
     pub origin: Origin,
+    /// Which version may run it.
+    pub binding: Binding,
 }
 
 impl Job {
@@ -101,7 +104,8 @@
     fingerprint: Fingerprint,
     route: std::sync::Arc<Route>,
     service: id::Service,
-    version: Option<id::Version>,
+    /// The version that runs it, as far as it is known.
+    version: Option<Label>,
     started_at: Time,
     /// Whether the first event, or the complete response, was counted.
     answered: bool,
@@ -125,32 +129,37 @@
             fingerprint: job.fingerprint,
             route: std::sync::Arc::clone(&job.route),
             service: job.service.clone(),
-            version: pick.version.clone(),
+            version: Some(pick.version.clone()),
             started_at: now,
             answered: false,
             target: Target::Endpoint(pick.endpoint.clone()),
         }
     }
 
-    /// The share of a request that another instance runs, which counts its load and its outcome.
-    pub(crate) fn remote(state: &Rc<State>, job: &Job, target: Target) -> Self {
+    /// The share of a request that another instance runs, which counts its load and its outcome, and
+    /// may have told at which version.
+    pub(crate) fn remote(
+        state: &Rc<State>,
+        job: &Job,
+        target: Target,
+        version: Option<Label>,
+    ) -> Self {
         Self {
             state: Rc::clone(state),
             run: None,
             fingerprint: job.fingerprint,
             route: std::sync::Arc::clone(&job.route),
             service: job.service.clone(),
-            version: None,
+            version,
             started_at: state.now(),
             answered: true,
             target,
         }
     }
 
-    /// The version that the endpoint reported when it was chosen; none if it reported none or
-    /// another instance chose it.
+    /// The version that the endpoint reported when it was chosen, if that is known here.
     #[must_use]
-    pub fn version(&self) -> Option<&id::Version> {
+    pub fn version(&self) -> Option<&Label> {
         self.version.as_ref()
     }
 
@@ -168,7 +177,8 @@
     pub fn record_answer(&mut self, failed: bool) {
         if !std::mem::replace(&mut self.answered, true) {
             let took = self.state.now().since(self.started_at);
-            let (route, version) = (&self.route.name, self.version.as_ref());
+            let route = &self.route.name;
+            let version = self.version.as_ref().and_then(Option::as_ref);
             let mut upgrades = self.state.upgrades.borrow_mut();
             upgrades.record_answer(&self.service, route, version, took, failed);
         }
--- a/coltsfoothall-forward/src/calls.rs
+++ b/coltsfoothall-forward/src/calls.rs
@@ -21,15 +21,17 @@
 }
 
 /// Names of the kinds in the log, in the order of [`Call::index`].
-const NAMES: [&str; 11] = [
+const NAMES: [&str; 13] = [
     "list_configuration",
     "list_endpoints",
     "list_live",
     "list_notes",
+    "list_versions",
     "watch_configuration",
     "watch_endpoints",
     "watch_live",
     "watch_notes",
+    "watch_versions",
     "write",
     "lease",
     "renew",
@@ -39,10 +41,10 @@
     fn index(self) -> usize {
         match self {
             Self::List(keyspace) => keyspace_index(keyspace),
-            Self::Watch(keyspace) => 4 + keyspace_index(keyspace),
-            Self::Write => 8,
-            Self::Lease => 9,
-            Self::Renew => 10,
+            Self::Watch(keyspace) => 5 + keyspace_index(keyspace),
+            Self::Write => 10,
+            Self::Lease => 11,
+            Self::Renew => 12,
         }
     }
 }
@@ -53,6 +55,7 @@
         Keyspace::Endpoints => 1,
         Keyspace::Live => 2,
         Keyspace::Notes => 3,
+        Keyspace::Versions => 4,
     }
 }
 
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -7,13 +7,15 @@
 use coltsfoothall::forward::choice::{Pick, Unavailable};
 use coltsfoothall::forward::reach::SILENCE_TIMEOUT;
 use coltsfoothall::forward::roster::End;
+use coltsfoothall::forward::upgrade::Versions;
+use coltsfoothall::forward::version::Binding;
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempt::{self, Job, Sent, Share};
 use crate::handover;
-use crate::intake::Origin;
+use crate::origin::Origin;
 use crate::pool::{Fault, Target};
 use crate::probe;
 use crate::reach;
@@ -43,7 +45,7 @@
 const LAST_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Attempts of a request so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Trail {
     /// Endpoints that failed or rejected it.
     pub exclude: Vec<id::Endpoint>,
@@ -55,19 +57,25 @@
     pub sends: usize,
     /// Number of times that it was sent and may have run.
     pub runs: u32,
+    /// Which version may run it from now on.
+    pub binding: Binding,
 }
 
 impl Trail {
     /// The trail of a request before its first attempt here.
     #[must_use]
-    pub fn new(origin: &Origin) -> Self {
-        let counted = match origin {
+    pub fn new(job: &Job) -> Self {
+        let counted = match &job.origin {
             Origin::Caller => false,
             Origin::Instance(terms) => terms.counted,
         };
         Self {
+            exclude: Vec::new(),
+            recipients: Vec::new(),
             counted,
-            ..Self::default()
+            sends: 0,
+            runs: 0,
+            binding: job.binding.clone(),
         }
     }
 
@@ -114,17 +122,31 @@
 pub fn take_over(state: &State, job: &Job, trail: &Trail, silent: &id::Endpoint) -> bool {
     let mut exclude = trail.exclude.clone();
     exclude.push(silent.clone());
-    let is_possible =
-        choose(state, job, &exclude).is_ok() || handover::can_take_over(state, job, trail);
+    let is_possible = choose(state, job, &trail.binding, &exclude).is_ok()
+        || handover::can_take_over(state, job, trail);
     is_possible && may_repeat(state, job, trail, Reason::Silent)
 }
 
-/// Chooses an endpoint among the versions that may run the request now, in order of preference.
-fn choose(state: &State, job: &Job, exclude: &[id::Endpoint]) -> Result<Pick, Unavailable> {
-    let versions = {
-        let upgrades = state.upgrades.borrow();
-        upgrades.versions(&job.service, &job.route.name)
-    };
+/// The versions that may run a request now, in order of preference.
+fn versions(state: &State, job: &Job, binding: &Binding) -> Vec<Versions> {
+    match binding {
+        Binding::Free => {
+            let upgrades = state.upgrades.borrow();
+            upgrades.versions(&job.service, &job.route.name)
+        }
+        Binding::Only(version) => vec![Versions::Exactly(version.clone())],
+        Binding::Unknown => Vec::new(),
+    }
+}
+
+/// Chooses an endpoint among the versions that may run the request now.
+fn choose(
+    state: &State,
+    job: &Job,
+    binding: &Binding,
+    exclude: &[id::Endpoint],
+) -> Result<Pick, Unavailable> {
+    let versions = versions(state, job, binding);
     let roster = state.roster.borrow();
     let mut found = Err(Unavailable::Absent);
     for versions in &versions {
@@ -143,10 +165,7 @@
         let now = tokio::time::Instant::now();
         state.pool.borrow().kept(now)
     };
-    let versions = state
-        .upgrades
-        .borrow()
-        .versions(&job.service, &job.route.name);
+    let versions = versions(state, job, &trail.binding);
     let roster = state.roster.borrow();
     let mut picks = versions.iter().filter_map(|versions| {
         let query = job.query(&state.domain, &trail.exclude, versions);
@@ -229,7 +248,7 @@
         if trail.sends > 0 && suspicion::is_poisonous(state, job.id(), job.fingerprint) {
             return Err(suspicion::refusal(trail.runs));
         }
-        let mut chosen = choose(state, job, &trail.exclude);
+        let mut chosen = choose(state, job, &trail.binding, &trail.exclude);
         if let Err(reason) = chosen {
             let handed = handover::send(state, job, trail, reason, after).await;
             if let Some(Ok(sent)) = handed {
@@ -263,6 +282,12 @@
             Err(Unavailable::Full) => {
                 return Err(unavailable("all endpoints are full", FULL_RETRY_DELAY));
             }
+            Err(Unavailable::Absent) if trail.binding != Binding::Free => {
+                return Err(unavailable(
+                    "no endpoint of the stream's version",
+                    NO_ENDPOINT_RETRY_DELAY,
+                ));
+            }
             Err(Unavailable::Absent) => {
                 return Err(unavailable("no endpoint", NO_ENDPOINT_RETRY_DELAY));
             }
--- a/coltsfoothall-forward/src/follower.rs
+++ b/coltsfoothall-forward/src/follower.rs
@@ -129,7 +129,7 @@
                         state.registrations_as_of.set(None);
                         state.registrations_lost.set(true);
                     }
-                    Keyspace::Live | Keyspace::Notes => {}
+                    Keyspace::Live | Keyspace::Notes | Keyspace::Versions => {}
                 }
                 state.health.wait_to_retry(self.retry_delay).await;
                 self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
@@ -162,7 +162,7 @@
                     .set(Some(if complete { called_at } else { state.now() }));
                 state.registrations_lost.set(false);
             }
-            Keyspace::Live | Keyspace::Notes => {}
+            Keyspace::Live | Keyspace::Notes | Keyspace::Versions => {}
         }
         self.position = Some(listing.position);
         Update { listing, complete }
@@ -193,6 +193,6 @@
             let rank = state.peers.borrow().rank(state.now());
             poll::Settings::default().of(rank, state.fence().is_some())
         }
-        Keyspace::Notes => Duration::ZERO,
+        Keyspace::Notes | Keyspace::Versions => Duration::ZERO,
     }
 }
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -17,10 +17,11 @@
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
-use crate::message::{Extension, Heartbeat, Message, Reach, Supplement};
+use crate::message::{Extension, Heartbeat, Message, Reach, Streams, Supplement};
 use crate::relays::Relayed;
 use crate::state::State;
 use crate::upgrades;
+use crate::versions;
 
 /// Interval between two batches of heartbeats. In a small fleet each batch goes to all instances,
 /// so load and rates are at most one interval old. In a large fleet each batch goes to a subset, so
@@ -36,6 +37,8 @@
 const HEARTBEATS_PER_PLACEMENT: u32 = 2;
 /// Rounds of heartbeats for one that holds the totals of instances on standby.
 const RELAY_ROUNDS: usize = 3;
+/// Rounds of heartbeats for one that holds the table of versions, beside those that hold a new one.
+const ROUNDS_PER_TABLE: usize = 20;
 /// Largest datagram that is received.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -75,6 +78,7 @@
             extension: Some(extension),
             supplement: Some(Supplement::new(state, round)),
             reach: Some(Reach::new(state, round)),
+            streams: Some(streams(state, round)),
         }
     }
 
@@ -95,6 +99,7 @@
             extension: Some(extension),
             supplement: Some(Supplement::new(state, round)),
             reach: Some(Reach::new(state, round)),
+            streams: Some(streams(state, round)),
         }
     }
 }
@@ -129,13 +134,27 @@
     }
 }
 
+/// What others are told of the versions that begin streams.
+fn streams(state: &State, round: usize) -> Streams {
+    let sharers = state.sharers() as usize;
+    let span = told_period(sharers);
+    let whole = round.is_multiple_of(ROUNDS_PER_TABLE);
+    let mut streams = state.streams.borrow_mut();
+    streams.report(state.now(), span, peer::max_rows(sharers), whole)
+}
+
+/// How long a change is told, so that two heartbeats to each instance hold it.
+fn told_period(sharers: usize) -> Duration {
+    let batches = batch::count(sharers, MAX_HEARTBEATS_PER_BATCH);
+    HEARTBEAT_INTERVAL * (batches as u32 + 1) * HEARTBEATS_PER_PLACEMENT
+}
+
 impl Heartbeat {
     /// What both heartbeats and digests hold.
     fn common(state: &State, round: usize) -> Self {
         let now = state.now();
-        let batches = batch::count(state.sharers() as usize, MAX_HEARTBEATS_PER_BATCH);
         let rows = peer::max_rows(state.sharers() as usize);
-        let report_period = HEARTBEAT_INTERVAL * (batches as u32 + 1) * HEARTBEATS_PER_PLACEMENT;
+        let report_period = told_period(state.sharers() as usize);
         let introduced = {
             let peers = state.peers.borrow();
             let profiles = peers.profiles(now).into_iter().cloned();
@@ -294,6 +313,7 @@
         extension,
         supplement,
         reach,
+        streams,
     } = message;
     let boot = heartbeat.profile.boot;
     if boot == state.boot {
@@ -337,7 +357,16 @@
     let mut peers = state.peers.borrow_mut();
     peers.record_status(now, &name, status);
     peers.record_lost(&name, reach.map(|reach| reach.lost));
+    if let Some(generation) = streams.as_ref().and_then(|streams| streams.generation) {
+        peers.record_generation(&name, generation);
+    }
     drop(peers);
+    if let Some(streams) = streams {
+        let is_new = state.streams.borrow_mut().merge(now, streams);
+        if is_new {
+            versions::log_table(state, "peer");
+        }
+    }
     let mut rate_limiter = state.rate_limiter.borrow_mut();
     match status.map(|status| status.role) {
         Some(Role::Standby) => rate_limiter.merge_relayed(now, boot, &report),
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -10,8 +10,9 @@
 
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::Unavailable;
-use coltsfoothall::forward::handover::Terms;
+use coltsfoothall::forward::handover::{Terms, parse_label, write_label};
 use coltsfoothall::forward::peer::Profile;
+use coltsfoothall::forward::version::Binding;
 use coltsfoothall_shell::event;
 use futures_util::future::LocalBoxFuture;
 use http::header::CONNECTION;
@@ -22,11 +23,13 @@
 use crate::attempt::{self, Job, Sent, Share};
 use crate::connection::Connection;
 use crate::dispatch::Trail;
-use crate::intake::{self, Origin};
+use crate::intake;
 use crate::listen::{Handler, Limits};
+use crate::origin::Origin;
 use crate::outgoing::Outgoing;
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::refusal::{Refusal, bad_gateway, unavailable};
+use crate::relay::Began;
 use crate::retries::Reason;
 use crate::state::{Open, State};
 
@@ -38,6 +41,8 @@
 const NOT_RUN: &str = "not-run";
 /// Value of that header if the request may have run.
 const UNKNOWN: &str = "unknown";
+/// Response header with the version that sent the first event of a stream.
+const VERSION: HeaderName = HeaderName::from_static("coltsfoothall-handover-version");
 /// Maximum number of instances that a request is handed to until one does not refuse it.
 const MAX_RECIPIENTS: usize = 3;
 /// `Retry-After` if all of them refused it and none said when to come back.
@@ -110,7 +115,10 @@
         let terms = Terms {
             attempts: job.attempts.saturating_sub(trail.runs),
             counted: trail.counted,
-            version: None,
+            version: match &trail.binding {
+                Binding::Only(version) => Some(version.clone()),
+                Binding::Free | Binding::Unknown => None,
+            },
         };
         let outcome = send_to(state, job, &recipient, &terms, after).await;
         log(state, job, &recipient, began, &outcome);
@@ -209,7 +217,7 @@
 fn read(
     state: &Rc<State>,
     job: &Job,
-    response: Response<Incoming>,
+    mut response: Response<Incoming>,
     link: Link,
     body_sent: Rc<Cell<bool>>,
 ) -> Outcome {
@@ -225,7 +233,9 @@
     if reply.id.is_some() && reply.id != job.call.id {
         return Outcome::Unknown;
     }
-    let share = Share::remote(state, job, link.target().clone());
+    let version = response.headers_mut().remove(&VERSION);
+    let version = version.and_then(|version| parse_label(version.to_str().ok()?));
+    let share = Share::remote(state, job, link.target().clone(), version);
     let sent = Sent::new(response, reply, link, share, body_sent);
     Outcome::Answered(Box::new(sent))
 }
@@ -277,6 +287,12 @@
     match result {
         Ok(mut answer) => {
             answer.headers_mut().remove(&REFUSED);
+            answer.headers_mut().remove(&VERSION);
+            if let Some(Began(version)) = answer.extensions_mut().remove()
+                && let Ok(version) = HeaderValue::from_str(&write_label(&version))
+            {
+                answer.headers_mut().insert(VERSION, version);
+            }
             answer
         }
         Err(refusal) => {
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::config::{self, Config, Route};
-use coltsfoothall::forward::handover::Terms;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::Fingerprint;
 use coltsfoothall_shell::event;
@@ -22,6 +21,7 @@
 use crate::connection::Connection;
 use crate::dispatch::{self, Trail};
 use crate::listen::{Handler, Limits};
+use crate::origin::Origin;
 use crate::outgoing::{Outgoing, answer};
 use crate::refusal::{self, Refusal, bad_gateway, timed_out, unavailable};
 use crate::relay;
@@ -29,6 +29,7 @@
 use crate::state::{Open, State};
 use crate::stop;
 use crate::suspicion;
+use crate::versions;
 
 /// `Retry-After` while there is no configuration, or a route without a service.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(600);
@@ -75,15 +76,6 @@
     configuration.map_or_else(Default::default, |have| have.config.limits)
 }
 
-/// Who sent a request to this instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Origin {
-    /// A caller.
-    Caller,
-    /// Another instance, for one of its callers; it has charged the request.
-    Instance(Terms),
-}
-
 /// What a refusal of a request names.
 #[derive(Debug)]
 pub struct Refused {
@@ -264,9 +256,11 @@
         Origin::Caller => route.attempts,
         Origin::Instance(terms) => route.attempts.min(terms.attempts),
     };
+    let binding = versions::bind(state, route, &service, &call, &origin)?;
     let job = Job {
         attempts,
         origin,
+        binding,
         route: std::sync::Arc::clone(route),
         memory: engine.map(|engine| engine.memory),
         service,
@@ -279,19 +273,6 @@
         received_at,
         due,
     };
-    if let Some(began) = job
-        .call
-        .resumes
-        .as_deref()
-        .filter(|_| job.route.kind.streams())
-    {
-        event::TAKEN_UP.emit(format_args!(
-            "request={} resumes={began} after={} service={}",
-            job.id(),
-            job.call.last_event_id.as_deref().unwrap_or("-"),
-            job.service,
-        ));
-    }
     // This precedes the rate limit: the instance that takes over a refused request charges its
     // tokens too.
     stop::check(state, &job, connection)?;
@@ -369,7 +350,7 @@
 }
 
 async fn send(state: &Rc<State>, job: Rc<Job>) -> Result<Response<Outgoing>, Refusal> {
-    let mut trail = Trail::new(&job.origin);
+    let mut trail = Trail::new(&job);
     let due = state.clock.instant(job.due);
     loop {
         let sent = match tokio::time::timeout_at(due, dispatch::next(state, &job, &mut trail, None))
--- a/coltsfoothall-forward/src/message.rs
+++ b/coltsfoothall-forward/src/message.rs
@@ -12,6 +12,7 @@
 use coltsfoothall::forward::peer::{Profile, Status};
 use coltsfoothall::forward::rate_limit::Total;
 use coltsfoothall::forward::roster::Ended;
+use coltsfoothall::forward::stream;
 use coltsfoothall::forward::upgrade::{self, Order};
 use coltsfoothall::forward::usage::Count;
 use coltsfoothall::id;
@@ -92,6 +93,9 @@
     pub brittle: Vec<Counted<limit::Report>>,
 }
 
+/// What versions after those that send a [`Reach`] add about streams. It follows the reach.
+pub type Streams = stream::Report;
+
 /// A datagram between instances.
 #[derive(Debug, Clone)]
 pub struct Message {
@@ -103,6 +107,8 @@
     pub supplement: Option<Supplement>,
     /// Absent from instances of an older version.
     pub reach: Option<Reach>,
+    /// Absent from instances of an older version.
+    pub streams: Option<Streams>,
 }
 
 impl Message {
@@ -118,6 +124,9 @@
                 bytes.extend(rmp_serde::to_vec(supplement)?);
                 if let Some(reach) = &self.reach {
                     bytes.extend(rmp_serde::to_vec(reach)?);
+                    if let Some(streams) = &self.streams {
+                        bytes.extend(rmp_serde::to_vec(streams)?);
+                    }
                 }
             }
         }
@@ -134,8 +143,10 @@
         let extension = next(&mut rest)?;
         let supplement = next(&mut rest)?;
         let reach = next(&mut rest)?;
+        let streams = next(&mut rest)?;
         Ok(Self {
             reach,
+            streams,
             heartbeat,
             extension,
             supplement,
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfoothall::forward::config::Kind;
 use coltsfoothall::forward::roster::End;
-use coltsfoothall::id;
+use coltsfoothall::forward::version::{Binding, Label};
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::http as body;
 use coltsfoothall_wire::sse::Splitter;
@@ -28,6 +29,7 @@
 use crate::refusal::{self, Refusal};
 use crate::retries::Reason;
 use crate::state::State;
+use crate::versions;
 
 /// Largest response that is buffered.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
@@ -147,11 +149,11 @@
     counted: u64,
     ended: bool,
     /// The version that sent its first event, if it is known.
-    began: Option<id::Version>,
+    began: Option<Label>,
 }
 
 /// How the version that goes on with a stream relates to the one that began it, as a metric label.
-fn relation(began: Option<&id::Version>, version: Option<&id::Version>) -> &'static str {
+fn relation(began: Option<&Label>, version: Option<&Label>) -> &'static str {
     match (began, version) {
         (Some(began), Some(version)) if began == version => "same",
         (Some(_), Some(_)) => "other",
@@ -159,6 +161,15 @@
     }
 }
 
+/// A version for the log, `-` if the endpoint reports none, and `?` if it is not known.
+fn name(version: Option<&Label>) -> &str {
+    version.map_or("?", |version| version_name(version.as_ref()))
+}
+
+/// The version that sent the first event of a stream, in the extensions of its response.
+#[derive(Debug, Clone)]
+pub struct Began(pub Label);
+
 /// The next part of a stream.
 enum Next {
     Events(Bytes),
@@ -178,7 +189,7 @@
     let mut relay = Relay {
         state: Rc::clone(state),
         job: Rc::clone(job),
-        trail: Trail::default(),
+        trail: Trail::new(job),
         content,
         share: Some(share),
         checkout: Some(checkout),
@@ -197,7 +208,7 @@
             event::BROKE_OFF.emit(format_args!(
                 "request={} endpoint={endpoint} version={} reason={reason:?} events=0",
                 job.id(),
-                version_name(relay.began.as_ref()),
+                name(relay.began.as_ref()),
             ));
             trail.exclude(endpoint);
             return Err(Failure::broken(
@@ -211,11 +222,13 @@
         share.record_first_event();
         share.record_answer(false);
     }
-    relay.trail = std::mem::take(trail);
+    std::mem::swap(&mut relay.trail, trail);
+    relay.bind();
     if first.is_none() {
         relay.close();
     }
     let headers = state.adapter.response_headers(&head.headers);
+    let began = relay.began.clone();
     let chunks = stream::unfold((relay, first), |(mut relay, first)| async move {
         let chunk = match first {
             Some(bytes) => Ok(bytes),
@@ -223,11 +236,11 @@
         };
         Some((chunk, (relay, None)))
     });
-    Ok(outgoing::answer(
-        head.status,
-        headers,
-        Outgoing::chunks(Box::pin(chunks)),
-    ))
+    let mut answer = outgoing::answer(head.status, headers, Outgoing::chunks(Box::pin(chunks)));
+    if let Some(version) = began {
+        answer.extensions_mut().insert(Began(version));
+    }
+    Ok(answer)
 }
 
 impl Relay {
@@ -281,12 +294,13 @@
                     }
                     Ok(Next::Broken(reason)) => {
                         self.finish(End::Broken);
-                        let can_resume = dispatch::may_repeat(
-                            &self.state,
-                            &self.job,
-                            &self.trail,
-                            Reason::Interrupted,
-                        );
+                        let can_resume = self.trail.binding != Binding::Unknown
+                            && dispatch::may_repeat(
+                                &self.state,
+                                &self.job,
+                                &self.trail,
+                                Reason::Interrupted,
+                            );
                         (reason, can_resume)
                     }
                     Err(_elapsed) if tokio::time::Instant::now() < due => {
@@ -308,7 +322,7 @@
                 "request={} endpoint={} version={} reason={reason:?} events={}",
                 self.job.id(),
                 endpoint.map_or_else(|| "-".into(), |endpoint| endpoint.to_string()),
-                version_name(version.as_ref()),
+                name(version.as_ref()),
                 self.splitter.events()
             ));
             if !can_resume {
@@ -359,8 +373,8 @@
             "request={} endpoint={} version={} began={} after={}",
             self.job.id(),
             sent.share.target,
-            version_name(version),
-            version_name(self.began.as_ref()),
+            name(version),
+            name(self.began.as_ref()),
             after.as_deref().unwrap_or("-")
         ));
         let relation = relation(self.began.as_ref(), version);
@@ -392,7 +406,7 @@
         event::CUT.emit(format_args!(
             "request={} reason={reason:?} began={} events={} ms={}",
             self.job.id(),
-            version_name(self.began.as_ref()),
+            name(self.began.as_ref()),
             self.splitter.events(),
             self.state.now().since(self.job.received_at).as_millis()
         ));
@@ -400,10 +414,24 @@
     }
 
     /// The version of the endpoint that sends the stream now.
-    fn version(&self) -> Option<&id::Version> {
+    fn version(&self) -> Option<&Label> {
         self.share.as_ref().and_then(Share::version)
     }
 
+    /// Binds the stream to the version that sends its first event, if it may be resumed.
+    fn bind(&mut self) {
+        if self.job.route.kind != Kind::Resumable {
+            return;
+        }
+        self.trail.binding = match &self.began {
+            Some(version) => {
+                versions::record_start(&self.state, &self.job.call, &self.job.service, version);
+                Binding::Only(version.clone())
+            }
+            None => Binding::Unknown,
+        };
+    }
+
     fn finish(&mut self, end: End) {
         if let Some(share) = self.share.take() {
             let events = self.splitter.events();
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -7,6 +7,7 @@
 use coltsfoothall_shell::metric::{End, Labels};
 
 use crate::state::State;
+use crate::versions;
 
 /// Lowest rank that the metrics count as batch work.
 const MIN_BATCH_RANK: u8 = 5;
@@ -72,6 +73,9 @@
             .endpoints("unreachable", roster.unreachable().count() as u64);
         let lost_services = self.lost_services.borrow().len() as u64;
         self.board.lost_services(lost_services);
+        drop(roster);
+        self.board
+            .services_unsettled(versions::count_unsettled(self));
         self.board.members(u64::from(self.coverage().members));
         self.board.revision(self.version());
         let behind = self.adoption.lag.borrow().age(self.now());
--- a/coltsfoothall-forward/src/role.rs
+++ b/coltsfoothall-forward/src/role.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Whether the store was asked for the members, successfully or not.
+    pub fn has_read_members(&self) -> bool {
+        self.members_read.get()
+    }
+
     /// Waits until the role changes, or until the members are read for the first time.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -27,7 +27,7 @@
 use crate::outgoing::{Outgoing, answer, empty, json};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{configuration, duty, gossip, membership, reach, registrations, stop};
+use crate::{configuration, duty, gossip, membership, reach, registrations, stop, versions};
 
 /// Interval between summary log lines.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
@@ -111,6 +111,7 @@
 }
 
 fn start(state: &Rc<State>, socket: &Rc<UdpSocket>) {
+    tokio::task::spawn_local(versions::read(Rc::clone(state)));
     tokio::task::spawn_local(configuration::follow(Rc::clone(state)));
     tokio::task::spawn_local(configuration::fetch_from_peers(Rc::clone(state)));
     tokio::task::spawn_local(registrations::follow(Rc::clone(state)));
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -21,6 +21,7 @@
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::forward::roster::{Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
+use coltsfoothall::forward::stream;
 use coltsfoothall::forward::upgrade;
 use coltsfoothall::forward::usage;
 use coltsfoothall::id;
@@ -41,6 +42,7 @@
 use crate::role::Standing;
 use crate::settings::Settings;
 use crate::time::{self, Clock};
+use crate::versions;
 
 /// How long departed endpoints are reported to other instances.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(6);
@@ -104,6 +106,8 @@
     pub durations: RefCell<duration::History>,
     /// Services that are being upgraded to another version.
     pub upgrades: RefCell<upgrade::Registry>,
+    /// The versions that began streams.
+    pub streams: RefCell<stream::Tracker>,
     /// Runs by workspace and usage window.
     pub usage: RefCell<usage::Counter>,
     /// Other instances.
@@ -177,6 +181,10 @@
                 initial_share: 0.0,
             })),
             upgrades: RefCell::new(upgrade::Registry::new(upgrade::Settings::default(), boot)),
+            streams: RefCell::new(stream::Tracker::new(stream::Settings {
+                trust: versions::trust(settings.bounds.lease.duration()),
+                ..stream::Settings::default()
+            })),
             usage: RefCell::new(usage::Counter::new(
                 boot,
                 settings.bounds.usage_window.duration(),
--- /dev/null
+++ b/coltsfoothall-forward/src/versions.rs
@@ -0,0 +1,362 @@
+//! The versions that begin streams: reads the table of them, keeps it while this instance leads, and
+//! decides which version a request is bound to.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfoothall::forward::assignment::{self, Demand, Editor};
+use coltsfoothall::forward::config::{Config, Kind, Route};
+use coltsfoothall::forward::role::Role;
+use coltsfoothall::forward::stream::View;
+use coltsfoothall::forward::upgrade::Stage;
+use coltsfoothall::forward::version::{Binding, Label, Present, Row, Table};
+use coltsfoothall::id;
+use coltsfoothall_shell::event;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::adapter::{Call, Error, Keyspace, Listing, Write};
+use crate::calls;
+use crate::dispatch::version_name;
+use crate::origin::Origin;
+use crate::refusal::{Refusal, unavailable};
+use crate::state::State;
+
+/// Interval between two tries to read the table for the first time.
+const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of tables that the store keeps: a write that takes effect late must not follow a later
+/// one that is gone.
+const KEPT_TABLES: u64 = 4;
+/// Tries of its caller for which a stream may last, each of them as long as its route allows.
+const TRIES: u32 = 2;
+/// `Retry-After` for a stream that cannot begin here now; under another id it may begin elsewhere.
+const BEGIN_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// `Retry-After` for a stream whose version is not known here; another instance may know it.
+const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(600);
+
+/// How long a table is trusted that no leader has confirmed, given the term of a leader's lease: the
+/// next leader confirms it well within this time.
+#[must_use]
+pub fn trust(lease: Duration) -> Duration {
+    lease * 3 + Duration::from_secs(2)
+}
+
+/// The hash by which the version is told at which the stream of a request begins.
+#[must_use]
+pub fn hash(id: &str) -> u64 {
+    xxh3_64(id.as_bytes())
+}
+
+/// The versions of a service, and what decides between them.
+struct Service<'a> {
+    name: &'a id::Service,
+    present: Vec<Present>,
+    upgrading: bool,
+    covered: bool,
+}
+
+impl<'a> Service<'a> {
+    fn new(state: &State, name: &'a id::Service) -> Self {
+        Self {
+            name,
+            present: state.roster.borrow().versions(name),
+            upgrading: is_upgrading(state, name),
+            covered: is_covered(state),
+        }
+    }
+
+    fn view(&self) -> View<'_> {
+        View {
+            service: self.name,
+            present: &self.present,
+            upgrading: self.upgrading,
+            covered: self.covered,
+        }
+    }
+}
+
+/// Whether an upgrade decides where the requests of a service go.
+fn is_upgrading(state: &State, service: &id::Service) -> bool {
+    let upgrades = state.upgrades.borrow();
+    upgrades
+        .stage(service)
+        .is_some_and(|(_, stage)| !stage.is_final())
+}
+
+/// Whether this instance hears all members, so that none can have a newer table.
+fn is_covered(state: &State) -> bool {
+    let coverage = state.coverage();
+    state.role() == Role::Active
+        && state.standing.has_read_members()
+        && coverage.reporting >= coverage.members
+}
+
+/// Decides which version may run a request.
+///
+/// # Errors
+/// The stream began at a version that is not known, or none may begin here now.
+pub fn bind(
+    state: &State,
+    route: &Route,
+    service: &id::Service,
+    call: &Call,
+    origin: &Origin,
+) -> Result<Binding, Refusal> {
+    if route.kind != Kind::Resumable {
+        return Ok(Binding::Free);
+    }
+    if let Origin::Instance(terms) = origin
+        && let Some(version) = &terms.version
+    {
+        return Ok(Binding::Only(version.clone()));
+    }
+    let service = Service::new(state, service);
+    let now = state.now();
+    let resumes = call.resumes.as_deref().map(hash);
+    if resumes.is_none() && call.last_event_id.is_none() {
+        let id = hash(call.id.as_deref().unwrap_or_default());
+        let binding = state.streams.borrow().begin(now, id, service.view());
+        return match binding {
+            Binding::Unknown => Err(unavailable(
+                "the versions of the service are not known",
+                BEGIN_RETRY_DELAY,
+            )),
+            Binding::Free | Binding::Only(_) => Ok(binding),
+        };
+    }
+    let binding = state.streams.borrow().resume(now, resumes, service.view());
+    log_taken_up(state, call, service.name, &binding);
+    match binding {
+        Binding::Unknown => Err(unavailable(
+            "the version that began the stream is not known",
+            UNKNOWN_RETRY_DELAY,
+        )),
+        Binding::Free | Binding::Only(_) => Ok(binding),
+    }
+}
+
+fn log_taken_up(state: &State, call: &Call, service: &id::Service, binding: &Binding) {
+    let (began, version) = match binding {
+        Binding::Only(version) => (version_name(version.as_ref()), "same"),
+        Binding::Free | Binding::Unknown => ("?", "unknown"),
+    };
+    state.board.stream_resumed("caller", version);
+    event::TAKEN_UP.emit(format_args!(
+        "request={} resumes={} after={} service={service} began={began} generation={}",
+        call.id.as_deref().unwrap_or("-"),
+        call.resumes.as_deref().unwrap_or("-"),
+        call.last_event_id.as_deref().unwrap_or("-"),
+        state.streams.borrow().table().generation,
+    ));
+}
+
+/// Records the version that sends the first event of a request's stream.
+pub fn record_start(state: &State, call: &Call, service: &id::Service, version: &Label) {
+    let Some(id) = call.resumes.as_deref().or(call.id.as_deref()) else {
+        return;
+    };
+    let mut streams = state.streams.borrow_mut();
+    streams.record_start(state.now(), hash(id), service, version);
+}
+
+/// Number of services with streams that may be resumed whose slots do not all tell where those
+/// began.
+#[must_use]
+pub fn count_unsettled(state: &State) -> u64 {
+    let Some(configuration) = state.configuration() else {
+        return 0;
+    };
+    let streams = state.streams.borrow();
+    let lifetimes = lifetimes(&configuration.config);
+    let unsettled = lifetimes.iter().filter(|(service, _)| {
+        let row = streams.table().row(service);
+        !row.is_some_and(Row::is_settled)
+    });
+    unsettled.count() as u64
+}
+
+/// Services with streams that may be resumed, sorted, and how long one may last over all tries of
+/// its caller.
+fn lifetimes(config: &Config) -> Vec<(id::Service, Duration)> {
+    let mut lifetimes: Vec<(id::Service, Duration)> = Vec::new();
+    for route in config.routes() {
+        if route.kind != Kind::Resumable {
+            continue;
+        }
+        let lifetime = route.timeout.duration() * TRIES;
+        for target in &route.targets {
+            match lifetimes.binary_search_by(|(service, _)| service.cmp(&target.service)) {
+                Ok(index) => lifetimes[index].1 = lifetimes[index].1.max(lifetime),
+                Err(index) => lifetimes.insert(index, (target.service.clone(), lifetime)),
+            }
+        }
+    }
+    lifetimes
+}
+
+/// Reads the table, unless another instance tells it first.
+pub async fn read(state: Rc<State>) {
+    while !state.streams.borrow().is_known() {
+        if let Err(error) = read_once(&state).await {
+            event::STORE_FAILED.emit(format_args!("step=read_versions reason={error:?}"));
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+    }
+}
+
+/// Reads the newest table of the store, and applies it.
+async fn read_once(state: &State) -> Result<Option<Table>, Error> {
+    let called_at = state.now();
+    state.calls.count(calls::Call::List(Keyspace::Versions));
+    let listing = state.adapter.list(Keyspace::Versions).await?;
+    let table = newest(&listing)?;
+    let mut streams = state.streams.borrow_mut();
+    let is_new = streams.apply(state.now(), called_at, table.clone());
+    drop(streams);
+    if is_new {
+        log_table(state, "store");
+    }
+    Ok(table)
+}
+
+fn newest(listing: &Listing) -> Result<Option<Table>, Error> {
+    let mut newest: Option<Table> = None;
+    for value in listing.items.iter().filter_map(|item| item.value.as_ref()) {
+        let table: Table = serde_json::from_slice(value)
+            .map_err(|error| Error::Format("read versions", error.to_string()))?;
+        if newest
+            .as_ref()
+            .is_none_or(|newest| newest.generation < table.generation)
+        {
+            newest = Some(table);
+        }
+    }
+    Ok(newest)
+}
+
+/// Logs the table in force.
+pub fn log_table(state: &State, source: &str) {
+    let streams = state.streams.borrow();
+    let table = streams.table();
+    for row in &table.rows {
+        let versions = row.versions.iter().enumerate().map(|(index, version)| {
+            let name = version_name(version.as_ref());
+            format!("{name}:{}", row.count(index))
+        });
+        let versions: Vec<String> = versions.collect();
+        event::VERSIONS.emit(format_args!(
+            "generation={} service={} slots={} announced={} former={} settling={} source={source}",
+            table.generation,
+            row.service,
+            versions.join(","),
+            row.announced.len(),
+            row.former.len(),
+            row.settling,
+        ));
+    }
+}
+
+/// Keeps the table while this instance leads.
+#[derive(Debug, Default)]
+pub struct Assigner {
+    /// None until the store was read, and after a write whose outcome is not known.
+    editor: Option<Editor>,
+}
+
+impl Assigner {
+    /// Writes the next table, if there has to be one.
+    pub async fn tick(&mut self, state: &State) {
+        if let Err(error) = self.advance(state).await {
+            self.editor = None;
+            event::STORE_FAILED.emit(format_args!("step=versions reason={error:?}"));
+        }
+    }
+
+    async fn advance(&mut self, state: &State) -> Result<(), Error> {
+        let Some(configuration) = state.configuration() else {
+            return Ok(());
+        };
+        let demands = demands(state, &configuration.config);
+        if demands.is_empty() && state.streams.borrow().table().rows.is_empty() {
+            return Ok(());
+        }
+        let editor = match &mut self.editor {
+            Some(editor) => editor,
+            None => {
+                read_once(state).await?;
+                let settings = assignment::Settings {
+                    trust: trust(state.settings().bounds.lease.duration()),
+                    ..assignment::Settings::default()
+                };
+                // The store may have been restored from an older copy.
+                let table = state.streams.borrow().table().clone();
+                self.editor
+                    .insert(Editor::new(state.now(), table, settings))
+            }
+        };
+        let now = state.now();
+        let generation = editor.table().generation;
+        let all_know = state.peers.borrow().all_have(now, generation);
+        let Some(table) = editor.next(now, &demands, all_know) else {
+            state.streams.borrow_mut().confirm(now);
+            return Ok(());
+        };
+        let called_at = state.now();
+        write(state, &table).await?;
+        editor.written(state.now(), table.clone());
+        let mut streams = state.streams.borrow_mut();
+        streams.apply(state.now(), called_at, Some(table));
+        drop(streams);
+        log_table(state, "leader");
+        Ok(())
+    }
+}
+
+async fn write(state: &State, table: &Table) -> Result<(), Error> {
+    if state.fence().is_none() {
+        return Err(Error::Conflict("write versions"));
+    }
+    let value = serde_json::to_vec(table)
+        .map_err(|error| Error::Format("write versions", error.to_string()))?;
+    let key = |generation: u64| format!("versions/{generation}");
+    let old = table.generation.checked_sub(KEPT_TABLES);
+    let write = Write {
+        absent: vec![key(table.generation)],
+        puts: vec![(key(table.generation), Bytes::from(value), None)],
+        deletes: old.map(key).into_iter().collect(),
+    };
+    state.calls.count(calls::Call::Write);
+    state.adapter.write(write).await.map(drop)
+}
+
+/// The services whose streams begin by the table.
+fn demands(state: &State, config: &Config) -> Vec<Demand> {
+    let upgrades = state.upgrades.borrow();
+    let roster = state.roster.borrow();
+    let mut demands = Vec::new();
+    for (service, lifetime) in lifetimes(config) {
+        let stage = upgrades.stage(&service);
+        let mut versions = roster.versions(&service);
+        match stage {
+            // Upgrades send each version its share of the requests.
+            Some((_, Stage::Trial | Stage::Moving { .. })) => continue,
+            Some((order, Stage::Complete)) => {
+                let is_target = |one: &Present| one.version.as_ref() == Some(&order.target);
+                if versions.iter().any(is_target) {
+                    versions.retain(is_target);
+                }
+            }
+            Some((order, Stage::RolledBack)) => {
+                versions.retain(|one| one.version.as_ref() != Some(&order.target));
+            }
+            None => {}
+        }
+        demands.push(Demand {
+            service,
+            versions,
+            lifetime,
+            settles: stage.is_some(),
+        });
+    }
+    demands
+}
--- a/coltsfoothall-forward/tests/message.rs
+++ b/coltsfoothall-forward/tests/message.rs
@@ -9,6 +9,7 @@
 use coltsfoothall::forward::peer::{Profile, Status};
 use coltsfoothall::forward::rate_limit::Total;
 use coltsfoothall::forward::role::Role;
+use coltsfoothall::forward::stream;
 use coltsfoothall::size::{Megabits, Millis};
 use coltsfoothall_forward::message::{Extension, Heartbeat, Message, Reach, Supplement};
 
@@ -68,6 +69,20 @@
             lost: vec!["reader".parse().unwrap()],
             brittle: vec![limit()],
         }),
+        streams: Some(streams()),
+    }
+}
+
+fn streams() -> stream::Report {
+    stream::Report {
+        generation: Some(7),
+        confirmed: Some(Millis(30)),
+        table: None,
+        starts: vec![stream::Told {
+            hash: u64::MAX,
+            service: "reader".parse().unwrap(),
+            version: Some("v1".parse().unwrap()),
+        }],
     }
 }
 
@@ -99,6 +114,12 @@
     assert_eq!(read.supplement.unwrap().limits, [limit()]);
 }
 
+#[test]
+fn streams_kept() {
+    let read = Message::decode(&message().encode().unwrap()).unwrap();
+    assert_eq!(read.streams, Some(streams()));
+}
+
 /// A version that knows no supplement reads the extension and no more, and sends none.
 #[test]
 fn without_supplement() {
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -130,6 +130,8 @@
     STALLED = 403 Warn "own_stall";
     /// This instance became active or went on standby.
     ROLE = 404 Info "role";
+    /// The table of versions that begin streams changed.
+    VERSIONS = 405 Info "versions";
     /// The slot table was written, or the write failed.
     SLOTS = 411 Info "slots";
     /// A slot could not be copied.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -92,6 +92,7 @@
     lost_services: Gauge<u64>,
     handed_over: Counter<u64>,
     resumed: Counter<u64>,
+    services_unsettled: Gauge<u64>,
     members: Gauge<u64>,
     revision: Gauge<u64>,
     behind: Gauge<u64>,
@@ -177,6 +178,11 @@
                 "streams_resumed",
                 "Streams resumed, by who resumed them and the version that goes on",
             ),
+            services_unsettled: level(
+                &meter,
+                "services_unsettled",
+                "Services with resumable streams whose ids do not all tell the version",
+            ),
             lost_services: level(
                 &meter,
                 "lost_services",
@@ -308,6 +314,12 @@
         self.resumed.add(1, &labels);
     }
 
+    /// Sets the number of services with resumable streams for which the id of a request does not
+    /// always tell the version that began its stream.
+    pub fn services_unsettled(&self, count: u64) {
+        self.services_unsettled.record(count, &[]);
+    }
+
     /// Sets the number of services of which this instance reaches no endpoint.
     pub fn lost_services(&self, count: u64) {
         self.lost_services.record(count, &[]);
--- a/coltsfoothall/src/forward/config.rs
+++ b/coltsfoothall/src/forward/config.rs
@@ -258,6 +258,11 @@
         })
     }
 
+    /// All routes, sorted by host and prefix.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter().map(Arc::as_ref)
+    }
+
     /// The workspace that an API key belongs to.
     #[must_use]
     pub fn workspace_by_key(&self, key: &str) -> Option<&Workspace> {
--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
-use crate::forward::version::{Binding, Label, Present, Table};
+use crate::forward::version::{Binding, Label, Present, Row, Table};
 use crate::id;
 use crate::size::Millis;
 
@@ -163,17 +163,69 @@
         self.confirmed_at = Some(now);
     }
 
+    /// Whether no newer table can be in force anywhere.
+    fn is_current(&self, now: Time, covered: bool) -> bool {
+        let trusted = |at| now.since(at) <= self.settings.trust;
+        self.newest <= self.table.generation && (covered || self.confirmed_at.is_some_and(trusted))
+    }
+
     /// Where a new stream begins.
     #[must_use]
-    pub fn begin(&self, _now: Time, _hash: u64, _view: View<'_>) -> Binding {
-        Binding::Free
+    pub fn begin(&self, now: Time, hash: u64, view: View<'_>) -> Binding {
+        let Some(row) = self.table.row(view.service) else {
+            let known = self.is_known() && self.newest <= self.table.generation;
+            let free = known || view.present.len() <= 1;
+            return if free {
+                Binding::Free
+            } else {
+                Binding::Unknown
+            };
+        };
+        if self.is_current(now, view.covered) || is_single(row, view.present) {
+            Binding::Only(row.begins(hash).clone())
+        } else {
+            Binding::Unknown
+        }
     }
 
     /// Where a stream goes on that a caller takes up. `hash` is that of the id of the request that
     /// began it, if the caller names it.
     #[must_use]
-    pub fn resume(&self, _now: Time, _hash: Option<u64>, _view: View<'_>) -> Binding {
-        Binding::Free
+    pub fn resume(&self, now: Time, hash: Option<u64>, view: View<'_>) -> Binding {
+        if let Some(start) = hash.and_then(|hash| self.start(hash)) {
+            return if start.told.service == *view.service {
+                Binding::Only(start.told.version.clone())
+            } else {
+                Binding::Unknown
+            };
+        }
+        let current = self.is_current(now, view.covered);
+        let known = match self.table.row(view.service) {
+            None => self.only_present(view),
+            Some(row) if is_single(row, view.present) => row.only().filter(|_| current),
+            Some(row) => {
+                let began = hash.and_then(|hash| row.began(hash));
+                began.filter(|version| current && self.has_stayed(version, view))
+            }
+        };
+        known.map_or(Binding::Unknown, |version| Binding::Only(version.clone()))
+    }
+
+    /// Whether a leader had no newer table since a version was absent last: its slots are given to
+    /// others at once, and it may come back.
+    fn has_stayed(&self, version: &Label, view: View<'_>) -> bool {
+        let present = view.present.iter().find(|one| one.version == *version);
+        let since = present.map(|present| present.since);
+        view.covered || since.is_none() || self.confirmed_at >= since
+    }
+
+    /// The version of a service that has no row, if no other can have begun a stream: there is none
+    /// in the beginning, when no stream has begun, and while an upgrade is under way.
+    fn only_present<'a>(&self, view: View<'a>) -> Option<&'a Label> {
+        match view.present {
+            [only] if self.is_known() && !view.upgrading => Some(&only.version),
+            _ => None,
+        }
     }
 
     /// Records the version that sent the first event of a stream.
@@ -224,6 +276,13 @@
         self.starts.retain(|start| start.at > median);
     }
 
+    fn start(&self, hash: u64) -> Option<&Start> {
+        let index = self
+            .starts
+            .binary_search_by_key(&hash, |start| start.told.hash);
+        index.ok().map(|index| &self.starts[index])
+    }
+
     /// What others are told: the streams that began within `span`, `rows` at most, and the table if
     /// it is new or `whole` is set.
     pub fn report(&mut self, now: Time, span: Duration, rows: usize, whole: bool) -> Report {
@@ -268,3 +327,9 @@
         adopted
     }
 }
+
+/// Whether no version but that of a row is known.
+fn is_single(row: &Row, present: &[Present]) -> bool {
+    row.only()
+        .is_some_and(|only| present.iter().all(|present| present.version == *only))
+}
--- a/coltsfoothall/src/forward/upgrade.rs
+++ b/coltsfoothall/src/forward/upgrade.rs
@@ -111,7 +111,7 @@
             Self::Any => true,
             Self::Only(only) => version == Some(only),
             Self::Without(without) => version != Some(without),
-            Self::Exactly(_only) => true,
+            Self::Exactly(only) => version == only.as_ref(),
         }
     }
 }
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -11,7 +11,7 @@
 use coltsfoothall::forward::history::{Era, Position};
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::roster::Roster;
-use coltsfoothall::forward::stream::{self, Report, Tracker, View};
+use coltsfoothall::forward::stream::{self, Tracker, View};
 use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::forward::version::{Binding, Label, Present, Table};
 use coltsfoothall::id;
@@ -558,7 +558,7 @@
             let whole = self.random.random_bool(0.1);
             let now = at(self.now);
             let span = Duration::from_millis(300);
-            let report: Report = self.instances[from].tracker.report(now, span, 64, whole);
+            let report = self.instances[from].tracker.report(now, span, 64, whole);
             for to in 0..self.instances.len() {
                 let lost = self.random.random_bool(0.3);
                 if to != from && !lost && !self.is_cut(from) && !self.is_cut(to) {
