A stream that is taken up goes on at the service that began it

A route that splits its requests between services chose by the id of the attempt, and each attempt has a new one: a caller's next try went to another service as often as the weights say, which refuses it now as unknown and went on there before. The choice goes by the id that Resumes names. next_try_keeps_service failed before.

--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -242,7 +242,9 @@
     if suspicion::is_poisonous(state, call.id.as_deref().unwrap_or("-"), fingerprint) {
         return Err(suspicion::refusal(0));
     }
-    let hash = xxh3_64(call.id.as_deref().unwrap_or_default().as_bytes());
+    // A stream that is taken up goes on at the service that began it.
+    let began = call.resumes.as_deref().or(call.id.as_deref());
+    let hash = xxh3_64(began.unwrap_or_default().as_bytes());
     let Some(service) = route.target(hash).cloned() else {
         return Err(unavailable(
             "the route has no service",
