A table says that a row does not tell any more before an upgrade takes it away

An upgrade decides where requests go, so the leader drops the row of its service. Instances that had not heard so yet took a stream up by the old row while others began streams anywhere.

--- a/coltsfoothall/src/forward/assignment.rs
+++ b/coltsfoothall/src/forward/assignment.rs
@@ -151,6 +151,9 @@
                 None => rows.extend(create(demand)),
             }
         }
+        let is_left = |row: &&Row| demands.iter().all(|demand| demand.service != row.service);
+        let left = self.table.rows.iter().filter(is_left);
+        rows.extend(left.filter_map(|row| self.leave(now, row, all_know)));
         rows.sort_unstable_by(|a, b| a.service.cmp(&b.service));
         let changed = rows != self.table.rows;
         changed.then(|| Table {
@@ -159,6 +162,20 @@
         })
     }
 
+    /// The row of a service whose streams are about to begin at any version; none once every
+    /// instance knows that the row does not tell where they began.
+    fn leave(&self, now: Time, row: &Row, all_know: bool) -> Option<Row> {
+        if !row.settling {
+            return Some(Row {
+                settling: true,
+                announced: Vec::new(),
+                ..row.clone()
+            });
+        }
+        let known = all_know || self.age(now, &row.service, None, false) >= self.settings.trust;
+        (!known).then(|| row.clone())
+    }
+
     fn advance(&self, now: Time, row: &Row, demand: &Demand, all_know: bool) -> Row {
         if demand.versions.is_empty() {
             return row.clone();
--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -173,9 +173,8 @@
     #[must_use]
     pub fn begin(&self, now: Time, hash: u64, view: View<'_>) -> Binding {
         let Some(row) = self.table.row(view.service) else {
-            let known = self.is_known() && self.newest <= self.table.generation;
-            let free = known || view.present.len() <= 1;
-            return if free {
+            let current = self.is_known() && self.is_current(now, view.covered);
+            return if current || view.present.len() <= 1 {
                 Binding::Free
             } else {
                 Binding::Unknown
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -368,6 +368,9 @@
     next_id: u64,
     begun: [u64; 2],
     taken_up: [u64; 2],
+    /// Whether an upgrade decides where requests go, and whether there was one.
+    upgrading: bool,
+    upgraded: bool,
 }
 
 impl Fleet {
@@ -389,6 +392,8 @@
             next_id: 0,
             begun: [0; 2],
             taken_up: [0; 2],
+            upgrading: false,
+            upgraded: false,
         }
     }
 
@@ -437,6 +442,10 @@
         if self.random.random_bool(0.002) {
             (0..count).for_each(|number| self.restart(number));
         }
+        if self.random.random_bool(0.003) {
+            self.upgrading = !self.upgrading;
+            self.upgraded = true;
+        }
         if self.random.random_bool(0.01) {
             let version = ["v1", "v2", "v3"].choose(&mut self.random).unwrap();
             let (version, capacity) = (label(version), self.random.random_range(0..64));
@@ -537,13 +546,14 @@
             service: service(),
             versions: self.instances[leader].present.clone(),
             lifetime: LIFETIME,
-            settles: false,
+            settles: self.upgraded,
         };
+        let demands: &[Demand] = if self.upgrading { &[] } else { &[demand] };
         let generation = editor.table().generation;
         let all_know = (0..self.instances.len()).all(|number| {
             !self.is_cut(number) && self.instances[number].tracker.table().generation == generation
         });
-        if let Some(table) = editor.next(now, &[demand], all_know) {
+        if let Some(table) = editor.next(now, demands, all_know) {
             self.stored = Some(table.clone());
             self.instances[leader]
                 .tracker
@@ -578,7 +588,10 @@
         }
         let hash = hash(self.next_id);
         self.next_id += 1;
-        let view = view(&service, &instance.present, covered);
+        let view = View {
+            upgrading: self.upgrading,
+            ..view(&service, &instance.present, covered)
+        };
         let version = match instance.tracker.begin(at(self.now), hash, view) {
             Binding::Free => {
                 let any = instance.present.choose(&mut self.random);
@@ -610,7 +623,10 @@
             return;
         };
         let service = service();
-        let view = view(&service, &instance.present, self.is_covered(number));
+        let view = View {
+            upgrading: self.upgrading,
+            ..view(&service, &instance.present, self.is_covered(number))
+        };
         let bound = instance
             .tracker
             .resume(at(self.now), Some(stream.hash), view);
