--- a/coltsfoothall/src/forward/assignment.rs
+++ b/coltsfoothall/src/forward/assignment.rs
@@ -3,7 +3,8 @@
 //!
 //! A slot moves in two steps. It is announced first, and moves once every instance knows that, or
 //! has not been confirmed for so long that it no longer trusts its table. A slot whose version has
-//! no endpoint left moves at once: no stream can go on there in any case.
+//! no endpoint left moves at once: no stream can go on there in any case. One whose endpoints are
+//! out of the leader's reach alone is announced, as other instances may reach them.
 
 use std::time::Duration;
 
@@ -177,7 +178,7 @@
     }
 
     fn advance(&self, now: Time, row: &Row, demand: &Demand, all_know: bool) -> Row {
-        if demand.versions.is_empty() {
+        if demand.versions.iter().all(|one| one.capacity == 0) {
             return row.clone();
         }
         let mut next = row.clone();
@@ -185,12 +186,13 @@
         if row.settling {
             next.settling = self.age(now, &row.service, None, false) < hold;
         }
-        let capacities = index_versions(&mut next, demand);
+        let found = index_versions(&mut next, demand);
+        let capacities: Vec<u32> = found.iter().map(|one| one.unwrap_or_default()).collect();
         let announced_for = self.age(now, &row.service, None, true);
         if !next.announced.is_empty() && (all_know || announced_for >= self.settings.trust) {
             apply_announced(&mut next, &capacities);
         }
-        leave_absent(&mut next, &capacities);
+        leave_absent(&mut next, &found, &targets(&capacities));
         if next.announced.is_empty() {
             self.announce(&mut next, &capacities);
         }
@@ -252,8 +254,8 @@
 
 /// The first row of a service.
 fn create(demand: &Demand) -> Option<Row> {
-    let capacities: Vec<u32> = demand.versions.iter().map(|one| one.capacity).collect();
-    let targets = targets(&capacities);
+    let capacities = demand.versions.iter().map(|one| one.capacity.max(1));
+    let targets = targets(&capacities.collect::<Vec<u32>>());
     let mut slots = Vec::with_capacity(SLOTS);
     for (version, target) in targets.iter().enumerate() {
         slots.extend(std::iter::repeat_n(version as u8, *target));
@@ -272,8 +274,9 @@
     })
 }
 
-/// Adds the versions of a demand to a row, and returns the capacity of each version of the row.
-fn index_versions(row: &mut Row, demand: &Demand) -> Vec<u32> {
+/// Adds the versions of a demand to a row, and returns the capacity of each version of the row;
+/// none if it has no endpoint.
+fn index_versions(row: &mut Row, demand: &Demand) -> Vec<Option<u32>> {
     for one in &demand.versions {
         if !row.versions.contains(&one.version) {
             row.versions.push(one.version.clone());
@@ -281,7 +284,7 @@
     }
     let capacity = |version: &Label| {
         let found = demand.versions.iter().find(|one| one.version == *version);
-        found.map_or(0, |present| present.capacity)
+        found.map(|present| present.capacity)
     };
     row.versions.iter().map(capacity).collect()
 }
@@ -336,17 +339,16 @@
 }
 
 /// Moves the slots of versions without an endpoint to the others.
-fn leave_absent(row: &mut Row, capacities: &[u32]) {
-    let targets = targets(capacities);
+fn leave_absent(row: &mut Row, found: &[Option<u32>], targets: &[usize]) {
     let mut counts: Vec<usize> = (0..targets.len())
         .map(|version| row.count(version))
         .collect();
     for slot in 0..SLOTS {
         let from = usize::from(row.slots[slot]);
-        if capacities[from] > 0 {
+        if found[from].is_some() {
             continue;
         }
-        let Some(to) = neediest(&counts, &targets) else {
+        let Some(to) = neediest(&counts, targets) else {
             return;
         };
         counts[from] -= 1;
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -117,7 +117,11 @@
             if entry.service != *service || entry.leaving {
                 continue;
             }
-            let capacity = entry.slots.max(1);
+            let capacity = if node.is_reachable() {
+                entry.slots.max(1)
+            } else {
+                0
+            };
             match present.binary_search_by(|one| one.version.cmp(&entry.version)) {
                 Ok(index) => {
                     let one = &mut present[index];
--- a/coltsfoothall/src/forward/version.rs
+++ b/coltsfoothall/src/forward/version.rs
@@ -27,7 +27,7 @@
 pub struct Present {
     /// The version.
     pub version: Label,
-    /// Requests that they run at once.
+    /// Requests that those in reach run at once.
     pub capacity: u32,
     /// When the first of them that is still there became known.
     pub since: Time,
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -305,6 +305,25 @@
     }
 }
 
+/// Guards against streams that begin at a version out of reach, and against moving them at once:
+/// other instances may reach it.
+#[test]
+fn unreachable_version_left() {
+    let mut editor = editor();
+    let now = settle(&mut editor, 0, &demand(&[("v1", 16), ("v1.1", 48)]));
+    let out_of_reach = [demand(&[("v1", 0), ("v1.1", 48)])];
+    let announced = editor.next(at(now), &out_of_reach, false).unwrap();
+    let row = announced.row(&service()).unwrap();
+    assert_eq!((row.count(0), row.announced.len()), (16, 16));
+    editor.written(at(now), announced);
+    let moved = editor.next(at(now + 100), &out_of_reach, true).unwrap();
+    assert_eq!(moved.row(&service()).unwrap().count(0), 0);
+    // A leader that reaches nothing knows nothing of what others reach.
+    editor.written(at(now + 100), moved);
+    let cut_off = [demand(&[("v1", 0), ("v1.1", 0)])];
+    assert_eq!(editor.next(at(now + 200), &cut_off, true), None);
+}
+
 /// Seeds of the simulated fleet.
 const SEEDS: u64 = 20;
 /// Instances of the simulated fleet.
