--- a/coltsfoothall/benches/gossip.rs
+++ b/coltsfoothall/benches/gossip.rs
@@ -11,8 +11,10 @@
 use coltsfoothall::forward::history::Position;
 use coltsfoothall::forward::node::{Entry, Load};
 use coltsfoothall::forward::roster::Roster;
+use coltsfoothall::forward::stream::{self, Tracker, View};
 use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::forward::usage;
+use coltsfoothall::forward::version::{Move, Row, SLOTS, Table};
 use coltsfoothall::id;
 use coltsfoothall::size::{Millis, Tokens};
 
@@ -30,7 +32,79 @@
         bench_merge_loads(instances, endpoints);
         bench_merge_counts(instances);
         bench_choose(endpoints);
+        bench_versions(endpoints);
     }
+    print_report_size();
+}
+
+/// A table of one service whose endpoints run three versions.
+fn table() -> Table {
+    let mut row = Row {
+        service: "reader".parse().expect("a name"),
+        versions: (0..3).map(|version| Some(name("v", version))).collect(),
+        slots: (0..SLOTS).map(|slot| (slot % 3) as u8).collect(),
+        announced: Vec::new(),
+        former: Vec::new(),
+        settling: false,
+    };
+    row.former
+        .extend((0..SLOTS as u8 / 2).map(|slot| Move { slot, version: 0 }));
+    Table {
+        generation: 40,
+        rows: vec![row],
+    }
+}
+
+/// What an admission costs that begins a stream: the versions of its service, and its slot.
+fn bench_versions(endpoints: usize) {
+    let mut roster = Roster::new(Settings::default());
+    for index in 0..endpoints {
+        let version = Some(name("v", index % 3));
+        let entry = Entry {
+            version,
+            ..entry(index)
+        };
+        roster.registered(Time::START, entry);
+    }
+    let mut tracker = Tracker::new(stream::Settings::default());
+    tracker.apply(Time::START, Time::START, Some(table()));
+    let service = "reader".parse().expect("a name");
+    let count = 10_000;
+    let began = Instant::now();
+    for hash in 0..count {
+        let present = roster.versions(&service);
+        let view = View {
+            service: &service,
+            present: &present,
+            upgrading: false,
+            covered: true,
+        };
+        black_box(tracker.begin(Time::START, hash, view));
+    }
+    print(
+        "stream begun",
+        &format!("{endpoints} endpoints"),
+        count,
+        began.elapsed(),
+    );
+}
+
+fn print_report_size() {
+    let mut tracker = Tracker::new(stream::Settings::default());
+    let size = |tracker: &mut Tracker, whole: bool| {
+        let late = Time::START + Duration::from_secs(10);
+        let report = tracker.report(late, Duration::from_secs(1), 64, whole);
+        rmp_serde::to_vec(&report).expect("a report").len()
+    };
+    tracker.apply(Time::START, Time::START, Some(table()));
+    println!("report without table: {} bytes", size(&mut tracker, false));
+    println!("report with table: {} bytes", size(&mut tracker, true));
+    let (service, other) = ("reader".parse().expect("a name"), Some(name("v", 9)));
+    let late = Time::START + Duration::from_secs(10);
+    tracker.record_start(late, u64::MAX, &service, &other);
+    println!("report with one start: {} bytes", size(&mut tracker, false));
+    let stored = serde_json::to_vec(&table()).expect("a table").len();
+    println!("table at the store: {stored} bytes");
 }
 
 fn print(name: &str, size: &str, count: u64, took: Duration) {
