--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -108,6 +108,8 @@
     pub upgrades: RefCell<upgrade::Registry>,
     /// The versions that began streams.
     pub streams: RefCell<stream::Tracker>,
+    /// The versions of services, as looked up last.
+    pub versions: RefCell<versions::Cache>,
     /// Runs by workspace and usage window.
     pub usage: RefCell<usage::Counter>,
     /// Other instances.
@@ -181,6 +183,7 @@
                 initial_share: 0.0,
             })),
             upgrades: RefCell::new(upgrade::Registry::new(upgrade::Settings::default(), boot)),
+            versions: RefCell::default(),
             streams: RefCell::new(stream::Tracker::new(stream::Settings {
                 trust: versions::trust(settings.bounds.lease.duration()),
                 ..stream::Settings::default()
--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfoothall::clock::Time;
 use coltsfoothall::forward::assignment::{self, Demand, Editor};
 use coltsfoothall::forward::config::{Config, Kind, Route};
 use coltsfoothall::forward::role::Role;
+use coltsfoothall::forward::roster::Roster;
 use coltsfoothall::forward::stream::View;
 use coltsfoothall::forward::upgrade::Stage;
 use coltsfoothall::forward::version::{Binding, Label, Present, Row, Table};
@@ -24,6 +26,8 @@
 
 /// Interval between two tries to read the table for the first time.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// How long the versions of a service are remembered between two requests.
+const CACHE_TTL: Duration = Duration::from_millis(50);
 /// Number of tables that the store keeps: a write that takes effect late must not follow a later
 /// one that is gone.
 const KEPT_TABLES: u64 = 4;
@@ -47,10 +51,34 @@
     xxh3_64(id.as_bytes())
 }
 
+/// The versions of services that were looked up last, sorted by service: a look-up goes through all
+/// endpoints.
+#[derive(Debug, Default)]
+pub struct Cache(Vec<(id::Service, Time, Rc<[Present]>)>);
+
+impl Cache {
+    /// The versions of a service, at most [`CACHE_TTL`] old.
+    fn versions(&mut self, now: Time, service: &id::Service, roster: &Roster) -> Rc<[Present]> {
+        let found = self.0.binary_search_by(|(name, ..)| name.cmp(service));
+        if let Ok(index) = found
+            && now.since(self.0[index].1) < CACHE_TTL
+        {
+            return Rc::clone(&self.0[index].2);
+        }
+        let versions: Rc<[Present]> = roster.versions(service).into();
+        let entry = (service.clone(), now, Rc::clone(&versions));
+        match found {
+            Ok(index) => self.0[index] = entry,
+            Err(index) => self.0.insert(index, entry),
+        }
+        versions
+    }
+}
+
 /// The versions of a service, and what decides between them.
 struct Service<'a> {
     name: &'a id::Service,
-    present: Vec<Present>,
+    present: Rc<[Present]>,
     upgrading: bool,
     covered: bool,
 }
@@ -59,7 +87,11 @@
     fn new(state: &State, name: &'a id::Service) -> Self {
         Self {
             name,
-            present: state.roster.borrow().versions(name),
+            present: state.versions.borrow_mut().versions(
+                state.now(),
+                name,
+                &state.roster.borrow(),
+            ),
             upgrading: is_upgrading(state, name),
             covered: is_covered(state),
         }
