--- a/coltsfoothall/src/forward/assignment.rs
+++ b/coltsfoothall/src/forward/assignment.rs
@@ -46,14 +46,23 @@
     pub settles: bool,
 }
 
-/// Since when a former version of a slot is remembered.
+/// What keeps slots from telling where their streams began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Cause {
+    /// The row is new, or about to be dropped.
+    Settling,
+    /// Moves are announced.
+    Announced,
+    /// A slot had another version.
+    Former { slot: u8, version: Label },
+}
+
+/// A cause, and since when it holds.
 #[derive(Debug, Clone)]
 struct Held {
     service: id::Service,
+    cause: Cause,
     since: Time,
-    /// None for a row that settles, or moves that are announced.
-    former: Option<(u8, Label)>,
-    announced: bool,
 }
 
 /// Assigns slots to versions.
@@ -88,56 +97,28 @@
         let mut held = Vec::new();
         for row in &table.rows {
             let before = self.table.row(&row.service);
-            let mut hold = |former: Option<(u8, Label)>, announced: bool| {
-                let same = |held: &&Held| {
-                    held.service == row.service
-                        && held.former == former
-                        && held.announced == announced
-                };
-                // A slot may move away from the same version again.
-                let left_now = former.as_ref().is_some_and(|(slot, version)| {
-                    before.is_some_and(|row| row.version_of(*slot) == version)
-                });
-                let told_before =
-                    |one: &Move| before.is_some_and(|row| row.announced.binary_search(one).is_ok());
-                let new = announced && !row.announced.iter().all(told_before);
-                let known = self.held.iter().find(same);
-                let known = known.filter(|_| !left_now && !new);
-                let since = known.map_or(now, |known| known.since);
+            for cause in causes(row) {
+                let known = self.held(&row.service, &cause);
+                let known = known.filter(|_| !is_new(&cause, row, before));
                 held.push(Held {
                     service: row.service.clone(),
-                    since,
-                    former,
-                    announced,
+                    since: known.map_or(now, |known| known.since),
+                    cause,
                 });
-            };
-            if row.settling {
-                hold(None, false);
-            }
-            if !row.announced.is_empty() {
-                hold(None, true);
-            }
-            for one in &row.former {
-                let version = row.versions[usize::from(one.version)].clone();
-                hold(Some((one.slot, version)), false);
             }
         }
         self.held = held;
         self.table = table;
     }
 
-    /// How long a move, the announcement of moves or the settling of a row is held.
-    fn age(
-        &self,
-        now: Time,
-        service: &id::Service,
-        former: Option<(u8, Label)>,
-        announced: bool,
-    ) -> Duration {
-        let same = |held: &&Held| {
-            held.service == *service && held.former == former && held.announced == announced
-        };
-        let held = self.held.iter().find(same);
+    fn held(&self, service: &id::Service, cause: &Cause) -> Option<&Held> {
+        let same = |held: &&Held| held.service == *service && held.cause == *cause;
+        self.held.iter().find(same)
+    }
+
+    /// How long a cause has held.
+    fn age(&self, now: Time, service: &id::Service, cause: &Cause) -> Duration {
+        let held = self.held(service, cause);
         held.map_or(Duration::ZERO, |held| now.since(held.since))
     }
 
@@ -173,7 +154,8 @@
                 ..row.clone()
             });
         }
-        let known = all_know || self.age(now, &row.service, None, false) >= self.settings.trust;
+        let known =
+            all_know || self.age(now, &row.service, &Cause::Settling) >= self.settings.trust;
         (!known).then(|| row.clone())
     }
 
@@ -184,11 +166,11 @@
         let mut next = row.clone();
         let hold = self.settings.trust + demand.lifetime;
         if row.settling {
-            next.settling = self.age(now, &row.service, None, false) < hold;
+            next.settling = self.age(now, &row.service, &Cause::Settling) < hold;
         }
         let found = index_versions(&mut next, demand);
         let capacities: Vec<u32> = found.iter().map(|one| one.unwrap_or_default()).collect();
-        let announced_for = self.age(now, &row.service, None, true);
+        let announced_for = self.age(now, &row.service, &Cause::Announced);
         if !next.announced.is_empty() && (all_know || announced_for >= self.settings.trust) {
             apply_announced(&mut next, &capacities);
         }
@@ -234,9 +216,8 @@
     /// Forgets former versions that no stream of can last, all of a row at once to save writes.
     fn forget(&self, now: Time, row: &Row, next: &mut Row, hold: Duration) {
         let is_old = |one: &Move| {
-            let version = next.versions.get(usize::from(one.version));
-            let former = version.map(|version| (one.slot, version.clone()));
-            row.former.contains(one) && self.age(now, &row.service, former, false) >= hold
+            let cause = former(next, *one);
+            row.former.contains(one) && self.age(now, &row.service, &cause) >= hold
         };
         let kept: Vec<Move> = next
             .former
@@ -252,6 +233,47 @@
     }
 }
 
+/// What keeps the slots of a row from telling.
+fn causes(row: &Row) -> Vec<Cause> {
+    let mut causes: Vec<Cause> = row.former.iter().map(|one| former(row, *one)).collect();
+    if row.settling {
+        causes.push(Cause::Settling);
+    }
+    if !row.announced.is_empty() {
+        causes.push(Cause::Announced);
+    }
+    causes
+}
+
+fn former(row: &Row, one: Move) -> Cause {
+    Cause::Former {
+        slot: one.slot,
+        version: row.versions[usize::from(one.version)].clone(),
+    }
+}
+
+/// Whether a cause holds anew since the row before: further moves are announced, or a slot has moved
+/// away from the same version again.
+fn is_new(cause: &Cause, row: &Row, before: Option<&Row>) -> bool {
+    let Some(before) = before else {
+        return true;
+    };
+    match cause {
+        Cause::Settling => false,
+        Cause::Announced => {
+            let told: Vec<(u8, &Label)> = moves(before).collect();
+            moves(row).any(|one| !told.contains(&one))
+        }
+        Cause::Former { slot, version } => before.version_of(*slot) == version,
+    }
+}
+
+/// The slots that are announced to move, and where to.
+fn moves(row: &Row) -> impl Iterator<Item = (u8, &Label)> {
+    let announced = row.announced.iter();
+    announced.map(|one| (one.slot, &row.versions[usize::from(one.version)]))
+}
+
 /// The first row of a service.
 fn create(demand: &Demand) -> Option<Row> {
     let capacities = demand.versions.iter().map(|one| one.capacity.max(1));
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -13,7 +13,6 @@
     Entry, Listing, Load, Node, SLOWNESS_BOUNDS, SLOWNESS_WEIGHT, SUCCESS_WEIGHT, Waiting,
 };
 use crate::forward::reach::Contact;
-use crate::forward::version::Present;
 use crate::id;
 use crate::size::Millis;
 
@@ -108,39 +107,6 @@
 const MAX_ENDED: usize = 4096;
 
 impl Roster {
-    /// Versions of the endpoints of a service that take work, sorted.
-    #[must_use]
-    pub fn versions(&self, service: &id::Service) -> Vec<Present> {
-        let mut present: Vec<Present> = Vec::new();
-        for node in &self.nodes {
-            let entry = &node.entry;
-            if entry.service != *service || entry.leaving {
-                continue;
-            }
-            let capacity = if node.is_reachable() {
-                entry.slots.max(1)
-            } else {
-                0
-            };
-            match present.binary_search_by(|one| one.version.cmp(&entry.version)) {
-                Ok(index) => {
-                    let one = &mut present[index];
-                    one.capacity += capacity;
-                    one.since = one.since.min(node.listed_at);
-                }
-                Err(index) => present.insert(
-                    index,
-                    Present {
-                        version: entry.version.clone(),
-                        capacity,
-                        since: node.listed_at,
-                    },
-                ),
-            }
-        }
-        present
-    }
-
     /// Creates a roster without endpoints.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
--- a/coltsfoothall/src/forward/version.rs
+++ b/coltsfoothall/src/forward/version.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
+use crate::forward::roster::Roster;
 use crate::id;
 
 /// Number of slots that ids hash to.
@@ -79,6 +80,41 @@
     pub rows: Vec<Row>,
 }
 
+impl Roster {
+    /// Versions of the endpoints of a service that take work, sorted.
+    #[must_use]
+    pub fn versions(&self, service: &id::Service) -> Vec<Present> {
+        let mut present: Vec<Present> = Vec::new();
+        for node in &self.nodes {
+            let entry = &node.entry;
+            if entry.service != *service || entry.leaving {
+                continue;
+            }
+            let capacity = if node.is_reachable() {
+                entry.slots.max(1)
+            } else {
+                0
+            };
+            match present.binary_search_by(|one| one.version.cmp(&entry.version)) {
+                Ok(index) => {
+                    let one = &mut present[index];
+                    one.capacity += capacity;
+                    one.since = one.since.min(node.listed_at);
+                }
+                Err(index) => present.insert(
+                    index,
+                    Present {
+                        version: entry.version.clone(),
+                        capacity,
+                        since: node.listed_at,
+                    },
+                ),
+            }
+        }
+        present
+    }
+}
+
 /// The slot of an id's hash.
 #[must_use]
 pub fn slot(hash: u64) -> u8 {
