The table of versions is kept by a task of its own; the newest streams are told first

Calls of the leader's other duties may take seconds, in which no slot moved. An id that a caller uses again names its newest stream; of more streams than a heartbeat holds, the newest are told. The leader asks for its fence after each call and before it confirms its table.

--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -19,7 +19,6 @@
 use crate::state::State;
 use crate::time;
 use crate::upgrades::Driver;
-use crate::versions::Assigner;
 
 /// Lease term of a registration; a killed instance counts as a member for at most this long.
 const REGISTRATION_TTL: Duration = Duration::from_secs(6);
@@ -173,7 +172,6 @@
             other => other.insert(Term::new(fence)),
         };
         term.driver.tick(&state).await;
-        term.assigner.tick(&state).await;
         term.reporter.tick(&state).await;
         term.autoscaler.tick(&state).await;
     }
@@ -186,7 +184,6 @@
     reporter: Reporter,
     autoscaler: Autoscaler,
     driver: Driver,
-    assigner: Assigner,
 }
 
 impl Term {
@@ -196,7 +193,6 @@
             reporter: Reporter::default(),
             autoscaler: Autoscaler::default(),
             driver: Driver::default(),
-            assigner: Assigner::default(),
         }
     }
 }
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -112,6 +112,7 @@
 
 fn start(state: &Rc<State>, socket: &Rc<UdpSocket>) {
     tokio::task::spawn_local(versions::read(Rc::clone(state)));
+    tokio::task::spawn_local(versions::keep(Rc::clone(state)));
     tokio::task::spawn_local(configuration::follow(Rc::clone(state)));
     tokio::task::spawn_local(configuration::fetch_from_peers(Rc::clone(state)));
     tokio::task::spawn_local(registrations::follow(Rc::clone(state)));
--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -8,6 +8,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::assignment::{self, Demand, Editor};
 use coltsfoothall::forward::config::{Config, Kind, Route};
+use coltsfoothall::forward::history::Fence;
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::forward::roster::Roster;
 use coltsfoothall::forward::stream::View;
@@ -26,6 +27,8 @@
 
 /// Interval between two tries to read the table for the first time.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the leader looks whether the table has to change.
+const TICK_INTERVAL: Duration = Duration::from_millis(300);
 /// How long the versions of a service are remembered between two requests.
 const CACHE_TTL: Duration = Duration::from_millis(50);
 /// Number of tables that the store keeps: a write that takes effect late must not follow a later
@@ -288,22 +291,40 @@
     }
 }
 
-/// Keeps the table while this instance leads.
-#[derive(Debug, Default)]
-pub struct Assigner {
-    /// None until the store was read, and after a write whose outcome is not known.
+/// Keeps the table while this instance leads. This task is separate from the other duties, whose
+/// calls may take long.
+pub async fn keep(state: Rc<State>) {
+    let mut assigner: Option<Assigner> = None;
+    loop {
+        tokio::time::sleep(TICK_INTERVAL).await;
+        let Some(fence) = state.fence() else {
+            assigner = None;
+            continue;
+        };
+        let current = assigner.take().filter(|known| known.fence == fence);
+        let mut current = current.unwrap_or(Assigner {
+            fence,
+            editor: None,
+        });
+        match current.advance(&state).await {
+            Ok(()) => assigner = Some(current),
+            Err(error) => {
+                event::STORE_FAILED.emit(format_args!("step=versions reason={error:?}"));
+            }
+        }
+    }
+}
+
+/// Keeps the table under one fencing token.
+#[derive(Debug)]
+struct Assigner {
+    fence: Fence,
+    /// None until the store was read.
     editor: Option<Editor>,
 }
 
 impl Assigner {
     /// Writes the next table, if there has to be one.
-    pub async fn tick(&mut self, state: &State) {
-        if let Err(error) = self.advance(state).await {
-            self.editor = None;
-            event::STORE_FAILED.emit(format_args!("step=versions reason={error:?}"));
-        }
-    }
-
     async fn advance(&mut self, state: &State) -> Result<(), Error> {
         let Some(configuration) = state.configuration() else {
             return Ok(());
@@ -326,6 +347,9 @@
                     .insert(Editor::new(state.now(), table, settings))
             }
         };
+        if state.fence() != Some(self.fence) {
+            return Err(Error::Conflict("versions"));
+        }
         let now = state.now();
         let generation = editor.table().generation;
         let all_know = state.peers.borrow().all_have(now, generation);
@@ -345,9 +369,6 @@
 }
 
 async fn write(state: &State, table: &Table) -> Result<(), Error> {
-    if state.fence().is_none() {
-        return Err(Error::Conflict("write versions"));
-    }
     let value = serde_json::to_vec(table)
         .map_err(|error| Error::Format("write versions", error.to_string()))?;
     let key = |generation: u64| format!("versions/{generation}");
--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -1,6 +1,7 @@
 //! What an instance knows of the versions that began streams: the table of all instances, and the
 //! streams that it, or another instance that told it, has begun.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -253,9 +254,9 @@
             .binary_search_by_key(&hash, |start| start.told.hash)
         {
             Ok(index) => {
-                let known = &mut self.starts[index];
-                known.at = start.at;
-                known.tell_at = known.tell_at.max(start.tell_at);
+                // A caller may use an id again; the newest stream counts.
+                let tell_at = self.starts[index].tell_at.max(start.tell_at);
+                self.starts[index] = Start { tell_at, ..start };
             }
             Err(index) => self.starts.insert(index, start),
         }
@@ -282,21 +283,24 @@
         index.ok().map(|index| &self.starts[index])
     }
 
-    /// What others are told: the streams that began within `span`, `rows` at most, and the table if
-    /// it is new or `whole` is set.
+    /// What others are told: the table, if it is new or `whole` is set, and the streams for which it
+    /// has not told the version since a time within `span`. Of these, the `rows` newest are told.
     pub fn report(&mut self, now: Time, span: Duration, rows: usize, whole: bool) -> Report {
         let oldest = now - self.settings.retention;
         self.starts.retain(|start| start.at >= oldest);
-        let recent = self
-            .starts
-            .iter()
-            .filter(|start| start.tell_at.is_some_and(|at| at >= now - span));
+        let is_due = |start: &&Start| start.tell_at.is_some_and(|at| at >= now - span);
+        let mut due: Vec<&Start> = self.starts.iter().filter(is_due).collect();
+        due.sort_unstable_by_key(|start| Reverse(start.at));
         let spread = self.table.generation > 0 && (whole || now < self.spread_until);
         Report {
             generation: self.is_known().then_some(self.table.generation),
             confirmed: self.confirmed_at.map(|at| Millis::from(now.since(at))),
             table: spread.then(|| self.table.clone()),
-            starts: recent.take(rows).map(|start| start.told.clone()).collect(),
+            starts: due
+                .iter()
+                .take(rows)
+                .map(|start| start.told.clone())
+                .collect(),
         }
     }
 
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -144,6 +144,10 @@
     // The third try names the same request.
     assert_eq!(tracker.resume(at(200), Some(7), view), bound);
     assert_eq!(tracker.resume(at(200), Some(8), view), Binding::Unknown);
+    // Another stream of the same id.
+    tracker.record_start(at(300), 7, &service, &label("v1"));
+    let bound = Binding::Only(label("v1"));
+    assert_eq!(tracker.resume(at(300), Some(7), view), bound);
     assert_eq!(tracker.resume(at(200), None, view), Binding::Unknown);
 }
 
