Slots leave a version without endpoints only once all know, or those that left serve no more

Endpoints that have left go on to serve for a while. An instance that was cut off and trusted its table sent a stream on there, while the slot had moved at once and the stream had begun at another version: none_crosses failed at its first seeds when endpoints that leave linger for 2 s.

--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -27,6 +27,8 @@
 
 /// Interval between two tries to read the table for the first time.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Factor of the drain time after which endpoints that have left are taken to serve no more.
+const DRAIN_FACTOR: f64 = 1.25;
 /// Interval at which the leader looks whether the table has to change.
 const TICK_INTERVAL: Duration = Duration::from_millis(300);
 /// How long the versions of a service are remembered between two requests.
@@ -339,6 +341,12 @@
                 read_once(state).await?;
                 let settings = assignment::Settings {
                     trust: trust(state.settings().bounds.lease.duration()),
+                    drain: state
+                        .settings()
+                        .bounds
+                        .drain
+                        .duration()
+                        .mul_f64(DRAIN_FACTOR),
                     ..assignment::Settings::default()
                 };
                 // The store may have been restored from an older copy.
--- a/coltsfoothall/src/forward/assignment.rs
+++ b/coltsfoothall/src/forward/assignment.rs
@@ -2,9 +2,8 @@
 //! of its endpoints, in proportion to their capacity, and moves as few as possible.
 //!
 //! A slot moves in two steps. It is announced first, and moves once every instance knows that, or
-//! has not been confirmed for so long that it no longer trusts its table. A slot whose version has
-//! no endpoint left moves at once: no stream can go on there in any case. One whose endpoints are
-//! out of the leader's reach alone is announced, as other instances may reach them.
+//! has not been confirmed for so long that it no longer trusts its table. If its version has no
+//! endpoint left, it is enough that those which have left serve no more.
 
 use std::time::Duration;
 
@@ -17,6 +16,8 @@
 pub struct Settings {
     /// How long instances trust a table that nobody confirms.
     pub trust: Duration,
+    /// How long endpoints may serve after they have left.
+    pub drain: Duration,
     /// Share by which the slots of a version may differ from its share of the capacity.
     pub tolerance: f64,
     /// Number of slots by which they may differ.
@@ -27,6 +28,7 @@
     fn default() -> Self {
         Self {
             trust: Duration::from_secs(6),
+            drain: Duration::from_millis(2_500),
             tolerance: 0.3,
             slack: 4,
         }
@@ -171,45 +173,44 @@
         let found = index_versions(&mut next, demand);
         let capacities: Vec<u32> = found.iter().map(|one| one.unwrap_or_default()).collect();
         let announced_for = self.age(now, &row.service, &Cause::Announced);
-        if !next.announced.is_empty() && (all_know || announced_for >= self.settings.trust) {
-            apply_announced(&mut next, &capacities);
-        }
-        leave_absent(&mut next, &found, &targets(&capacities));
-        if next.announced.is_empty() {
-            self.announce(&mut next, &capacities);
-        }
+        apply_announced(&mut next, &capacities, |from| {
+            let wait = match found[from] {
+                Some(_) => self.settings.trust,
+                None => self.settings.drain,
+            };
+            all_know || announced_for >= wait
+        });
+        self.announce(&mut next, &found, &capacities);
         self.forget(now, row, &mut next, hold);
         next
     }
 
-    /// Announces moves if the slots of a version differ too much from its share of the capacity.
-    fn announce(&self, row: &mut Row, capacities: &[u32]) {
+    /// Announces moves if the slots of a version differ too much from its share of the capacity, or
+    /// if it has no endpoint. Other moves wait until none is announced.
+    fn announce(&self, row: &mut Row, found: &[Option<u32>], capacities: &[u32]) {
         let targets = targets(capacities);
-        let differs = targets.iter().enumerate().any(|(version, target)| {
-            let count = row.count(version);
+        let mut counts = counts(row, targets.len());
+        let differs = targets.iter().zip(&counts).any(|(target, count)| {
             let allowed = (*target as f64 * self.settings.tolerance) as usize;
-            (count == 0) != (*target == 0)
+            (*count == 0) != (*target == 0)
                 || count.abs_diff(*target) > allowed.max(self.settings.slack)
         });
-        if !differs {
-            return;
-        }
-        let mut counts: Vec<usize> = (0..targets.len())
-            .map(|version| row.count(version))
-            .collect();
-        for slot in 0..SLOTS {
-            let from = usize::from(row.slots[slot]);
-            if counts[from] <= targets[from] {
+        let rebalances = row.announced.is_empty() && differs;
+        for slot in 0..SLOTS as u8 {
+            let from = usize::from(row.slots[usize::from(slot)]);
+            let leaves = found[from].is_none() || (rebalances && counts[from] > targets[from]);
+            if !leaves || row.announced.iter().any(|one| one.slot == slot) {
                 continue;
             }
-            if let Some(to) = neediest(&counts, &targets) {
-                counts[from] -= 1;
-                counts[to] += 1;
-                row.announced.push(Move {
-                    slot: slot as u8,
-                    version: to as u8,
-                });
-            }
+            let Some(to) = neediest(&counts, &targets) else {
+                return;
+            };
+            counts[from] -= 1;
+            counts[to] += 1;
+            row.announced.push(Move {
+                slot,
+                version: to as u8,
+            });
         }
     }
 
@@ -351,36 +352,27 @@
     (lack(&most) > 0).then_some(most)
 }
 
-/// Moves the slots that were announced, unless their new version has no endpoint left.
-fn apply_announced(row: &mut Row, capacities: &[u32]) {
-    for one in std::mem::take(&mut row.announced) {
-        if capacities[usize::from(one.version)] > 0 {
-            move_slot(row, one);
-        }
+/// Slots of each version once the announced moves are done.
+fn counts(row: &Row, versions: usize) -> Vec<usize> {
+    let mut counts: Vec<usize> = (0..versions).map(|version| row.count(version)).collect();
+    for one in &row.announced {
+        counts[usize::from(row.slots[usize::from(one.slot)])] -= 1;
+        counts[usize::from(one.version)] += 1;
     }
+    counts
 }
 
-/// Moves the slots of versions without an endpoint to the others.
-fn leave_absent(row: &mut Row, found: &[Option<u32>], targets: &[usize]) {
-    let mut counts: Vec<usize> = (0..targets.len())
-        .map(|version| row.count(version))
-        .collect();
-    for slot in 0..SLOTS {
-        let from = usize::from(row.slots[slot]);
-        if found[from].is_some() {
-            continue;
+/// Moves the announced slots whose version may be left, unless the new one has no endpoint in reach
+/// any more.
+fn apply_announced(row: &mut Row, capacities: &[u32], may_leave: impl Fn(usize) -> bool) {
+    let announced = std::mem::take(&mut row.announced);
+    for one in announced {
+        let from = usize::from(row.slots[usize::from(one.slot)]);
+        if !may_leave(from) {
+            row.announced.push(one);
+        } else if capacities[usize::from(one.version)] > 0 {
+            move_slot(row, one);
         }
-        let Some(to) = neediest(&counts, targets) else {
-            return;
-        };
-        counts[from] -= 1;
-        counts[to] += 1;
-        row.announced.retain(|one| usize::from(one.slot) != slot);
-        let one = Move {
-            slot: slot as u8,
-            version: to as u8,
-        };
-        move_slot(row, one);
     }
 }
 
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -301,11 +301,20 @@
         ..assignment::Settings::default()
     };
     let editor = Editor::new(at(now), table, settings);
-    let left = editor.next(at(now), &[demand(&[("v1.1", 48)])], false);
-    let left = left.unwrap();
-    let row = left.row(&service()).unwrap();
-    for slot in 0..64 {
-        assert_eq!(row.begins(slot), &label("v1.1"));
+    let mut editor = editor;
+    let rest = [demand(&[("v1.1", 48)])];
+    let announced = editor.next(at(now), &rest, false).unwrap();
+    editor.written(at(now), announced);
+    let row = editor.table().row(&service()).unwrap();
+    assert!((0..64).all(|slot| row.began(slot) != Some(&label("v1"))));
+    // Instances that do not know yet may send streams there as long as they still serve.
+    assert_eq!(editor.next(at(now + DRAIN_MS), &rest, false), None);
+    let later = editor.next(at(now + DRAIN_MS + 500), &rest, false);
+    let known = editor.next(at(now + 100), &rest, true);
+    for left in [later, known] {
+        let left = left.unwrap();
+        let row = left.row(&service()).unwrap();
+        assert!((0..64).all(|slot| row.begins(slot) == &label("v1.1")));
     }
 }
 
@@ -328,6 +337,8 @@
     assert_eq!(editor.next(at(now + 200), &cut_off, true), None);
 }
 
+/// Milliseconds for which endpoints serve after they have left.
+const DRAIN_MS: u64 = 2_000;
 /// Seeds of the simulated fleet.
 const SEEDS: u64 = 20;
 /// Instances of the simulated fleet.
@@ -387,6 +398,8 @@
     stored: Option<Table>,
     editor: Option<(usize, Editor)>,
     servers: Vec<Server>,
+    /// Endpoints that have left and still serve, and until when.
+    leaving: Vec<(Server, u64)>,
     streams: Vec<Stream>,
     next_id: u64,
     begun: [u64; 2],
@@ -411,6 +424,7 @@
             stored: None,
             editor: None,
             servers: servers.into(),
+            leaving: Vec::new(),
             streams: Vec::new(),
             next_id: 0,
             begun: [0; 2],
@@ -448,7 +462,8 @@
 
     /// Whether an instance can send a stream to a version.
     fn is_served(&self, number: usize, version: &Label) -> bool {
-        let mut servers = self.servers.iter();
+        let leaving = self.leaving.iter().filter(|(_, until)| *until > self.now);
+        let mut servers = self.servers.iter().chain(leaving.map(|(server, _)| server));
         servers.any(|one| one.version == *version && self.instances[number].knows(one))
     }
 
@@ -481,14 +496,13 @@
                     start: self.now,
                 }),
             }
-            if self
-                .servers
-                .iter()
-                .filter(|server| server.capacity > 8)
-                .count()
-                > 1
-            {
-                self.servers.retain(|server| server.capacity > 8);
+            let now = self.now;
+            self.leaving.retain(|(_, until)| *until > now);
+            let stay = |server: &&Server| server.capacity > 8;
+            if self.servers.iter().filter(stay).count() > 1 {
+                let left = self.servers.extract_if(.., |server| server.capacity <= 8);
+                self.leaving
+                    .extend(left.map(|server| (server, now + DRAIN_MS)));
             }
             self.servers
                 .sort_unstable_by(|a, b| a.version.cmp(&b.version));
