Bindings of requests and the table of versions are two modules

No behaviour changes: versions.rs did both jobs. Names of versions for the log and the version that an answer tells lie below the modules that use them, so that no import goes back.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -8,7 +8,7 @@
 use coltsfoothall::forward::reach::SILENCE_TIMEOUT;
 use coltsfoothall::forward::roster::End;
 use coltsfoothall::forward::upgrade::Versions;
-use coltsfoothall::forward::version::Binding;
+use coltsfoothall::forward::version::{self, Binding};
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
 use xxhash_rust::xxh3::xxh3_64;
@@ -206,11 +206,6 @@
     }
 }
 
-/// A version for the log, or `-`.
-pub fn version_name(version: Option<&id::Version>) -> &str {
-    version.map_or("-", id::Version::as_str)
-}
-
 /// Logs the chosen endpoint: for every retry, and for the first send of one request in
 /// [`REQUESTS_PER_CHOICE_LOG`], sampled by request id so that all instances log the same requests.
 fn log_choice(state: &State, job: &Job, trail: &Trail, pick: &Pick) {
@@ -221,7 +216,7 @@
         "request={} endpoint={} version={} service={} among={} wait_ms={} unread={} sending={} excluded={} pace={}",
         job.id(),
         pick.endpoint,
-        version_name(pick.version.as_ref()),
+        version::name(pick.version.as_ref()),
         job.service,
         pick.among,
         pick.wait.as_millis(),
@@ -314,7 +309,7 @@
                 "request={} endpoint={} version={} reason=silent expected_ms={}",
                 job.id(),
                 pick.endpoint,
-                version_name(pick.version.as_ref()),
+                version::name(pick.version.as_ref()),
                 pick.wait.as_millis(),
             ));
             trail.exclude.push(pick.endpoint);
@@ -357,7 +352,7 @@
                     "request={} endpoint={} version={} reason={reason:?} after_ms={}",
                     job.id(),
                     pick.endpoint,
-                    version_name(pick.version.as_ref()),
+                    version::name(pick.version.as_ref()),
                     state.now().since(job.received_at).as_millis(),
                 ));
                 if may_repeat(state, job, trail, Reason::Interrupted) {
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -25,11 +25,10 @@
 use crate::dispatch::Trail;
 use crate::intake;
 use crate::listen::{Handler, Limits};
-use crate::origin::Origin;
+use crate::origin::{Began, Origin};
 use crate::outgoing::Outgoing;
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::refusal::{Refusal, bad_gateway, unavailable};
-use crate::relay::Began;
 use crate::retries::Reason;
 use crate::state::{Open, State};
 
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -18,6 +18,7 @@
 
 use crate::adapter::Call;
 use crate::attempt::Job;
+use crate::binding;
 use crate::connection::Connection;
 use crate::dispatch::{self, Trail};
 use crate::listen::{Handler, Limits};
@@ -29,7 +30,6 @@
 use crate::state::{Open, State};
 use crate::stop;
 use crate::suspicion;
-use crate::versions;
 
 /// `Retry-After` while there is no configuration, or a route without a service.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(600);
@@ -258,7 +258,7 @@
         Origin::Caller => route.attempts,
         Origin::Instance(terms) => route.attempts.min(terms.attempts),
     };
-    let binding = versions::bind(state, route, &service, &call, &origin)?;
+    let binding = binding::bind(state, route, &service, &call, &origin)?;
     let job = Job {
         attempts,
         origin,
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod adapter;
 pub mod adoption;
 pub mod attempt;
+pub mod binding;
 pub mod calls;
 pub mod changelog;
 pub mod compression;
--- a/coltsfoothall-forward/src/origin.rs
+++ b/coltsfoothall-forward/src/origin.rs
@@ -1,6 +1,7 @@
-//! Who sent a request to this instance.
+//! Who sent a request to this instance, and what its answer tells them.
 
 use coltsfoothall::forward::handover::Terms;
+use coltsfoothall::forward::version::Label;
 
 /// Who sent a request to this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -10,3 +11,7 @@
     /// Another instance, for one of its callers; it has charged the request.
     Instance(Terms),
 }
+
+/// The version that sent the first event of a stream, in the extensions of its response.
+#[derive(Debug, Clone)]
+pub struct Began(pub Label);
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use coltsfoothall::forward::config::Kind;
 use coltsfoothall::forward::roster::End;
-use coltsfoothall::forward::version::{Binding, Label};
+use coltsfoothall::forward::version::{self, Binding, Label};
 use coltsfoothall_shell::event;
 use coltsfoothall_wire::http as body;
 use coltsfoothall_wire::sse::Splitter;
@@ -22,14 +22,15 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{Checkout, Job, Sent, Share};
-use crate::dispatch::{self, Trail, version_name};
+use crate::binding;
+use crate::dispatch::{self, Trail};
+use crate::origin::Began;
 use crate::outgoing::{self, Outgoing};
 use crate::pool::Target;
 use crate::reach;
 use crate::refusal::{self, Refusal};
 use crate::retries::Reason;
 use crate::state::State;
-use crate::versions;
 
 /// Largest response that is buffered.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
@@ -163,13 +164,9 @@
 
 /// A version for the log, `-` if the endpoint reports none, and `?` if it is not known.
 fn name(version: Option<&Label>) -> &str {
-    version.map_or("?", |version| version_name(version.as_ref()))
+    version.map_or("?", |version| version::name(version.as_ref()))
 }
 
-/// The version that sent the first event of a stream, in the extensions of its response.
-#[derive(Debug, Clone)]
-pub struct Began(pub Label);
-
 /// The next part of a stream.
 enum Next {
     Events(Bytes),
@@ -425,7 +422,7 @@
         }
         self.trail.binding = match &self.began {
             Some(version) => {
-                versions::record_start(&self.state, &self.job.call, &self.job.service, version);
+                binding::record_start(&self.state, &self.job.call, &self.job.service, version);
                 Binding::Only(version.clone())
             }
             None => Binding::Unknown,
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -34,6 +34,7 @@
 
 use crate::adapter::Adapter;
 use crate::adoption::Adoption;
+use crate::binding;
 use crate::calls::Calls;
 use crate::changelog::Changelog;
 use crate::health::Health;
@@ -109,7 +110,7 @@
     /// The versions that began streams.
     pub streams: RefCell<stream::Tracker>,
     /// The versions of services, as looked up last.
-    pub versions: RefCell<versions::Cache>,
+    pub versions: RefCell<binding::Cache>,
     /// Runs by workspace and usage window.
     pub usage: RefCell<usage::Counter>,
     /// Other instances.
--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -1,28 +1,19 @@
-//! The versions that begin streams: reads the table of them, keeps it while this instance leads, and
-//! decides which version a request is bound to.
+//! The table of the versions that begin streams: reads it, and keeps it while this instance leads.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfoothall::clock::Time;
 use coltsfoothall::forward::assignment::{self, Demand, Editor};
-use coltsfoothall::forward::config::{Config, Kind, Route};
+use coltsfoothall::forward::config::{Config, Kind};
 use coltsfoothall::forward::history::Fence;
-use coltsfoothall::forward::role::Role;
-use coltsfoothall::forward::roster::Roster;
-use coltsfoothall::forward::stream::View;
 use coltsfoothall::forward::upgrade::Stage;
-use coltsfoothall::forward::version::{Binding, Label, Present, Row, Table};
+use coltsfoothall::forward::version::{self, Present, Row, Table};
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::adapter::{Call, Error, Keyspace, Listing, Write};
-use crate::calls;
-use crate::dispatch::version_name;
-use crate::origin::Origin;
-use crate::refusal::{Refusal, unavailable};
+use crate::adapter::{Error, Keyspace, Listing, Write};
+use crate::calls::Call;
 use crate::state::State;
 
 /// Interval between two tries to read the table for the first time.
@@ -31,18 +22,11 @@
 const DRAIN_FACTOR: f64 = 1.25;
 /// Interval at which the leader looks whether the table has to change.
 const TICK_INTERVAL: Duration = Duration::from_millis(300);
-/// How long the versions of a service are remembered between two requests.
-const CACHE_TTL: Duration = Duration::from_millis(50);
 /// Number of tables that the store keeps: a write that takes effect late must not follow a later
 /// one that is gone.
 const KEPT_TABLES: u64 = 4;
 /// Tries of its caller for which a stream may last, each of them as long as its route allows.
 const TRIES: u32 = 2;
-/// `Retry-After` for a stream that cannot begin here now; under another id it may begin elsewhere.
-const BEGIN_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// `Retry-After` for a stream whose version is not known here; another instance may know it.
-const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(600);
-
 /// How long a table is trusted that no leader has confirmed, given the term of a leader's lease: the
 /// next leader confirms it well within this time.
 #[must_use]
@@ -50,152 +34,6 @@
     lease * 3 + Duration::from_secs(2)
 }
 
-/// The hash by which the version is told at which the stream of a request begins.
-#[must_use]
-pub fn hash(id: &str) -> u64 {
-    xxh3_64(id.as_bytes())
-}
-
-/// The versions of services that were looked up last, sorted by service: a look-up goes through all
-/// endpoints.
-#[derive(Debug, Default)]
-pub struct Cache(Vec<(id::Service, Time, Rc<[Present]>)>);
-
-impl Cache {
-    /// The versions of a service, at most [`CACHE_TTL`] old.
-    fn versions(&mut self, now: Time, service: &id::Service, roster: &Roster) -> Rc<[Present]> {
-        let found = self.0.binary_search_by(|(name, ..)| name.cmp(service));
-        if let Ok(index) = found
-            && now.since(self.0[index].1) < CACHE_TTL
-        {
-            return Rc::clone(&self.0[index].2);
-        }
-        let versions: Rc<[Present]> = roster.versions(service).into();
-        let entry = (service.clone(), now, Rc::clone(&versions));
-        match found {
-            Ok(index) => self.0[index] = entry,
-            Err(index) => self.0.insert(index, entry),
-        }
-        versions
-    }
-}
-
-/// The versions of a service, and what decides between them.
-struct Service<'a> {
-    name: &'a id::Service,
-    present: Rc<[Present]>,
-    upgrading: bool,
-    covered: bool,
-}
-
-impl<'a> Service<'a> {
-    fn new(state: &State, name: &'a id::Service) -> Self {
-        Self {
-            name,
-            present: state.versions.borrow_mut().versions(
-                state.now(),
-                name,
-                &state.roster.borrow(),
-            ),
-            upgrading: is_upgrading(state, name),
-            covered: is_covered(state),
-        }
-    }
-
-    fn view(&self) -> View<'_> {
-        View {
-            service: self.name,
-            present: &self.present,
-            upgrading: self.upgrading,
-            covered: self.covered,
-        }
-    }
-}
-
-/// Whether an upgrade decides where the requests of a service go.
-fn is_upgrading(state: &State, service: &id::Service) -> bool {
-    let upgrades = state.upgrades.borrow();
-    upgrades
-        .stage(service)
-        .is_some_and(|(_, stage)| !stage.is_final())
-}
-
-/// Whether this instance hears all members, so that none can have a newer table.
-fn is_covered(state: &State) -> bool {
-    let coverage = state.coverage();
-    state.role() == Role::Active
-        && state.standing.has_read_members()
-        && coverage.reporting >= coverage.members
-}
-
-/// Decides which version may run a request.
-///
-/// # Errors
-/// The stream began at a version that is not known, or none may begin here now.
-pub fn bind(
-    state: &State,
-    route: &Route,
-    service: &id::Service,
-    call: &Call,
-    origin: &Origin,
-) -> Result<Binding, Refusal> {
-    if route.kind != Kind::Resumable {
-        return Ok(Binding::Free);
-    }
-    if let Origin::Instance(terms) = origin
-        && let Some(version) = &terms.version
-    {
-        return Ok(Binding::Only(version.clone()));
-    }
-    let service = Service::new(state, service);
-    let now = state.now();
-    let resumes = call.resumes.as_deref().map(hash);
-    if resumes.is_none() && call.last_event_id.is_none() {
-        let id = hash(call.id.as_deref().unwrap_or_default());
-        let binding = state.streams.borrow().begin(now, id, service.view());
-        return match binding {
-            Binding::Unknown => Err(unavailable(
-                "the versions of the service are not known",
-                BEGIN_RETRY_DELAY,
-            )),
-            Binding::Free | Binding::Only(_) => Ok(binding),
-        };
-    }
-    let binding = state.streams.borrow().resume(now, resumes, service.view());
-    log_taken_up(state, call, service.name, &binding);
-    match binding {
-        Binding::Unknown => Err(unavailable(
-            "the version that began the stream is not known",
-            UNKNOWN_RETRY_DELAY,
-        )),
-        Binding::Free | Binding::Only(_) => Ok(binding),
-    }
-}
-
-fn log_taken_up(state: &State, call: &Call, service: &id::Service, binding: &Binding) {
-    let (began, version) = match binding {
-        Binding::Only(version) => (version_name(version.as_ref()), "same"),
-        Binding::Free | Binding::Unknown => ("?", "unknown"),
-    };
-    state.board.stream_resumed("caller", version);
-    event::TAKEN_UP.emit(format_args!(
-        "request={} resumes={} after={} service={service} began={began} generation={}",
-        call.id.as_deref().unwrap_or("-"),
-        call.resumes.as_deref().unwrap_or("-"),
-        call.last_event_id.as_deref().unwrap_or("-"),
-        state.streams.borrow().table().generation,
-    ));
-}
-
-/// Records the version that sends the first event of a request's stream.
-pub fn record_start(state: &State, call: &Call, service: &id::Service, version: &Label) {
-    let Some(id) = call.resumes.as_deref().or(call.id.as_deref()) else {
-        return;
-    };
-    let mut streams = state.streams.borrow_mut();
-    streams.record_start(state.now(), hash(id), service, version);
-}
-
 /// Number of services with streams that may be resumed whose slots do not all tell where those
 /// began.
 #[must_use]
@@ -244,7 +82,7 @@
 /// Reads the newest table of the store, and applies it.
 async fn read_once(state: &State) -> Result<Option<Table>, Error> {
     let called_at = state.now();
-    state.calls.count(calls::Call::List(Keyspace::Versions));
+    state.calls.count(Call::List(Keyspace::Versions));
     let listing = state.adapter.list(Keyspace::Versions).await?;
     let table = newest(&listing)?;
     let mut streams = state.streams.borrow_mut();
@@ -277,7 +115,7 @@
     let table = streams.table();
     for row in &table.rows {
         let versions = row.versions.iter().enumerate().map(|(index, version)| {
-            let name = version_name(version.as_ref());
+            let name = version::name(version.as_ref());
             format!("{name}:{}", row.count(index))
         });
         let versions: Vec<String> = versions.collect();
@@ -386,7 +224,7 @@
         puts: vec![(key(table.generation), Bytes::from(value), None)],
         deletes: old.map(key).into_iter().collect(),
     };
-    state.calls.count(calls::Call::Write);
+    state.calls.count(Call::Write);
     state.adapter.write(write).await.map(drop)
 }
 
--- a/coltsfoothall/src/forward/version.rs
+++ b/coltsfoothall/src/forward/version.rs
@@ -23,6 +23,12 @@
 /// The version that an endpoint reports; none if it reports none.
 pub type Label = Option<id::Version>;
 
+/// A version for the log, `-` if there is none.
+#[must_use]
+pub fn name(version: Option<&id::Version>) -> &str {
+    version.map_or("-", id::Version::as_str)
+}
+
 /// A version that some endpoints of a service run, as one instance knows them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Present {
