The leader confirms that there is no table while upgrades decide where streams begin

After a service's row was dropped for an upgrade, no leader confirmed the empty table. Instances that did not hear all members no longer trusted it after three terms of the lease and 2 s, and refused each new resumable stream of a service of two versions until the upgrade ended. Found by reading; upgrade_begins_streams failed before (503, a registered member that is silent).

--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -169,10 +169,11 @@
         let Some(configuration) = state.configuration() else {
             return Ok(());
         };
-        let demands = demands(state, &configuration.config);
-        if demands.is_empty() && state.streams.borrow().table().rows.is_empty() {
+        let lifetimes = lifetimes(&configuration.config);
+        if lifetimes.is_empty() && state.streams.borrow().table().rows.is_empty() {
             return Ok(());
         }
+        let demands = demands(state, lifetimes);
         let editor = match &mut self.editor {
             Some(editor) => editor,
             None => {
@@ -229,11 +230,11 @@
 }
 
 /// The services whose streams begin by the table.
-fn demands(state: &State, config: &Config) -> Vec<Demand> {
+fn demands(state: &State, lifetimes: Vec<(id::Service, Duration)>) -> Vec<Demand> {
     let upgrades = state.upgrades.borrow();
     let roster = state.roster.borrow();
     let mut demands = Vec::new();
-    for (service, lifetime) in lifetimes(config) {
+    for (service, lifetime) in lifetimes {
         let stage = upgrades.stage(&service);
         let mut versions = roster.versions(&service);
         match stage {
