The id that began a stream, and whether an upgrade is under way, are asked in one place

No behaviour changes. Intake, the binding of a request and the record of its first event each chose between Resumes and the request's own id, and hashed it apart; a service's candidate under upgrade was looked up anew beside Registry::candidate; the table that was read was returned to nobody.

--- a/coltsfoothall-forward/src/adapter.rs
+++ b/coltsfoothall-forward/src/adapter.rs
@@ -68,6 +68,14 @@
     pub last_event_id: Option<String>,
 }
 
+impl Call {
+    /// The id of the request that began the stream which the caller resumes, or its own.
+    #[must_use]
+    pub fn began(&self) -> Option<&str> {
+        self.resumes.as_deref().or(self.id.as_deref())
+    }
+}
+
 /// What an endpoint is sent in addition to the caller's own headers.
 #[derive(Debug, Clone)]
 pub struct Forward<'a> {
--- a/coltsfoothall-forward/src/binding.rs
+++ b/coltsfoothall-forward/src/binding.rs
@@ -25,7 +25,7 @@
 /// `Retry-After` for a stream whose version is not known here; another instance may know it.
 const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(600);
 
-/// The hash by which the version is told at which the stream of a request begins.
+/// The hash of a request's id, which decides at which service and version its stream begins.
 #[must_use]
 pub fn hash(id: &str) -> u64 {
     xxh3_64(id.as_bytes())
@@ -72,7 +72,7 @@
                 name,
                 &state.roster.borrow(),
             ),
-            upgrading: is_upgrading(state, name),
+            upgrading: state.upgrades.borrow().candidate(name).is_some(),
             covered: is_covered(state),
         }
     }
@@ -87,14 +87,6 @@
     }
 }
 
-/// Whether an upgrade decides where the requests of a service go.
-fn is_upgrading(state: &State, service: &id::Service) -> bool {
-    let upgrades = state.upgrades.borrow();
-    upgrades
-        .stage(service)
-        .is_some_and(|(_, stage)| !stage.is_final())
-}
-
 /// Whether this instance hears all members, so that none can have a newer table.
 fn is_covered(state: &State) -> bool {
     let coverage = state.coverage();
@@ -126,7 +118,7 @@
     let now = state.now();
     let resumes = call.resumes.as_deref().map(hash);
     if resumes.is_none() && call.last_event_id.is_none() {
-        let id = hash(call.id.as_deref().unwrap_or_default());
+        let id = hash(call.began().unwrap_or_default());
         let binding = state.streams.borrow().begin(now, id, service.view());
         return match binding {
             Binding::Unknown => Err(unavailable(
@@ -164,7 +156,7 @@
 
 /// Records the version that sends the first event of a request's stream.
 pub fn record_start(state: &State, call: &Call, service: &id::Service, version: &Label) {
-    let Some(id) = call.resumes.as_deref().or(call.id.as_deref()) else {
+    let Some(id) = call.began() else {
         return;
     };
     let mut streams = state.streams.borrow_mut();
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -14,7 +14,6 @@
 use http::header::{CONNECTION, HOST};
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapter::Call;
 use crate::attempt::Job;
@@ -243,8 +242,7 @@
         return Err(suspicion::refusal(0));
     }
     // A stream that is taken up goes on at the service that began it.
-    let began = call.resumes.as_deref().or(call.id.as_deref());
-    let hash = xxh3_64(began.unwrap_or_default().as_bytes());
+    let hash = binding::hash(call.began().unwrap_or_default());
     let Some(service) = route.target(hash).cloned() else {
         return Err(unavailable(
             "the route has no service",
--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -80,18 +80,18 @@
 }
 
 /// Reads the newest table of the store, and applies it.
-async fn read_once(state: &State) -> Result<Option<Table>, Error> {
+async fn read_once(state: &State) -> Result<(), Error> {
     let called_at = state.now();
     state.calls.count(Call::List(Keyspace::Versions));
     let listing = state.adapter.list(Keyspace::Versions).await?;
     let table = newest(&listing)?;
     let mut streams = state.streams.borrow_mut();
-    let is_new = streams.apply(state.now(), called_at, table.clone());
+    let is_new = streams.apply(state.now(), called_at, table);
     drop(streams);
     if is_new {
         log_table(state, "store");
     }
-    Ok(table)
+    Ok(())
 }
 
 fn newest(listing: &Listing) -> Result<Option<Table>, Error> {
