A part of a prompt that crashes endpoints is recognised and refused

Cause: evidence was kept by workspace, method, path and body, so that no two of these requests counted together.

Now each instance infers from what all saw which part explains the crashes: no answer since the first, at least four crashes under several contents and at different times, a share of all crashes, and no other part in more of them. Crashes of a condemned part count against no other. Each send asks, also retries, streams that go on and requests from other instances; an instance that starts waits up to 0.3 s for what others know.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -52,6 +52,8 @@
     pub fingerprint: Fingerprint,
     /// Parts of its prompt by which it may crash endpoints.
     pub marks: Rc<[Mark]>,
+    /// Whether it is sent once though one of them is condemned.
+    pub trial: bool,
     /// When its headers were read.
     pub received_at: Time,
     /// Deadline of its response.
--- a/coltsfoothall-forward/src/culprit.rs
+++ b/coltsfoothall-forward/src/culprit.rs
@@ -1,18 +1,24 @@
-//! Records which parts of prompts had runs at endpoints that crashed, and exchanges that with the
-//! other instances.
+//! Records which parts of prompts had runs at endpoints that crashed, exchanges that with the other
+//! instances, and refuses requests with parts that are condemned.
 
 use std::time::Duration;
 
-use coltsfoothall::forward::crash::{Mark, Report};
+use coltsfoothall::clock::Time;
+use coltsfoothall::forward::crash::{self, Mark, Report};
 use coltsfoothall::forward::culprit::{Change, Loss, Run};
+use coltsfoothall::forward::limit::Candidate;
+use coltsfoothall::forward::role::Role;
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
 
 use crate::gossip;
+use crate::refusal::{Refusal, bad_gateway, unavailable};
 use crate::state::State;
 
 /// Maximum number of parts that a log line names.
 const MAX_LISTED: usize = 16;
+/// Reason of the refusal.
+const REASON: &str = "a part of the prompt crashes endpoints";
 /// How long an instance that has started waits for what others know.
 const INFORM_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -52,8 +58,12 @@
         log(&changes, "own");
     }
 
-    /// Condemns the parts that the crashes tell to be their cause.
+    /// Condemns the parts that the crashes tell to be their cause. An instance on standby knows only
+    /// what its contacts tell it, verdicts included.
     pub fn judge(&self) {
+        if self.role() == Role::Standby {
+            return;
+        }
         let changes = {
             let settle = gossip::told_period(self.sharers() as usize);
             let mut culprits = self.culprits.borrow_mut();
@@ -77,10 +87,68 @@
     /// Whether this instance knows what those that ran before it know, as far as they live.
     #[must_use]
     pub fn is_informed(&self) -> bool {
-        self.informed.get() || self.now().since(coltsfoothall::clock::Time::START) >= INFORM_TIMEOUT
+        self.informed.get() || self.now() >= Time::START + INFORM_TIMEOUT
+    }
+
+    /// Waits until this instance knows what those that ran before it know.
+    pub async fn informed(&self) {
+        let told = async {
+            while !self.is_informed() {
+                self.informed_changed.notified().await;
+            }
+        };
+        let limit = self.clock.instant(Time::START + INFORM_TIMEOUT);
+        // Without other instances nobody tells it.
+        let _elapsed = tokio::time::timeout_at(limit, told).await;
+    }
+
+    /// Whether this instance lets a request through to see whether a verdict still holds.
+    fn take_trial(&self, mark: Mark) -> bool {
+        let own = self.is_ready().then(|| Candidate {
+            name: self.name.clone(),
+            domain: self.domain.clone(),
+        });
+        let fleet = self.peers.borrow().limit_fleet(self.now(), own);
+        crash::elect(mark, &fleet) == Some(&self.name)
+            && self.culprits.borrow_mut().take_trial(self.now(), mark)
     }
 }
 
+/// Whether a request is sent though a part of its prompt is condemned, to see whether the verdict
+/// still holds.
+///
+/// # Errors
+/// A part is condemned, and the request has not run.
+pub fn admit(state: &State, id: &str, marks: &[Mark]) -> Result<bool, Refusal> {
+    let verdict = state.culprits.borrow().forbids(marks).copied();
+    if verdict.is_some_and(|verdict| state.take_trial(verdict.mark)) {
+        return Ok(true);
+    }
+    match refuse(state, id, marks, 0) {
+        Some(refusal) => Err(refusal),
+        None => Ok(false),
+    }
+}
+
+/// The refusal of a request, which has begun to run `runs` times, if a part of its prompt is
+/// condemned.
+pub fn refuse(state: &State, id: &str, marks: &[Mark], runs: u32) -> Option<Refusal> {
+    let now = state.now();
+    let culprits = state.culprits.borrow();
+    let verdict = culprits.forbids(marks)?;
+    event::PART_REFUSED.emit(format_args!(
+        "request={id} part={} age_ms={} runs={runs}",
+        verdict.mark,
+        now.since(verdict.at).as_millis(),
+    ));
+    state.board.part_refused();
+    Some(if runs == 0 {
+        unavailable(REASON, culprits.retry_after(now, verdict))
+    } else {
+        bad_gateway(REASON)
+    })
+}
+
 fn log(changes: &[Change], source: &str) {
     for change in changes {
         match change {
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempt::{self, Job, Sent, Share};
+use crate::culprit;
 use crate::handover;
 use crate::origin::Origin;
 use crate::pool::{Fault, Target};
@@ -114,6 +115,7 @@
     job.route.kind.repeats()
         && trail.runs < job.attempts
         && !suspicion::is_poisonous(state, job.id(), job.fingerprint)
+        && culprit::refuse(state, job.id(), &job.marks, trail.runs).is_none()
         && state.may_retry(job.id(), &job.service, reason)
 }
 
@@ -243,6 +245,11 @@
         if trail.sends > 0 && suspicion::is_poisonous(state, job.id(), job.fingerprint) {
             return Err(suspicion::refusal(trail.runs));
         }
+        let is_trial = job.trial && trail.sends == 0;
+        if !is_trial && let Some(refusal) = culprit::refuse(state, job.id(), &job.marks, trail.runs)
+        {
+            return Err(refusal);
+        }
         let mut chosen = choose(state, job, &trail.binding, &trail.exclude);
         if let Err(reason) = chosen {
             let handed = handover::send(state, job, trail, reason, after).await;
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -20,6 +20,7 @@
 use crate::attempt::Job;
 use crate::binding;
 use crate::connection::Connection;
+use crate::culprit;
 use crate::dispatch::{self, Trail};
 use crate::listen::{Handler, Limits};
 use crate::origin::Origin;
@@ -243,6 +244,10 @@
         return Err(suspicion::refusal(0));
     }
     let marks = crash::marks(&call.parts);
+    if !marks.is_empty() {
+        state.informed().await;
+    }
+    let trial = culprit::admit(state, call.id.as_deref().unwrap_or("-"), &marks)?;
     // A stream that is taken up goes on at the service that began it.
     let hash = binding::hash(call.began().unwrap_or_default());
     let Some(service) = route.target(hash).cloned() else {
@@ -261,6 +266,7 @@
     let binding = binding::bind(state, route, &service, &call, &origin)?;
     let job = Job {
         marks: marks.into(),
+        trial,
         attempts,
         origin,
         binding,
--- a/coltsfoothall/src/forward/crash.rs
+++ b/coltsfoothall/src/forward/crash.rs
@@ -7,10 +7,11 @@
 
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Time;
 use crate::forward::choice::Part;
+use crate::forward::limit::Fleet;
 use crate::id;
 use crate::size::Millis;
 
@@ -64,6 +65,15 @@
     xxh3_64(endpoint.as_str().as_bytes()) as u32
 }
 
+/// The instance that lets a request through to see whether the verdict on a part still holds; none
+/// while some instances are not heard, as two might.
+#[must_use]
+pub fn elect(mark: Mark, fleet: &Fleet) -> Option<&id::Instance> {
+    let names = fleet.candidates.iter().map(|candidate| &candidate.name);
+    let elected = names.max_by_key(|name| xxh3_64_with_seed(name.as_str().as_bytes(), mark.0));
+    elected.filter(|_| fleet.heard == fleet.known)
+}
+
 /// When parts are condemned, and how much is kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
--- a/coltsfoothall/src/forward/culprit.rs
+++ b/coltsfoothall/src/forward/culprit.rs
@@ -15,6 +15,7 @@
 use crate::forward::crash::{
     self, Crash, Mark, Notice, Report, Row, Settings, Suspect, Told, Verdict,
 };
+use crate::forward::inference::{self, Evidence};
 use crate::id;
 use crate::size::Millis;
 
@@ -217,9 +218,29 @@
         changes
     }
 
-    /// Condemns parts if the crashes tell. None is condemned yet: what is known is only recorded.
-    pub fn judge(&mut self, _now: Time, _settle: Duration) -> Vec<Change> {
-        Vec::new()
+    /// Condemns parts if the crashes tell. Answers are heard from all instances within `settle`.
+    pub fn judge(&mut self, now: Time, settle: Duration) -> Vec<Change> {
+        let mut changes = Vec::new();
+        loop {
+            let found = inference::infer(
+                &Evidence {
+                    now,
+                    settle,
+                    served: self.served,
+                    suspects: &self.suspects,
+                    lost: &self.lost,
+                    verdicts: &self.verdicts,
+                },
+                &self.settings,
+            );
+            if found.is_empty() {
+                return changes;
+            }
+            for verdict in found {
+                self.condemn(verdict);
+                changes.push(Change::Condemned(verdict));
+            }
+        }
     }
 
     fn condemn(&mut self, verdict: Verdict) {
@@ -241,12 +262,14 @@
     /// The verdict that forbids to send a request with these parts, if there is one.
     #[must_use]
     pub fn forbids(&self, marks: &[Mark]) -> Option<&Verdict> {
-        let mut found = marks.iter().filter_map(|mark| find(&self.verdicts, *mark));
+        let mut found = marks
+            .iter()
+            .filter_map(|mark| inference::find(&self.verdicts, *mark));
         found.next()
     }
 
     fn is_condemned(&self, mark: Mark) -> bool {
-        find(&self.verdicts, mark).is_some()
+        inference::find(&self.verdicts, mark).is_some()
     }
 
     /// Whether a request may be sent to see whether the verdict on its part still holds; it then
@@ -557,12 +580,6 @@
     }
 }
 
-/// The verdict on a part.
-fn find(verdicts: &[Verdict], mark: Mark) -> Option<&Verdict> {
-    let index = verdicts.binary_search_by_key(&mark, |verdict| verdict.mark);
-    index.ok().map(|index| &verdicts[index])
-}
-
 /// Those that had most crashes in half of the rows, and the others in turn.
 fn select(mut suspects: Vec<&Suspect>, max: usize, round: usize) -> Vec<&Suspect> {
     if suspects.len() <= max {
--- /dev/null
+++ b/coltsfoothall/src/forward/inference.rs
@@ -0,0 +1,217 @@
+//! Infers which parts of prompts crash endpoints from the crashes that they are suspects of.
+//!
+//! A part is condemned if it explains its crashes better than any other part, and nothing else does:
+//!
+//! - It had no answer since the first of them, while others had.
+//! - Its crashes are of several endpoints, under several contents, and at different times. Retries of
+//!   one request and the loss of a rack cause crashes in which an innocent part stands alone, too.
+//! - It stands in a share of all crashes since its first; a rare part whose runs were at the wrong
+//!   place does not.
+//! - No other part stands in more of the same crashes. Crashes of a condemned part count against no
+//!   other.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::forward::crash::{Crash, Mark, Settings, Suspect, Verdict};
+
+/// Smallest share of all crashes in percent that a part has to stand in, by the number of its own,
+/// from [`Settings::crashes`] on.
+const MIN_SHARES: [usize; 4] = [40, 20, 12, 8];
+/// Share of all crashes in percent from which on [`Settings::many_crashes`] at once condemn a part.
+const MOST: usize = 75;
+
+/// What is known of all crashes.
+#[derive(Debug, Clone, Copy)]
+pub struct Evidence<'a> {
+    /// The current time.
+    pub now: Time,
+    /// How long answers take to be heard from all instances.
+    pub settle: Duration,
+    /// The last answer to any request whose prompt has parts.
+    pub served: Option<Time>,
+    /// Sorted by mark.
+    pub suspects: &'a [Suspect],
+    /// Crashed endpoints with suspects.
+    pub lost: &'a [(u32, Time)],
+    /// Sorted by mark.
+    pub verdicts: &'a [Verdict],
+}
+
+/// A part that is not condemned, and its crashes that no condemned part explains.
+struct Candidate<'a> {
+    suspect: &'a Suspect,
+    crashes: Vec<&'a Crash>,
+}
+
+impl Candidate<'_> {
+    fn contents(&self) -> usize {
+        let mut contents: Vec<u32> = self.crashes.iter().map(|crash| crash.content).collect();
+        contents.sort_unstable();
+        contents.dedup();
+        contents.len()
+    }
+
+    /// Number of crashes that each came at least `gap` after the one counted before it.
+    fn groups(&self, gap: Duration) -> usize {
+        let mut last = None;
+        let counted = self.crashes.iter().filter(|crash| {
+            let counts = last.is_none_or(|last| crash.at.since(last) >= gap);
+            if counts {
+                last = Some(crash.at);
+            }
+            counts
+        });
+        counted.count()
+    }
+
+    fn shares_crash(&self, other: &Self) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|crash| {
+            let mut others = other.crashes.iter();
+            others.any(|other| other.endpoint == crash.endpoint)
+        })
+    }
+
+    fn is_new(&self) -> bool {
+        self.suspect.answered.is_none()
+    }
+}
+
+/// The parts that are to be condemned next, with the crashes that count; none if the crashes do not
+/// tell.
+#[must_use]
+pub fn infer(evidence: &Evidence<'_>, settings: &Settings) -> Vec<Verdict> {
+    let explained = explained(evidence);
+    let candidates = candidates(evidence, &explained);
+    let lost = evidence
+        .lost
+        .iter()
+        .filter(|(endpoint, _)| explained.binary_search(endpoint).is_err());
+    let lost: Vec<&(u32, Time)> = lost.collect();
+    let found = candidates.iter().find(|candidate| {
+        is_likely(candidate, &lost, evidence, settings)
+            && !has_rival(candidate, &candidates, settings)
+    });
+    let Some(found) = found else {
+        return Vec::new();
+    };
+    let condemned = candidates.iter().filter(|other| {
+        other.suspect.mark == found.suspect.mark || is_inseparable(found, other, settings)
+    });
+    condemned
+        .map(|candidate| verdict(candidate, evidence.now))
+        .collect()
+}
+
+/// Endpoints that condemned parts have crashed, sorted.
+fn explained(evidence: &Evidence<'_>) -> Vec<u32> {
+    let is_condemned = |mark: Mark| find(evidence.verdicts, mark).is_some();
+    let condemned = evidence
+        .suspects
+        .iter()
+        .filter(|suspect| is_condemned(suspect.mark));
+    let mut endpoints: Vec<u32> = condemned
+        .flat_map(|suspect| suspect.crashes.iter().map(|crash| crash.endpoint))
+        .collect();
+    endpoints.sort_unstable();
+    endpoints.dedup();
+    endpoints
+}
+
+/// The verdict on a part.
+#[must_use]
+pub fn find(verdicts: &[Verdict], mark: Mark) -> Option<&Verdict> {
+    let index = verdicts.binary_search_by_key(&mark, |verdict| verdict.mark);
+    index.ok().map(|index| &verdicts[index])
+}
+
+fn candidates<'a>(evidence: &Evidence<'a>, explained: &[u32]) -> Vec<Candidate<'a>> {
+    let suspects = evidence
+        .suspects
+        .iter()
+        .filter(|suspect| find(evidence.verdicts, suspect.mark).is_none());
+    let candidates = suspects.map(|suspect| Candidate {
+        suspect,
+        crashes: suspect
+            .crashes
+            .iter()
+            .filter(|crash| explained.binary_search(&crash.endpoint).is_err())
+            .collect(),
+    });
+    candidates
+        .filter(|candidate| !candidate.crashes.is_empty())
+        .collect()
+}
+
+fn is_likely(
+    candidate: &Candidate<'_>,
+    lost: &[&(u32, Time)],
+    evidence: &Evidence<'_>,
+    settings: &Settings,
+) -> bool {
+    let count = candidate.crashes.len();
+    let least = if candidate.is_new() {
+        settings.crashes
+    } else {
+        settings.many_crashes
+    };
+    if count < least || count + candidate.contents() < settings.evidence {
+        return false;
+    }
+    let first = candidate.crashes[0].at;
+    let settled = evidence.now.since(candidate.suspect.known) >= evidence.settle;
+    let others_served = evidence.served.is_some_and(|served| served >= first);
+    // The same crash is seen by several instances, not at the same instant.
+    let since = lost
+        .iter()
+        .filter(|(_, at)| *at + settings.gap >= first)
+        .count();
+    let share = 100 * count / since.max(count);
+    let rank = (count - settings.crashes).min(MIN_SHARES.len() - 1);
+    let at_once = candidate.groups(settings.gap) < 2;
+    let spread = !at_once || (count >= settings.many_crashes && share >= MOST);
+    settled && others_served && share >= MIN_SHARES[rank] && spread
+}
+
+/// Whether another part explains the crashes as well or better. Parts that had answers before are no
+/// rivals of one that never had any.
+fn has_rival(candidate: &Candidate<'_>, candidates: &[Candidate<'_>], settings: &Settings) -> bool {
+    let count = candidate.crashes.len();
+    candidates.iter().any(|other| {
+        let more = other.crashes.len() > count
+            || (other.crashes.len() == count && count < settings.many_crashes);
+        more && other.suspect.mark != candidate.suspect.mark
+            && (other.is_new() || !candidate.is_new())
+            && candidate.shares_crash(other)
+    })
+}
+
+/// Whether a part is a suspect of exactly the same crashes as one that is condemned, and they are
+/// too many for a coincidence.
+fn is_inseparable(found: &Candidate<'_>, other: &Candidate<'_>, settings: &Settings) -> bool {
+    let count = found.crashes.len();
+    let endpoints = |candidate: &Candidate<'_>| {
+        let mut endpoints: Vec<u32> = candidate
+            .crashes
+            .iter()
+            .map(|crash| crash.endpoint)
+            .collect();
+        endpoints.sort_unstable();
+        endpoints
+    };
+    count >= settings.many_crashes
+        && other.is_new() == found.is_new()
+        && endpoints(found) == endpoints(other)
+}
+
+fn verdict(candidate: &Candidate<'_>, now: Time) -> Verdict {
+    Verdict {
+        mark: candidate.suspect.mark,
+        at: now,
+        first: candidate.crashes[0].at,
+        crashes: candidate.crashes.len() as u32,
+        trials: 0,
+        tried: None,
+    }
+}
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -18,6 +18,7 @@
 pub mod gossip;
 pub mod handover;
 pub mod history;
+pub mod inference;
 pub mod lag;
 pub mod latency;
 pub mod leader;
