An answer without length that a crash cuts short is not whole

Cause: an answer with neither length nor chunks ends with its connection, and the end by a crash looks the same.

Now the endpoint of such an answer is probed once before the answer counts as whole; one that leaves may exit after its last answer. Streams pass their events on meanwhile.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -18,9 +18,10 @@
 use coltsfoothall::size::Tokens;
 use coltsfoothall::suspicion::Fingerprint;
 use coltsfoothall_shell::event;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, Uri};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::adapter::{Call, Forward, Reply};
 use crate::origin::Origin;
@@ -369,6 +370,16 @@
         }
     }
 
+    /// Whether the response says where its body ends. Otherwise the end of the connection does, and
+    /// that may be a crash.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        let headers = self.response.headers();
+        headers.contains_key(CONTENT_LENGTH)
+            || headers.contains_key(TRANSFER_ENCODING)
+            || self.response.body().is_end_stream()
+    }
+
     /// Splits the response into its parts.
     #[must_use]
     pub fn split(self) -> (Response<Incoming>, Reply, Share, Checkout) {
--- a/coltsfoothall-forward/src/probe.rs
+++ b/coltsfoothall-forward/src/probe.rs
@@ -4,24 +4,23 @@
 //! connections at once. An instance that is cut off sees the same of all endpoints, so that a
 //! refused connection counts only while another endpoint is in reach.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use coltsfoothall::id;
 
-use crate::pool::Fault;
+use crate::pool::{Fault, Target};
 use crate::reach;
 use crate::state::State;
 
+/// Number of connections by which an endpoint is probed. It may be accepted while the endpoint falls,
+/// or reset as one too many.
+const TRIES: usize = 2;
+
 /// Starts to connect to an endpoint that interrupted a run, unless it is leaving or such an attempt
 /// is under way.
 pub fn start(state: &Rc<State>, endpoint: &id::Endpoint) {
-    let address = {
-        let roster = state.roster.borrow();
-        let node = roster.node(endpoint);
-        node.filter(|node| !node.entry.leaving)
-            .map(|node| node.entry.address)
-    };
-    let Some(address) = address else {
+    let Some(address) = listed(state, endpoint) else {
         return;
     };
     let mut probed = state.probed.borrow_mut();
@@ -39,6 +38,33 @@
     });
 }
 
+/// The address of an endpoint that takes requests.
+fn listed(state: &State, endpoint: &id::Endpoint) -> Option<SocketAddr> {
+    let roster = state.roster.borrow();
+    let node = roster.node(endpoint);
+    node.filter(|node| !node.entry.leaving)
+        .map(|node| node.entry.address)
+}
+
+/// Whether an endpoint has outlived an answer that ended with its connection. One that leaves may
+/// exit after its last answer.
+pub async fn has_outlived(state: &Rc<State>, target: &Target) -> bool {
+    let Target::Endpoint(endpoint) = target else {
+        return true;
+    };
+    for _ in 0..TRIES {
+        let Some(address) = listed(state, endpoint) else {
+            return true;
+        };
+        match reach::probe(state, endpoint, address).await {
+            Ok(()) => return true,
+            Err(Fault::Refused(_)) => return false,
+            Err(Fault::Unsent(_) | Fault::Broken(_)) => {}
+        }
+    }
+    true
+}
+
 /// Records the crash of an endpoint that refuses connections, unless this instance reaches no other
 /// endpoint either. The lapse of its registration tells then.
 pub async fn confirm_crash(state: &Rc<State>, endpoint: &id::Endpoint) {
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::origin::Began;
 use crate::outgoing::{self, Outgoing};
 use crate::pool::Target;
+use crate::probe;
 use crate::reach;
 use crate::refusal::{self, Refusal};
 use crate::retries::Reason;
@@ -39,6 +40,9 @@
 /// and batches with long prompts come close to that.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Why an answer without length is not whole.
+const ENDED_BY_CRASH: &str = "its endpoint crashed at its end";
+
 /// A failed attempt that may be repeated at another endpoint.
 #[derive(Debug)]
 pub struct Failure {
@@ -78,9 +82,13 @@
     if status.is_success() && job.route.kind.streams() {
         return stream(state, job, sent, trail).await;
     }
+    let framed = sent.is_framed();
     let (response, _reply, mut share, checkout) = sent.split();
     let (head, content) = response.into_parts();
-    let read = body::read(content, MAX_BUFFERED_BYTES).await;
+    let mut read = body::read(content, MAX_BUFFERED_BYTES).await;
+    if !framed && read.is_ok() && !probe::has_outlived(state, &endpoint).await {
+        read = Err(body::Error::Broken(ENDED_BY_CRASH.into()));
+    }
     share.count_run(job);
     share.record_first_event();
     match read {
@@ -146,6 +154,8 @@
     job: Rc<Job>,
     trail: Trail,
     content: Incoming,
+    /// Whether the response says where its body ends.
+    framed: bool,
     share: Option<Share>,
     checkout: Option<Checkout>,
     splitter: Splitter,
@@ -184,9 +194,11 @@
     trail: &mut Trail,
 ) -> Result<Response<Outgoing>, Failure> {
     let endpoint = sent.share.target.clone();
+    let framed = sent.is_framed();
     let (response, _reply, share, checkout) = sent.split();
     let (head, content) = response.into_parts();
     let mut relay = Relay {
+        framed,
         state: Rc::clone(state),
         job: Rc::clone(job),
         trail: Trail::new(job),
@@ -263,11 +275,20 @@
                 None if self.splitter.is_within() => {
                     return Next::Broken("it ended within an event".into());
                 }
+                None if self.ended_by_crash().await => return Next::Broken(ENDED_BY_CRASH.into()),
                 None => return Next::End,
             }
         }
     }
 
+    /// Whether a stream that ended with its connection was cut off by the crash of its endpoint.
+    async fn ended_by_crash(&self) -> bool {
+        match &self.share {
+            Some(share) if !self.framed => !probe::has_outlived(&self.state, &share.target).await,
+            Some(_) | None => false,
+        }
+    }
+
     /// The next events for the caller, unless shutdown aborts the stream first.
     async fn next_chunk(&mut self) -> Option<Result<Bytes, io::Error>> {
         let aborting = self.state.abort.clone();
@@ -382,6 +403,7 @@
         ));
         let relation = relation(self.began.as_ref(), version);
         state.board.stream_resumed("instance", relation);
+        self.framed = sent.is_framed();
         let (response, _reply, share, checkout) = sent.split();
         self.content = response.into_body();
         self.share = Some(share);
