A part that ends all answers is recognised, too

Cause: a part was condemned only if others had an answer since its first crash, which guards against endpoints that crash on everything.

--- a/coltsfoothall/src/forward/inference.rs
+++ b/coltsfoothall/src/forward/inference.rs
@@ -2,7 +2,8 @@
 //!
 //! A part is condemned if it explains its crashes better than any other part, and nothing else does:
 //!
-//! - It had no answer since the first of them, while others had.
+//! - It had no answer since the first of them, while others had. If nobody had one, it has to stand
+//!   in many of all crashes, and every other part in as many must have had answers before.
 //! - Its crashes are of several endpoints, under several contents, and at different times. Retries of
 //!   one request and the loss of a rack cause crashes in which an innocent part stands alone, too.
 //! - It stands in a share of all crashes since its first; a rare part whose runs were at the wrong
@@ -21,6 +22,9 @@
 /// Share of all crashes in percent from which on [`Settings::many_crashes`] at once condemn a part.
 const MOST: usize = 75;
 
+/// The same where no request had an answer since the first of its crashes.
+const MANY: usize = 40;
+
 /// What is known of all crashes.
 #[derive(Debug, Clone, Copy)]
 pub struct Evidence<'a> {
@@ -90,7 +94,7 @@
         .filter(|(endpoint, _)| explained.binary_search(endpoint).is_err());
     let lost: Vec<&(u32, Time)> = lost.collect();
     let found = candidates.iter().find(|candidate| {
-        is_likely(candidate, &lost, evidence, settings)
+        is_likely(candidate, &candidates, &lost, evidence, settings)
             && !has_rival(candidate, &candidates, settings)
     });
     let Some(found) = found else {
@@ -146,6 +150,7 @@
 
 fn is_likely(
     candidate: &Candidate<'_>,
+    candidates: &[Candidate<'_>],
     lost: &[&(u32, Time)],
     evidence: &Evidence<'_>,
     settings: &Settings,
@@ -171,7 +176,17 @@
     let rank = (count - settings.crashes).min(MIN_SHARES.len() - 1);
     let at_once = candidate.groups(settings.gap) < 2;
     let spread = !at_once || (count >= settings.many_crashes && share >= MOST);
-    settled && others_served && share >= MIN_SHARES[rank] && spread
+    let contrast = others_served || (share >= MANY && is_first(candidate, candidates));
+    settled && contrast && share >= MIN_SHARES[rank] && spread
+}
+
+/// Whether a part without an answer has more crashes than all others without one.
+fn is_first(candidate: &Candidate<'_>, candidates: &[Candidate<'_>]) -> bool {
+    let mut others = candidates
+        .iter()
+        .filter(|other| other.suspect.mark != candidate.suspect.mark);
+    candidate.is_new()
+        && others.all(|other| !other.is_new() || other.crashes.len() < candidate.crashes.len())
 }
 
 /// Whether another part explains the crashes as well or better. Parts that had answers before are no
--- a/coltsfoothall/tests/forward_culprit.rs
+++ b/coltsfoothall/tests/forward_culprit.rs
@@ -29,8 +29,6 @@
 const RETURN: u64 = 2_500;
 /// Time from the start of a run until a part that crashes endpoints does so.
 const FUSE: u64 = 80;
-/// Time from the start until the first request with such a part.
-const CALM: u64 = 2_000;
 /// Milliseconds of a step.
 const STEP: u64 = 20;
 
@@ -58,6 +56,8 @@
     disaster: f64,
     /// Endpoints that may run a request.
     attempts: u32,
+    /// Milliseconds from the start until the first request with such a part.
+    calm: u64,
     /// How long a sound run takes.
     work: (u64, u64),
     seconds: u64,
@@ -77,6 +77,7 @@
     crashes: 0.0,
     disaster: 0.0,
     attempts: 2,
+    calm: 2_000,
     work: (100, 600),
     seconds: 16,
 };
@@ -153,7 +154,9 @@
             self.call(None);
         }
         for mark in self.plan.deadly {
-            if self.now > CALM && self.draw(self.plan.deadly_rate / self.plan.burst as f64) {
+            if self.now > self.plan.calm
+                && self.draw(self.plan.deadly_rate / self.plan.burst as f64)
+            {
                 for _ in 0..self.plan.burst {
                     self.call(Some(*mark));
                 }
@@ -303,7 +306,7 @@
             let index = self.random.random_range(0..self.endpoints.len());
             self.crash(index, None);
         }
-        if self.now == CALM {
+        if self.now == self.plan.calm {
             let lost = self.endpoints.len() as f64 * self.plan.disaster;
             for index in 0..lost as usize {
                 self.crash(index, None);
@@ -459,6 +462,20 @@
     check(plan, seeds(20));
 }
 
+/// Guards against a part that crashes endpoints so fast that no sound request is answered any more.
+#[test]
+fn part_ends_answers() {
+    let plan = Plan {
+        work: (2_500, 4_000),
+        calm: 5_000,
+        deadly_rate: 30.0,
+        sound: 1.0,
+        seconds: 24,
+        ..PLAN
+    };
+    check(plan, seeds(10));
+}
+
 /// Guards against parts that come seldom: each request may come when all have forgotten the last.
 #[test]
 fn part_seldom() {
