--- a/coltsfoothall-forward/src/suspicion.rs
+++ b/coltsfoothall-forward/src/suspicion.rs
@@ -5,7 +5,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::roster::End;
 use coltsfoothall::id;
-use coltsfoothall::suspicion::{Fingerprint, Verdict};
+use coltsfoothall::suspicion::{Evidence, Fingerprint, Verdict};
 use coltsfoothall_shell::event;
 
 use crate::culprit;
@@ -15,6 +15,8 @@
 /// How long an interrupted attempt is kept as possible evidence until its endpoint is known to be
 /// gone: registrations lapse after three heartbeats, and the store may be unavailable meanwhile.
 const EVIDENCE_RETENTION: Duration = Duration::from_secs(15);
+/// Deaths that no condemned part explains without which a content is innocent.
+const MIN_DEATHS: usize = 2;
 /// Reason of the refusal.
 const REASON: &str = "such requests crashed endpoints";
 /// `Retry-After` for a request whose fingerprint has crashed endpoints.
@@ -95,10 +97,23 @@
     let evidence = suspicions.evidence_for(now, &[fingerprint.content]);
     let deaths = evidence.iter().flat_map(|evidence| &evidence.deaths);
     let deaths: Vec<(u64, u64)> = deaths.map(|death| (death.began.0, death.age.0)).collect();
+    let explained = is_explained(state, &evidence);
     event::SUSPECTED.emit(format_args!(
-        "request={id} verdict={verdict:?} deaths={deaths:?}"
+        "request={id} verdict={verdict:?} deaths={deaths:?} explained={explained}"
     ));
-    verdict == Verdict::Poisonous
+    verdict == Verdict::Poisonous && !explained
+}
+
+/// Whether condemned parts of other prompts explain so many of a content's deaths that it is innocent.
+fn is_explained(state: &State, evidence: &[Evidence]) -> bool {
+    let culprits = state.culprits.borrow();
+    if culprits.verdicts().is_empty() {
+        return false;
+    }
+    let now = state.now();
+    let deaths = evidence.iter().flat_map(|evidence| &evidence.deaths);
+    let others = deaths.filter(|death| !culprits.explains(now - death.age.duration()));
+    others.count() < MIN_DEATHS
 }
 
 /// The refusal of such a request, which has begun to run `runs` times.
--- a/coltsfoothall/src/forward/culprit.rs
+++ b/coltsfoothall/src/forward/culprit.rs
@@ -26,6 +26,8 @@
 const MAX_RUNS: usize = 4_096;
 /// Instances see the crash of an endpoint at most this far apart.
 const SAME_CRASH: Duration = Duration::from_secs(1);
+/// The connections of an endpoint that crashes break at most this far apart.
+const SAME_INSTANT: Duration = Duration::from_millis(100);
 /// Maximum number of crashes that are kept for a part.
 const MAX_CRASHES: usize = 64;
 /// Maximum number of crashed endpoints that are kept.
@@ -268,6 +270,17 @@
         found.next()
     }
 
+    /// Whether a condemned part explains a crash that interrupted a run at `at`.
+    #[must_use]
+    pub fn explains(&self, at: Time) -> bool {
+        let condemned = self
+            .suspects
+            .iter()
+            .filter(|suspect| self.is_condemned(suspect.mark));
+        let mut crashes = condemned.flat_map(|suspect| &suspect.crashes);
+        crashes.any(|crash| at.since(crash.at).max(crash.at.since(at)) < SAME_INSTANT)
+    }
+
     fn is_condemned(&self, mark: Mark) -> bool {
         inference::find(&self.verdicts, mark).is_some()
     }
