--- a/coltsfoothall/src/forward/inference.rs
+++ b/coltsfoothall/src/forward/inference.rs
@@ -16,7 +16,7 @@
 use crate::clock::Time;
 use crate::forward::crash::{Crash, Mark, Settings, Suspect, Verdict};
 
-/// Smallest share of all crashes in percent that a part has to stand in, by the number of its own,
+/// Smallest share of the crashes at different times in percent that a part has to stand in, by the number of its own,
 /// from [`Settings::crashes`] on.
 const MIN_SHARES: [usize; 4] = [40, 20, 12, 8];
 /// Share of all crashes in percent from which on [`Settings::many_crashes`] at once condemn a part.
@@ -25,6 +25,10 @@
 /// The same where no request had an answer since the first of its crashes.
 const MANY: usize = 40;
 
+/// Number of times that answers must have had to be heard before parts are condemned together: one of
+/// them is likely to be innocent.
+const SETTLES_TOGETHER: u32 = 3;
+
 /// What is known of all crashes.
 #[derive(Debug, Clone, Copy)]
 pub struct Evidence<'a> {
@@ -56,17 +60,8 @@
         contents.len()
     }
 
-    /// Number of crashes that each came at least `gap` after the one counted before it.
-    fn groups(&self, gap: Duration) -> usize {
-        let mut last = None;
-        let counted = self.crashes.iter().filter(|crash| {
-            let counts = last.is_none_or(|last| crash.at.since(last) >= gap);
-            if counts {
-                last = Some(crash.at);
-            }
-            counts
-        });
-        counted.count()
+    fn times(&self) -> Vec<Time> {
+        self.crashes.iter().map(|crash| crash.at).collect()
     }
 
     fn shares_crash(&self, other: &Self) -> bool {
@@ -82,6 +77,20 @@
     }
 }
 
+/// Number of crashes that each came at least `gap` after the one counted before it.
+fn count_apart(mut times: Vec<Time>, gap: Duration) -> usize {
+    times.sort_unstable();
+    let mut last = None;
+    let counted = times.into_iter().filter(|at| {
+        let counts = last.is_none_or(|last| at.since(last) >= gap);
+        if counts {
+            last = Some(*at);
+        }
+        counts
+    });
+    counted.count()
+}
+
 /// The parts that are to be condemned next, with the crashes that count; none if the crashes do not
 /// tell.
 #[must_use]
@@ -103,9 +112,14 @@
     let condemned = candidates.iter().filter(|other| {
         other.suspect.mark == found.suspect.mark || is_inseparable(found, other, settings)
     });
-    condemned
+    let condemned: Vec<Verdict> = condemned
         .map(|candidate| verdict(candidate, evidence.now))
-        .collect()
+        .collect();
+    let age = evidence.now.since(found.suspect.known);
+    if condemned.len() > 1 && age < evidence.settle * SETTLES_TOGETHER {
+        return Vec::new();
+    }
+    condemned
 }
 
 /// Endpoints that condemned parts have crashed, sorted.
@@ -168,15 +182,20 @@
     let settled = evidence.now.since(candidate.suspect.known) >= evidence.settle;
     let others_served = evidence.served.is_some_and(|served| served >= first);
     // The same crash is seen by several instances, not at the same instant.
-    let since = lost
+    let since: Vec<Time> = lost
         .iter()
-        .filter(|(_, at)| *at + settings.gap >= first)
-        .count();
-    let share = 100 * count / since.max(count);
+        .map(|(_, at)| *at)
+        .filter(|at| *at + settings.gap >= first)
+        .collect();
+    let share_of_all = 100 * count / since.len().max(count);
+    // The loss of many endpoints at once is one event, also beside the crashes of a part.
+    let apart = count_apart(candidate.times(), settings.gap);
+    let share = 100 * apart / count_apart(since, settings.gap).max(apart);
     let rank = (count - settings.crashes).min(MIN_SHARES.len() - 1);
-    let at_once = candidate.groups(settings.gap) < 2;
-    let spread = !at_once || (count >= settings.many_crashes && share >= MOST);
-    let contrast = others_served || (share >= MANY && is_first(candidate, candidates));
+    let spread = apart > 1 || (count >= settings.many_crashes && share_of_all >= MOST);
+    // Before the first answer of all every part looks the same.
+    let stands_out = evidence.served.is_some() && share >= MANY && is_first(candidate, candidates);
+    let contrast = others_served || stands_out;
     settled && contrast && share >= MIN_SHARES[rank] && spread
 }
 
