--- a/coltsfoothall-forward/src/culprit.rs
+++ b/coltsfoothall-forward/src/culprit.rs
@@ -37,11 +37,13 @@
             culprits.expire(now);
             culprits.record_death(now, endpoint, announced)
         };
-        let cause = match (&loss, announced) {
-            (_, true) => return loss,
-            (loss, false) if loss.condemned => "condemned",
-            (loss, false) if loss.parts.is_empty() => "unknown",
-            _ => "suspected",
+        if loss == Loss::default() {
+            return loss;
+        }
+        let cause = match (loss.condemned, loss.parts.is_empty()) {
+            (true, _) => "condemned",
+            (false, true) => "unknown",
+            (false, false) => "suspected",
         };
         self.board.endpoint_lost(cause);
         self.judge();
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -184,7 +184,7 @@
             endpoints_lost: count(
                 &meter,
                 "endpoints_lost",
-                "Endpoints that crashed while requests ran there, by what is held to be the cause",
+                "Endpoints that crashed while prompts with parts ran there, by the cause as far as known",
             ),
             parts_refused: count(
                 &meter,
@@ -332,7 +332,7 @@
         self.resumed.add(1, &labels);
     }
 
-    /// Counts an endpoint that crashed while requests ran there; `cause` is `condemned` if one of
+    /// Counts an endpoint that crashed while prompts with parts ran there; `cause` is `condemned` if one of
     /// them has a part that is condemned, else `suspected` or `unknown`.
     pub fn endpoint_lost(&self, cause: &'static str) {
         self.endpoints_lost.add(1, &[KeyValue::new("cause", cause)]);
--- a/coltsfoothall/src/forward/culprit.rs
+++ b/coltsfoothall/src/forward/culprit.rs
@@ -89,7 +89,7 @@
     answers: Vec<(Mark, Time)>,
     /// Crashed endpoints with suspects, as they became known.
     lost: Vec<(u32, Time)>,
-    /// Those of them that this instance tells, and since when.
+    /// Those of them that this instance tells: endpoint, time of the crash, and since when it tells.
     told: Vec<(u32, Time, Time)>,
     /// Sorted by mark.
     verdicts: Vec<Verdict>,
--- a/coltsfoothall/src/forward/inference.rs
+++ b/coltsfoothall/src/forward/inference.rs
@@ -72,6 +72,7 @@
         })
     }
 
+    /// Whether no answer to it is known.
     fn is_new(&self) -> bool {
         self.suspect.answered.is_none()
     }
@@ -169,18 +170,11 @@
     evidence: &Evidence<'_>,
     settings: &Settings,
 ) -> bool {
-    let count = candidate.crashes.len();
-    let least = if candidate.is_new() {
-        settings.crashes
-    } else {
-        settings.many_crashes
-    };
-    if count < least || count + candidate.contents() < settings.evidence {
+    if !has_enough(candidate, settings) {
         return false;
     }
+    let count = candidate.crashes.len();
     let first = candidate.crashes[0].at;
-    let settled = evidence.now.since(candidate.suspect.known) >= evidence.settle;
-    let others_served = evidence.served.is_some_and(|served| served >= first);
     // The same crash is seen by several instances, not at the same instant.
     let since: Vec<Time> = lost
         .iter()
@@ -193,10 +187,24 @@
     let share = 100 * apart / count_apart(since, settings.gap).max(apart);
     let rank = (count - settings.crashes).min(MIN_SHARES.len() - 1);
     let spread = apart > 1 || (count >= settings.many_crashes && share_of_all >= MOST);
+    let others_served = evidence.served.is_some_and(|served| served >= first);
     // Before the first answer of all every part looks the same.
     let stands_out = evidence.served.is_some() && share >= MANY && is_first(candidate, candidates);
-    let contrast = others_served || stands_out;
-    settled && contrast && share >= MIN_SHARES[rank] && spread
+    evidence.now.since(candidate.suspect.known) >= evidence.settle
+        && share >= MIN_SHARES[rank]
+        && spread
+        && (others_served || stands_out)
+}
+
+/// Whether a part has so many crashes, under so many contents, that they may condemn it.
+fn has_enough(candidate: &Candidate<'_>, settings: &Settings) -> bool {
+    let count = candidate.crashes.len();
+    let least = if candidate.is_new() {
+        settings.crashes
+    } else {
+        settings.many_crashes
+    };
+    count >= least && count + candidate.contents() >= settings.evidence
 }
 
 /// Whether a part without an answer has more crashes than all others without one.
