Verdicts are asked and looked up in one place

No behaviour changes. Contents and parts of prompts are asked together before a request is sent once more; its first send follows the admission, so that a job need not remember that it is a trial. The instances that share limits and trials are listed by one function, as are the look-up of a verdict, the crashes that condemned parts explain, when a run is proven harmless, the next trial, and whether two times are close. A stream that is proven asks no more at each event.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -53,8 +53,6 @@
     pub fingerprint: Fingerprint,
     /// Parts of its prompt by which it may crash endpoints.
     pub marks: Rc<[Mark]>,
-    /// Whether it is sent once though one of them is condemned.
-    pub trial: bool,
     /// When its headers were read.
     pub received_at: Time,
     /// Deadline of its response.
@@ -213,10 +211,13 @@
     /// Records that events of a stream arrived. Once it has been written for long enough, the parts
     /// of the prompt are known to be harmless.
     pub fn record_writing(&mut self) {
+        if self.proven {
+            return;
+        }
         let now = self.state.now();
         let since = *self.writing.get_or_insert(now);
-        let proof = self.state.culprits.borrow().proof();
-        if now.since(since) >= proof {
+        let is_proven = self.state.culprits.borrow().is_proven(Some(since), now);
+        if is_proven {
             self.record_harmless();
         }
     }
--- a/coltsfoothall-forward/src/culprit.rs
+++ b/coltsfoothall-forward/src/culprit.rs
@@ -6,7 +6,6 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::crash::{self, Mark, Report};
 use coltsfoothall::forward::culprit::{Change, Loss, Run};
-use coltsfoothall::forward::limit::Candidate;
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
@@ -106,30 +105,21 @@
 
     /// Whether this instance lets a request through to see whether a verdict still holds.
     fn take_trial(&self, mark: Mark) -> bool {
-        let own = self.is_ready().then(|| Candidate {
-            name: self.name.clone(),
-            domain: self.domain.clone(),
-        });
-        let fleet = self.peers.borrow().limit_fleet(self.now(), own);
-        crash::elect(mark, &fleet) == Some(&self.name)
+        crash::elect(mark, &self.limit_fleet()) == Some(&self.name)
             && self.culprits.borrow_mut().take_trial(self.now(), mark)
     }
 }
 
-/// Whether a request is sent though a part of its prompt is condemned, to see whether the verdict
-/// still holds.
+/// Admits a request, also one with a condemned part if it is to show whether the verdict still holds.
 ///
 /// # Errors
 /// A part is condemned, and the request has not run.
-pub fn admit(state: &State, id: &str, marks: &[Mark]) -> Result<bool, Refusal> {
+pub fn admit(state: &State, id: &str, marks: &[Mark]) -> Result<(), Refusal> {
     let verdict = state.culprits.borrow().forbids(marks).copied();
     if verdict.is_some_and(|verdict| state.take_trial(verdict.mark)) {
-        return Ok(true);
-    }
-    match refuse(state, id, marks, 0) {
-        Some(refusal) => Err(refusal),
-        None => Ok(false),
+        return Ok(());
     }
+    refuse(state, id, marks, 0).map_or(Ok(()), Err)
 }
 
 /// The refusal of a request, which has begun to run `runs` times, if a part of its prompt is
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -110,12 +110,20 @@
                 .mul_f64(MAX_FIRST_EVENT_FACTOR)
 }
 
+/// The refusal of a request that must not be sent once more, as its content or a part of its prompt
+/// crashes endpoints.
+fn forbid(state: &State, job: &Job, trail: &Trail) -> Option<Refusal> {
+    if suspicion::is_poisonous(state, job.id(), job.fingerprint) {
+        return Some(suspicion::refusal(trail.runs));
+    }
+    culprit::refuse(state, job.id(), &job.marks, trail.runs)
+}
+
 /// Whether a request that may have run can be retried at another endpoint.
 pub fn may_repeat(state: &State, job: &Job, trail: &Trail, reason: Reason) -> bool {
     job.route.kind.repeats()
         && trail.runs < job.attempts
-        && !suspicion::is_poisonous(state, job.id(), job.fingerprint)
-        && culprit::refuse(state, job.id(), &job.marks, trail.runs).is_none()
+        && forbid(state, job, trail).is_none()
         && state.may_retry(job.id(), &job.service, reason)
 }
 
@@ -242,11 +250,8 @@
 ) -> Result<Sent, Refusal> {
     loop {
         // The first send follows the admission, which has checked this.
-        if trail.sends > 0 && suspicion::is_poisonous(state, job.id(), job.fingerprint) {
-            return Err(suspicion::refusal(trail.runs));
-        }
-        let is_trial = job.trial && trail.sends == 0;
-        if !is_trial && let Some(refusal) = culprit::refuse(state, job.id(), &job.marks, trail.runs)
+        if trail.sends > 0
+            && let Some(refusal) = forbid(state, job, trail)
         {
             return Err(refusal);
         }
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -240,14 +240,15 @@
         .path_and_query()
         .map_or("", |target| target.as_str());
     let fingerprint = Fingerprint::of_call(holder, head.method.as_str(), target, &body);
-    if suspicion::is_poisonous(state, call.id.as_deref().unwrap_or("-"), fingerprint) {
+    let id = call.id.as_deref().unwrap_or("-");
+    if suspicion::is_poisonous(state, id, fingerprint) {
         return Err(suspicion::refusal(0));
     }
     let marks = crash::marks(&call.parts);
     if !marks.is_empty() {
         state.informed().await;
     }
-    let trial = culprit::admit(state, call.id.as_deref().unwrap_or("-"), &marks)?;
+    culprit::admit(state, id, &marks)?;
     // A stream that is taken up goes on at the service that began it.
     let hash = binding::hash(call.began().unwrap_or_default());
     let Some(service) = route.target(hash).cloned() else {
@@ -266,7 +267,6 @@
     let binding = binding::bind(state, route, &service, &call, &origin)?;
     let job = Job {
         marks: marks.into(),
-        trial,
         attempts,
         origin,
         binding,
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -16,7 +16,7 @@
 use coltsfoothall::forward::duration;
 use coltsfoothall::forward::history::{Era, Fence, Position};
 use coltsfoothall::forward::leader::Leader;
-use coltsfoothall::forward::limit::Candidate;
+use coltsfoothall::forward::limit::{Candidate, Fleet};
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
@@ -350,17 +350,22 @@
         usage.record_start(window, workspace);
     }
 
+    /// The instances that what only some of the fleet may do is divided between.
+    #[must_use]
+    pub fn limit_fleet(&self) -> Fleet {
+        let own = self.is_ready().then(|| Candidate {
+            name: self.name.clone(),
+            domain: self.domain.clone(),
+        });
+        self.peers.borrow().limit_fleet(self.now(), own)
+    }
+
     /// Divides the limits that endpoints name between this instance and the others.
     pub fn share_limits(&self) {
         if !self.roster.borrow().has_limits() {
             return;
         }
-        let own = self.is_ready().then(|| Candidate {
-            name: self.name.clone(),
-            domain: self.domain.clone(),
-        });
-        let now = self.now();
-        let fleet = self.peers.borrow().limit_fleet(now, own);
+        let (now, fleet) = (self.now(), self.limit_fleet());
         let mut roster = self.roster.borrow_mut();
         roster.share_limits(now, &self.name, &fleet);
         roster.share_brittle(now, &self.name, &fleet);
--- a/coltsfoothall/src/forward/crash.rs
+++ b/coltsfoothall/src/forward/crash.rs
@@ -124,6 +124,15 @@
     }
 }
 
+impl Settings {
+    /// When a request with a condemned part may be let through next.
+    #[must_use]
+    pub fn next_trial(&self, verdict: &Verdict) -> Time {
+        let factor = self.trial_factor.saturating_pow(verdict.trials);
+        verdict.tried.unwrap_or(verdict.at) + self.trial_delay * factor
+    }
+}
+
 /// Crash of an endpoint where a part had a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Crash {
--- a/coltsfoothall/src/forward/culprit.rs
+++ b/coltsfoothall/src/forward/culprit.rs
@@ -113,10 +113,11 @@
         }
     }
 
-    /// How long a run has to write until its parts count as harmless.
+    /// Whether a run whose first event arrived at `writing` has shown by `now` that its parts are
+    /// harmless.
     #[must_use]
-    pub fn proof(&self) -> Duration {
-        self.settings.proof
+    pub fn is_proven(&self, writing: Option<Time>, now: Time) -> bool {
+        writing.is_some_and(|since| now.since(since) >= self.settings.proof)
     }
 
     /// Records a run that was interrupted. It is evidence if its endpoint turns out to have crashed.
@@ -141,11 +142,7 @@
         let mut loss = Loss::default();
         let lost: Vec<Run> = if announced { Vec::new() } else { lost };
         for run in lost {
-            let proof = self.settings.proof;
-            if run
-                .writing
-                .is_some_and(|since| run.at.since(since) >= proof)
-            {
+            if self.is_proven(run.writing, run.at) {
                 loss.harmless += 1;
                 continue;
             }
@@ -208,10 +205,7 @@
                 changes.push(Change::Cleared(mark, cleared));
             }
         }
-        let found = self
-            .verdicts
-            .binary_search_by_key(&mark, |verdict| verdict.mark);
-        if let Ok(index) = found
+        if let Ok(index) = inference::position(&self.verdicts, mark)
             && at >= self.verdicts[index].first
         {
             self.verdicts.remove(index);
@@ -246,10 +240,7 @@
     }
 
     fn condemn(&mut self, verdict: Verdict) {
-        let found = self
-            .verdicts
-            .binary_search_by_key(&verdict.mark, |verdict| verdict.mark);
-        match found {
+        match inference::position(&self.verdicts, verdict.mark) {
             Ok(index) => self.verdicts[index] = verdict,
             Err(index) => self.verdicts.insert(index, verdict),
         }
@@ -273,12 +264,8 @@
     /// Whether a condemned part explains a crash that interrupted a run at `at`.
     #[must_use]
     pub fn explains(&self, at: Time) -> bool {
-        let condemned = self
-            .suspects
-            .iter()
-            .filter(|suspect| self.is_condemned(suspect.mark));
-        let mut crashes = condemned.flat_map(|suspect| &suspect.crashes);
-        crashes.any(|crash| at.since(crash.at).max(crash.at.since(at)) < SAME_INSTANT)
+        let mut crashes = inference::explained(&self.suspects, &self.verdicts);
+        crashes.any(|crash| is_within(crash.at, at, SAME_INSTANT))
     }
 
     fn is_condemned(&self, mark: Mark) -> bool {
@@ -289,16 +276,11 @@
     /// counts as sent. One instance of the fleet asks this for a part.
     pub fn take_trial(&mut self, now: Time, mark: Mark) -> bool {
         let settings = self.settings;
-        let found = self
-            .verdicts
-            .iter_mut()
-            .find(|verdict| verdict.mark == mark);
-        let Some(verdict) = found else {
+        let Ok(index) = inference::position(&self.verdicts, mark) else {
             return false;
         };
-        let delay = settings.trial_delay * settings.trial_factor.saturating_pow(verdict.trials);
-        let since = verdict.tried.unwrap_or(verdict.at);
-        if verdict.trials >= settings.max_trials || now.since(since) < delay {
+        let verdict = &mut self.verdicts[index];
+        if verdict.trials >= settings.max_trials || now < settings.next_trial(verdict) {
             return false;
         }
         verdict.trials += 1;
@@ -309,12 +291,8 @@
     /// How long it takes until a request with a condemned part may be tried again.
     #[must_use]
     pub fn retry_after(&self, now: Time, verdict: &Verdict) -> Duration {
-        let settings = &self.settings;
-        let delay = settings.trial_delay * settings.trial_factor.saturating_pow(verdict.trials);
-        let since = verdict.tried.unwrap_or(verdict.at);
-        delay
-            .saturating_sub(now.since(since))
-            .max(settings.trial_delay)
+        let next = self.settings.next_trial(verdict);
+        next.since(now).max(self.settings.trial_delay)
     }
 
     /// What others are told, in at most `max` rows for crashes and as many for answers. Over the
@@ -425,10 +403,7 @@
             trials: told.trials,
             tried: told.tried.map(|age| now - age.duration()),
         };
-        let found = self
-            .verdicts
-            .binary_search_by_key(&told.mark, |verdict| verdict.mark);
-        if let Ok(index) = found {
+        if let Ok(index) = inference::position(&self.verdicts, told.mark) {
             let known = &mut self.verdicts[index];
             known.trials = known.trials.max(verdict.trials);
             known.tried = known.tried.max(verdict.tried);
@@ -505,8 +480,7 @@
             return;
         }
         let is_same = |known: &Crash| {
-            known.endpoint == crash.endpoint
-                && known.at.since(crash.at).max(crash.at.since(known.at)) < SAME_CRASH
+            known.endpoint == crash.endpoint && is_within(known.at, crash.at, SAME_CRASH)
         };
         if let Some(known) = suspect.crashes.iter().position(is_same) {
             // The content that is the smaller one stands for all, at every instance.
@@ -530,9 +504,8 @@
     }
 
     fn add_lost(&mut self, now: Time, endpoint: u32, at: Time, own: bool) {
-        let is_same = |known: &(u32, Time)| {
-            known.0 == endpoint && known.1.since(at).max(at.since(known.1)) < SAME_CRASH
-        };
+        let is_same =
+            |known: &(u32, Time)| known.0 == endpoint && is_within(known.1, at, SAME_CRASH);
         if self.lost.iter().any(is_same) {
             return;
         }
@@ -593,6 +566,11 @@
     }
 }
 
+/// Whether two times are less than `span` apart.
+fn is_within(one: Time, other: Time, span: Duration) -> bool {
+    one.since(other).max(other.since(one)) < span
+}
+
 /// Those that had most crashes in half of the rows, and the others in turn.
 fn select(mut suspects: Vec<&Suspect>, max: usize, round: usize) -> Vec<&Suspect> {
     if suspects.len() <= max {
--- a/coltsfoothall/src/forward/inference.rs
+++ b/coltsfoothall/src/forward/inference.rs
@@ -96,7 +96,10 @@
 /// tell.
 #[must_use]
 pub fn infer(evidence: &Evidence<'_>, settings: &Settings) -> Vec<Verdict> {
-    let explained = explained(evidence);
+    let explained = explained(evidence.suspects, evidence.verdicts);
+    let mut explained: Vec<u32> = explained.map(|crash| crash.endpoint).collect();
+    explained.sort_unstable();
+    explained.dedup();
     let candidates = candidates(evidence, &explained);
     let lost = evidence
         .lost
@@ -123,26 +126,30 @@
     condemned
 }
 
-/// Endpoints that condemned parts have crashed, sorted.
-fn explained(evidence: &Evidence<'_>) -> Vec<u32> {
-    let is_condemned = |mark: Mark| find(evidence.verdicts, mark).is_some();
-    let condemned = evidence
-        .suspects
+/// Crashes that condemned parts explain.
+pub fn explained<'a>(
+    suspects: &'a [Suspect],
+    verdicts: &'a [Verdict],
+) -> impl Iterator<Item = &'a Crash> {
+    let condemned = suspects
         .iter()
-        .filter(|suspect| is_condemned(suspect.mark));
-    let mut endpoints: Vec<u32> = condemned
-        .flat_map(|suspect| suspect.crashes.iter().map(|crash| crash.endpoint))
-        .collect();
-    endpoints.sort_unstable();
-    endpoints.dedup();
-    endpoints
+        .filter(|suspect| find(verdicts, suspect.mark).is_some());
+    condemned.flat_map(|suspect| &suspect.crashes)
+}
+
+/// Index of the verdict on a part, or where it belongs.
+///
+/// # Errors
+/// There is none.
+pub fn position(verdicts: &[Verdict], mark: Mark) -> Result<usize, usize> {
+    verdicts.binary_search_by_key(&mark, |verdict| verdict.mark)
 }
 
 /// The verdict on a part.
 #[must_use]
 pub fn find(verdicts: &[Verdict], mark: Mark) -> Option<&Verdict> {
-    let index = verdicts.binary_search_by_key(&mark, |verdict| verdict.mark);
-    index.ok().map(|index| &verdicts[index])
+    let index = position(verdicts, mark).ok()?;
+    Some(&verdicts[index])
 }
 
 fn candidates<'a>(evidence: &Evidence<'a>, explained: &[u32]) -> Vec<Candidate<'a>> {
