Logs and metrics show what endpoints say of themselves in their answers

Callers were sent to endpoints that had said that they leave, or that had asked for a pause. No log line had either, so the hypotheses could not be told apart.

Both headers are read now, kept by the start of an endpoint over lapses of its registration, and shown: E303 with source=answer and the request, the lead over the registration's word; E318 for a period that began or ended with the requests rejected and avoided in it; E319 for what cannot be read; counters of departures by who said so, of periods and of sends avoided; a gauge of endpoints in a period. Nothing acts on it yet: where requests go does not change.

--- a/coltsfoothall-forward/src/adapter.rs
+++ b/coltsfoothall-forward/src/adapter.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfoothall::forward::backoff;
 use coltsfoothall::forward::choice::Part;
 use coltsfoothall::forward::config::Config;
+use coltsfoothall::forward::departure;
 use coltsfoothall::forward::history::{Era, Fence, Lease, Position};
 use coltsfoothall::forward::limit;
 use coltsfoothall::forward::node::Entry;
@@ -114,6 +116,10 @@
     pub limit: limit::Notice,
     /// The rejections a second that the endpoint stands from all instances together.
     pub brittle: limit::Notice,
+    /// Whether the endpoint is leaving.
+    pub departure: departure::Notice,
+    /// When an endpoint that rejects the request wants others again.
+    pub backoff: backoff::Notice,
 }
 
 /// Reads and writes the headers that callers and endpoints use.
--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -20,7 +20,7 @@
 use coltsfoothall_shell::event;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::request::Parts;
-use http::{HeaderMap, Request, Response, Uri};
+use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use hyper::body::{Body, Incoming};
 
 use crate::adapter::{Call, Forward, Reply};
@@ -282,6 +282,15 @@
         }
     }
 
+    /// Records what the head of the response says of its endpoint.
+    pub fn record_statements(&mut self, job: &Job, status: StatusCode, reply: &Reply) {
+        let is_own = reply.signed || !status.is_success();
+        if let Some(run) = self.run.as_mut().filter(|_| is_own) {
+            let accepted = !reply.not_run && status != StatusCode::SERVICE_UNAVAILABLE;
+            self.state.record_statements(job.id(), run, reply, accepted);
+        }
+    }
+
     /// Records that more events of the response arrived.
     pub fn record_events(&self, events: u64) {
         if let Some(run) = &self.run {
@@ -424,8 +433,10 @@
         let request = request(state, job, pick, after, &body_sent);
         match link.send(request).await {
             Ok(response) => {
-                let status = response.status().as_u16();
-                let reply = state.adapter.parse_reply(status, response.headers());
+                let status = response.status();
+                let reply = state
+                    .adapter
+                    .parse_reply(status.as_u16(), response.headers());
                 if reply.id.is_some() && reply.id != job.call.id {
                     let fault = Fault::Broken("the answer belongs to another request".into());
                     return Err((fault, share));
@@ -436,6 +447,7 @@
                 if !reply.misdirected {
                     share.record_limit(&reply.limit);
                     share.record_brittle(&reply.brittle, reply.not_run);
+                    share.record_statements(job, status, &reply);
                 }
                 return Ok(Sent::new(response, reply, link, share, body_sent));
             }
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -255,6 +255,7 @@
         expire(&state);
         upgrades::judge(&state);
         state.judge();
+        state.log_ended_backoffs();
     }
 }
 
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod settings;
 pub mod socket;
 pub mod state;
+pub mod statement;
 pub mod stop;
 pub mod suspicion;
 pub mod time;
--- a/coltsfoothall-forward/src/registrations.rs
+++ b/coltsfoothall-forward/src/registrations.rs
@@ -394,6 +394,6 @@
 
 /// Removes an endpoint as of a position.
 fn forget(state: &State, id: &id::Endpoint, at: Position, source: &str) {
-    let event = state.roster.borrow_mut().removed(id, at);
+    let event = state.roster.borrow_mut().removed(state.now(), id, at);
     state.apply_event(event, at, source);
 }
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -63,7 +63,14 @@
 
     /// Updates the gauges from the current state.
     pub fn update_gauges(&self) {
+        let avoided = self.roster.borrow_mut().take_avoided();
+        self.board.sends_avoided("leaving", avoided.leaving);
+        self.board.sends_avoided("backoff", avoided.backoff);
         let roster = self.roster.borrow();
+        let now = self.now();
+        let backed_off = roster.nodes().iter();
+        let backed_off = backed_off.filter(|node| node.is_backed_off(now));
+        self.board.endpoints("backoff", backed_off.count() as u64);
         let leaving = roster.nodes().iter().filter(|node| node.entry.leaving);
         let leaving = leaving.count() as u64;
         self.board.endpoints("leaving", leaving);
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -470,8 +470,12 @@
                 self.record_death(&id, announced);
             }
             Some(Event::Leaving(id)) => {
+                let lead = self.describe_lead(&id);
+                if lead.is_empty() {
+                    self.board.endpoint_departed("registration");
+                }
                 event::ENDPOINT.emit(format_args!(
-                    "endpoint={id} state=leaving place={position} source={source}"
+                    "endpoint={id} state=leaving place={position} source={source}{lead}"
                 ));
                 self.record_departure(id, position);
             }
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -128,6 +128,10 @@
     STOP = 316 Info "instance_stopped";
     /// Endpoints were ordered or released, or the attempt failed.
     ORDERED = 317 Info "endpoints_ordered";
+    /// A period in which an endpoint wants no requests from this instance began or ended.
+    ENDPOINT_BACKOFF = 318 Info "endpoint_backoff";
+    /// What an endpoint says of itself in its answers cannot be read.
+    ENDPOINT_STATEMENT = 319 Info "endpoint_statement";
     /// An entry instance joined, is leaving, died or is suspected of having failed.
     MEMBER = 401 Info "member";
     /// A connection to another entry instance failed.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -89,6 +89,9 @@
     recomputed: Counter<u64>,
     dropped: Counter<u64>,
     endpoints: Gauge<u64>,
+    departures: Counter<u64>,
+    backoffs: Counter<u64>,
+    sends_avoided: Counter<u64>,
     lost_services: Gauge<u64>,
     handed_over: Counter<u64>,
     resumed: Counter<u64>,
@@ -171,6 +174,21 @@
                 "Pieces of answers dropped, by reason",
             ),
             endpoints: level(&meter, "endpoints", "Endpoints, by state"),
+            departures: count(
+                &meter,
+                "endpoint_departures",
+                "Endpoints that are leaving, by who said so first",
+            ),
+            backoffs: count(
+                &meter,
+                "endpoint_backoffs",
+                "Periods in which an endpoint wants no requests from this instance",
+            ),
+            sends_avoided: count(
+                &meter,
+                "sends_avoided",
+                "Requests that were not sent to an endpoint, by what it had said",
+            ),
             handed_over: count(
                 &meter,
                 "handed_over",
@@ -320,6 +338,22 @@
             .record(count, &[KeyValue::new("state", state)]);
     }
 
+    /// Counts an endpoint that is leaving; `source` is `registration`, `answer` or `peer`.
+    pub fn endpoint_departed(&self, source: &'static str) {
+        self.departures.add(1, &[KeyValue::new("source", source)]);
+    }
+
+    /// Counts a period in which an endpoint wants no requests.
+    pub fn endpoint_backed_off(&self) {
+        self.backoffs.add(1, &[]);
+    }
+
+    /// Counts requests that were not sent to an endpoint, as it is `leaving`, or in a `backoff`.
+    pub fn sends_avoided(&self, cause: &'static str, count: u64) {
+        self.sends_avoided
+            .add(count, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a request that was handed to another instance.
     pub fn handed_over(&self, result: &'static str) {
         self.handed_over.add(1, &[KeyValue::new("result", result)]);
--- a/coltsfoothall/src/forward/gossip.rs
+++ b/coltsfoothall/src/forward/gossip.rs
@@ -119,11 +119,12 @@
     /// Resets an endpoint for which another instance reports a later start.
     fn merge_start(&mut self, now: Time, id: &id::Endpoint, born: Millis) -> Option<Event> {
         let index = self.index(id).ok()?;
-        let node = &mut self.nodes[index];
+        let node = &self.nodes[index];
         if born <= node.entry.born {
             return None;
         }
-        *node = node.restarted(born, self.listings.advance(), now);
+        let entry = node.restarted(born);
+        self.nodes[index] = self.listed(now, entry);
         Some(Event::Restarted(id.clone()))
     }
 
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -7,12 +7,14 @@
 
 pub mod active;
 pub mod assignment;
+pub mod backoff;
 pub mod brittle;
 pub mod capacity;
 pub mod choice;
 pub mod config;
 pub mod crash;
 pub mod culprit;
+pub mod departure;
 pub mod duration;
 pub mod egress;
 pub mod gossip;
@@ -34,6 +36,7 @@
 pub mod retry;
 pub mod role;
 pub mod roster;
+pub mod statement;
 pub mod stop;
 pub mod stream;
 pub mod upgrade;
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -10,6 +10,7 @@
 use crate::forward::gossip::Count;
 use crate::forward::history::Position;
 use crate::forward::limit;
+use crate::forward::statement::Statement;
 use crate::id;
 use crate::size::Millis;
 
@@ -163,6 +164,8 @@
     pub(super) brittle: Option<Bound>,
     /// Whether its last answer named a limit that cannot be read.
     pub(super) limit_invalid: bool,
+    /// What it says of itself in its answers.
+    pub(super) said: Statement,
 }
 
 impl Node {
@@ -190,6 +193,7 @@
             limit: None,
             brittle: None,
             limit_invalid: false,
+            said: Statement::default(),
         }
     }
 
@@ -202,15 +206,14 @@
         }
     }
 
-    /// Initial state of this endpoint after a restart.
-    pub(super) fn restarted(&self, born: Millis, listing: Listing, now: Time) -> Self {
-        let entry = Entry {
+    /// The registration of this endpoint after a restart.
+    pub(super) fn restarted(&self, born: Millis) -> Entry {
+        Entry {
             born,
             leaving: false,
             leaves: None,
             ..self.entry.clone()
-        };
-        Self::new(entry, listing, now)
+        }
     }
 
     /// Open work of this instance and the others.
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -13,6 +13,7 @@
     Entry, Listing, Load, Node, SLOWNESS_BOUNDS, SLOWNESS_WEIGHT, SUCCESS_WEIGHT, Waiting,
 };
 use crate::forward::reach::Contact;
+use crate::forward::statement::{Avoided, Unlisted};
 use crate::id;
 use crate::size::Millis;
 
@@ -32,6 +33,17 @@
     first: bool,
     /// Whether its endpoint is brittle and has not said yet whether it accepts the request.
     pub(super) at_risk: bool,
+    /// Whether it is one of those with which requests begin again after a backoff, and its endpoint
+    /// has not said yet whether it accepts the request.
+    pub(super) resumes: bool,
+}
+
+impl Run {
+    /// The endpoint that runs it.
+    #[must_use]
+    pub fn endpoint(&self) -> &id::Endpoint {
+        &self.endpoint
+    }
 }
 
 /// How a run ended, as evidence about its endpoint.
@@ -101,6 +113,10 @@
     announced: Vec<id::Endpoint>,
     /// Sorted by service.
     pub(super) contacts: Vec<Contact>,
+    /// What endpoints without a registration have said; sorted by id.
+    pub(super) unlisted: Vec<Unlisted>,
+    /// Requests that were not sent to endpoints because of what those had said.
+    pub(super) avoided: Avoided,
 }
 
 /// Bounds the memory for ended endpoints of a process that runs for long.
@@ -123,6 +139,8 @@
             ended: Vec::new(),
             announced: Vec::new(),
             contacts: Vec::new(),
+            unlisted: Vec::new(),
+            avoided: Avoided::default(),
         }
     }
 
@@ -151,7 +169,8 @@
         let entry = Entry { leaving, ..entry };
         match self.index(&id) {
             Err(index) => {
-                let node = Node::new(entry, self.listings.advance(), now);
+                let node = self.listed(now, entry);
+                let leaving = node.is_leaving();
                 self.nodes.insert(index, node);
                 Some(if leaving {
                     Event::Leaving(id)
@@ -160,18 +179,21 @@
                 })
             }
             Ok(index) => {
-                let node = &mut self.nodes[index];
-                if entry.position < node.entry.position || entry.born < node.entry.born {
+                let known = &self.nodes[index].entry;
+                if entry.position < known.position || entry.born < known.born {
                     return None;
                 }
-                if entry.born > node.entry.born {
-                    *node = Node::new(entry, self.listings.advance(), now);
+                if entry.born > known.born {
+                    let node = self.listed(now, entry);
+                    let leaving = node.is_leaving();
+                    self.nodes[index] = node;
                     return Some(if leaving {
                         Event::Leaving(id)
                     } else {
                         Event::Restarted(id)
                     });
                 }
+                let node = &mut self.nodes[index];
                 if let Some(leaves) = entry.leaves {
                     let until = now + leaves;
                     node.until = Some(node.until.map_or(until, |known| known.min(until)));
@@ -221,13 +243,14 @@
     }
 
     /// Records that a registration was removed at `at`.
-    pub fn removed(&mut self, id: &id::Endpoint, at: Position) -> Option<Event> {
+    pub fn removed(&mut self, now: Time, id: &id::Endpoint, at: Position) -> Option<Event> {
         self.record_ended(id, at);
         let index = self.index(id).ok()?;
         if self.nodes[index].entry.position > at {
             return None;
         }
-        self.nodes.remove(index);
+        let node = self.nodes.remove(index);
+        self.keep_statement(now, &node);
         Some(Event::Gone(id.clone()))
     }
 
@@ -241,7 +264,7 @@
         })
     }
 
-    fn record_announced(&mut self, id: &id::Endpoint) {
+    pub(super) fn record_announced(&mut self, id: &id::Endpoint) {
         if let Err(index) = self.announced.binary_search(id) {
             self.announced.insert(index, id.clone());
         }
@@ -291,6 +314,7 @@
         }
         let mut born = Millis(0);
         let mut at_risk = false;
+        let mut resumes = false;
         let mut placed = Vec::new();
         if let Ok(index) = self.index(&pick.endpoint) {
             let node = &mut self.nodes[index];
@@ -303,6 +327,9 @@
                 brittle.begin();
                 at_risk = true;
             }
+            if let Some(backoff) = &mut node.said.backoff {
+                resumes = backoff.begin(now);
+            }
             node.waiting.push(Waiting {
                 number,
                 began: now,
@@ -328,7 +355,9 @@
             sample: query.memory.map(|_engine| pick.sample),
             first: false,
             at_risk,
+            resumes,
         };
+        self.record_avoided(now, query);
         self.record_placements(now, &run, &placed);
         run
     }
@@ -392,6 +421,7 @@
     /// Ends a run.
     pub fn finish(&mut self, now: Time, run: &Run, end: End) {
         self.settle(now, run, end == End::Refused);
+        self.settle_backoff(now, run, false);
         let avoid_period = self.settings.avoid_period;
         let Some(node) = self.endpoint_of(run) else {
             return;
--- a/coltsfoothall/tests/forward_gossip.rs
+++ b/coltsfoothall/tests/forward_gossip.rs
@@ -135,7 +135,7 @@
                     reports.iter_mut().for_each(|report| report[endpoint] = 0);
                 }
                 Step::Expire { endpoint } => {
-                    roster.removed(&id(endpoint), position(revision));
+                    roster.removed(at(0), &id(endpoint), position(revision));
                     roster.registered(at(revision), entry(endpoint, born[endpoint], revision + 1));
                     revision += 1;
                     reports.iter_mut().for_each(|report| report[endpoint] = 0);
--- a/coltsfoothall/tests/forward_limit.rs
+++ b/coltsfoothall/tests/forward_limit.rs
@@ -249,7 +249,9 @@
             for instance in &mut world.instances {
                 for other in ["e-other-1", "e-other-2", "e-other-3"] {
                     let other = other.parse().unwrap();
-                    let _gone = instance.roster.removed(&other, Position::default());
+                    let _gone = instance
+                        .roster
+                        .removed(time(0), &other, Position::default());
                 }
             }
             world.name_limit(&rate.to_string());
--- a/coltsfoothall/tests/forward_parts.rs
+++ b/coltsfoothall/tests/forward_parts.rs
@@ -85,7 +85,7 @@
 
     fn remove(&mut self, number: u64) {
         for roster in &mut self.rosters {
-            roster.removed(&id(number), position(1_000 + number));
+            roster.removed(at(0), &id(number), position(1_000 + number));
         }
         self.prefilled
             .retain(|(endpoint, _)| *endpoint != id(number));
--- a/coltsfoothall/tests/forward_roster.rs
+++ b/coltsfoothall/tests/forward_roster.rs
@@ -151,7 +151,7 @@
     let case = Case::new();
     let mut roster = roster(&["a"]);
     assert_eq!(
-        roster.removed(&id("a"), position(7)),
+        roster.removed(at(0), &id("a"), position(7)),
         Some(Event::Gone(id("a")))
     );
     assert_eq!(
@@ -164,7 +164,7 @@
     );
     assert!(roster.choose(at(1), &case.query(&[])).is_ok());
     assert_eq!(
-        roster.removed(&id("a"), position(7)),
+        roster.removed(at(0), &id("a"), position(7)),
         None,
         "the removal is older than the new registration"
     );
@@ -550,7 +550,7 @@
             match step {
                 0 => drop(roster.registered(at(0), restarted("a", 1_000, 1))),
                 1 => drop(roster.registered(at(0), Entry { leaving: true, ..restarted("a", 1_000, 2) })),
-                2 => drop(roster.removed(&id("a"), position(3))),
+                2 => drop(roster.removed(at(0), &id("a"), position(3))),
                 3 => drop(roster.registered(at(0), restarted("a", 2_000, 4))),
                 4 => drop(roster.merge_loads(at(0), 7, &[report(1_000, 5)])),
                 5 => drop(roster.merge_loads(at(0), 8, &[report(2_000, 2)])),
@@ -601,7 +601,10 @@
         era: Era(1),
         revision: 42,
     };
-    assert_eq!(roster.removed(&id("a"), gone), Some(Event::Gone(id("a"))));
+    assert_eq!(
+        roster.removed(at(0), &id("a"), gone),
+        Some(Event::Gone(id("a")))
+    );
 }
 
 /// A reader's short report of a draining endpoint has the effect of the registration itself.
