An endpoint that says that it leaves gets no more requests, whatever the store says

Callers' requests were sent to endpoints for 12 s after an answer had said that they leave, while the store was away; they ran there, or were cut when the endpoint went.

The registration was the only source of a departure. An endpoint's own word goes beside it now: it holds for one start of the endpoint, over a lapse of the registration, and no later registration, relist or report takes it back; another start of it, or another endpoint at its address, is not bound. Such an endpoint counts as leaving wherever one does: choice, affinity, capacities of versions, orders, probes, and as announced when it is gone. While no other can run a request it is the last resort for 250 ms less than the drain; each send asks once more after its connection is open.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -430,6 +430,10 @@
                 Err(fault) => return Err((fault, share)),
             },
         };
+        // The endpoint may have said something since it was chosen.
+        if state.is_withheld(&pick.endpoint) {
+            return Err((Fault::Withheld, share));
+        }
         let request = request(state, job, pick, after, &body_sent);
         match link.send(request).await {
             Ok(response) => {
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -149,7 +149,8 @@
     }
 }
 
-/// Chooses an endpoint among the versions that may run the request now.
+/// Chooses an endpoint among the versions that may run the request now; one that is leaving as its
+/// answers say only if no other can run it.
 fn choose(
     state: &State,
     job: &Job,
@@ -162,10 +163,15 @@
     for versions in &versions {
         found = roster.choose(state.now(), &job.query(&state.domain, exclude, versions));
         if found.is_ok() {
-            break;
+            return found;
         }
     }
-    found
+    let limit = state.departure_limit();
+    let mut leaving = versions.iter().filter_map(|versions| {
+        let query = job.query(&state.domain, exclude, versions);
+        roster.choose_leaving(state.now(), &query, limit).ok()
+    });
+    leaving.next().ok_or(()).or(found)
 }
 
 /// Chooses an endpoint to which a connection is still open, if no other instance can run the
@@ -341,6 +347,14 @@
                 trail.runs += 1;
                 return Ok(sent);
             }
+            Err((Fault::Withheld, share)) => {
+                share.end(End::Abandoned);
+                if trail.sends < MAX_SENDS {
+                    trail.exclude.push(pick.endpoint);
+                    continue;
+                }
+                "wants no requests"
+            }
             Err((fault @ (Fault::Refused(_) | Fault::Unsent(_)), share)) => {
                 reach::record_unreachable(state, &pick.endpoint, &fault);
                 share.end(End::Unreachable);
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -190,7 +190,7 @@
         match link.send(request).await {
             Ok(response) => return read(state, job, response, link, body_sent),
             Err(Fault::Unsent(_)) if !fresh => {}
-            Err(Fault::Unsent(_) | Fault::Refused(_)) => return Outcome::Unsent,
+            Err(Fault::Unsent(_) | Fault::Refused(_) | Fault::Withheld) => return Outcome::Unsent,
             Err(Fault::Broken(_)) => return Outcome::Unknown,
         }
     }
--- a/coltsfoothall-forward/src/orders.rs
+++ b/coltsfoothall-forward/src/orders.rs
@@ -117,10 +117,10 @@
     let upgrades = state.upgrades.borrow();
     let candidate = upgrades.candidate(service);
     let count = |domain: &id::Domain, reclaimable: bool| {
-        let nodes = roster.nodes().iter().map(|node| &node.entry);
-        let nodes = nodes.filter(|entry| {
+        let nodes = roster.nodes().iter().filter(|node| {
+            let entry = &node.entry;
             entry.service == *service
-                && !entry.leaving
+                && !node.is_leaving()
                 && (candidate.is_none() || entry.version.as_ref() != candidate)
                 && entry.domain == *domain
                 && entry.reclaimable == reclaimable
--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -112,6 +112,8 @@
     Refused(String),
     /// No byte of it was written.
     Unsent(String),
+    /// It was not written, as its endpoint wants no more requests.
+    Withheld,
     /// It may have reached the endpoint.
     Broken(String),
 }
--- a/coltsfoothall-forward/src/probe.rs
+++ b/coltsfoothall-forward/src/probe.rs
@@ -42,7 +42,7 @@
 fn listed(state: &State, endpoint: &id::Endpoint) -> Option<SocketAddr> {
     let roster = state.roster.borrow();
     let node = roster.node(endpoint);
-    node.filter(|node| !node.entry.leaving)
+    node.filter(|node| !node.is_leaving())
         .map(|node| node.entry.address)
 }
 
@@ -59,7 +59,7 @@
         match reach::probe(state, endpoint, address).await {
             Ok(()) => return true,
             Err(Fault::Refused(_)) => return false,
-            Err(Fault::Unsent(_) | Fault::Broken(_)) => {}
+            Err(Fault::Unsent(_) | Fault::Broken(_) | Fault::Withheld) => {}
         }
     }
     true
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -71,7 +71,7 @@
         let backed_off = roster.nodes().iter();
         let backed_off = backed_off.filter(|node| node.is_backed_off(now));
         self.board.endpoints("backoff", backed_off.count() as u64);
-        let leaving = roster.nodes().iter().filter(|node| node.entry.leaving);
+        let leaving = roster.nodes().iter().filter(|node| node.is_leaving());
         let leaving = leaving.count() as u64;
         self.board.endpoints("leaving", leaving);
         self.board
--- a/coltsfoothall-forward/src/statement.rs
+++ b/coltsfoothall-forward/src/statement.rs
@@ -1,5 +1,7 @@
 //! Records what endpoints say of themselves in their answers, and shows it to operators.
 
+use std::time::Duration;
+
 use coltsfoothall::forward::backoff;
 use coltsfoothall::forward::departure;
 use coltsfoothall::forward::gossip::Count;
@@ -12,6 +14,8 @@
 use crate::adapter::Reply;
 use crate::state::State;
 
+/// Subtracted from the time in which requests may reach a leaving endpoint, for those under way.
+const DEPARTURE_MARGIN: Duration = Duration::from_millis(250);
 /// Who said that an endpoint is leaving, as logged and counted.
 const ANSWER: &str = "answer";
 const PEER: &str = "peer";
@@ -71,6 +75,19 @@
         }
     }
 
+    /// How long an endpoint that says that it is leaving may still be sent requests that no other can
+    /// run.
+    pub(crate) fn departure_limit(&self) -> Duration {
+        let drain = self.settings().bounds.drain.duration();
+        drain.saturating_sub(DEPARTURE_MARGIN)
+    }
+
+    /// Whether a request that was meant for an endpoint must not be sent to it any more.
+    pub(crate) fn is_withheld(&self, endpoint: &id::Endpoint) -> bool {
+        let (now, limit) = (self.now(), self.departure_limit());
+        self.roster.borrow().is_withheld(now, endpoint, limit)
+    }
+
     /// Merges the departures that another instance reports.
     pub fn merge_departures(&self, reports: &[Count<Millis>]) {
         let events = {
--- a/coltsfoothall-forward/src/suspicion.rs
+++ b/coltsfoothall-forward/src/suspicion.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::node::Node;
 use coltsfoothall::forward::roster::End;
 use coltsfoothall::id;
 use coltsfoothall::suspicion::{Evidence, Fingerprint, Verdict};
@@ -58,7 +59,7 @@
     pub fn record_crash(&self, id: &id::Endpoint) {
         let announced = {
             let roster = self.roster.borrow();
-            roster.node(id).is_none_or(|node| node.entry.leaving)
+            roster.node(id).is_none_or(Node::is_leaving)
         };
         if !announced {
             self.record_death(id, false);
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -94,12 +94,37 @@
 }
 
 impl Query<'_> {
-    /// Whether an endpoint is eligible for the request.
-    fn allows(&self, node: &Node) -> bool {
+    /// Whether an endpoint can run the request, if it takes work.
+    fn fits(&self, node: &Node) -> bool {
         let entry = &node.entry;
-        entry.service == *self.service
-            && !entry.leaving
-            && self.versions.has(entry.version.as_ref())
+        entry.service == *self.service && self.versions.has(entry.version.as_ref())
+    }
+}
+
+/// Endpoints among which one is chosen.
+#[derive(Debug, Clone, Copy)]
+enum Source<'a> {
+    /// Those that take work and are in reach.
+    Ready,
+    /// Those that take work and to which a connection is open; sorted.
+    Kept(&'a [id::Endpoint]),
+    /// Those that are in reach and have said for less than this time that they are leaving.
+    Leaving(Duration),
+}
+
+impl Source<'_> {
+    fn takes_work(self, now: Time, node: &Node) -> bool {
+        match self {
+            Self::Ready | Self::Kept(_) => !node.is_leaving(),
+            Self::Leaving(limit) => node.may_still_serve(now, limit),
+        }
+    }
+
+    fn reaches(self, node: &Node) -> bool {
+        match self {
+            Self::Ready | Self::Leaving(_) => node.is_reachable(),
+            Self::Kept(kept) => kept.binary_search(&node.entry.id).is_ok(),
+        }
     }
 }
 
@@ -141,7 +166,7 @@
     /// # Errors
     /// No endpoint takes work, none is in reach, all are full, or the request fits in none.
     pub fn choose(&self, now: Time, query: &Query<'_>) -> Result<Pick, Unavailable> {
-        self.choose_from(now, query, None)
+        self.choose_from(now, query, Source::Ready)
     }
 
     /// Chooses among the endpoints `kept`, sorted, to which a connection is open, whether or not a
@@ -155,14 +180,28 @@
         query: &Query<'_>,
         kept: &[id::Endpoint],
     ) -> Result<Pick, Unavailable> {
-        self.choose_from(now, query, Some(kept))
+        self.choose_from(now, query, Source::Kept(kept))
+    }
+
+    /// Chooses among the endpoints that are leaving as their answers say, and have said so for less
+    /// than `limit`: they still serve for some time.
+    ///
+    /// # Errors
+    /// There is none, none is in reach, all are full, or the request fits in none.
+    pub fn choose_leaving(
+        &self,
+        now: Time,
+        query: &Query<'_>,
+        limit: Duration,
+    ) -> Result<Pick, Unavailable> {
+        self.choose_from(now, query, Source::Leaving(limit))
     }
 
     fn choose_from(
         &self,
         now: Time,
         query: &Query<'_>,
-        kept: Option<&[id::Endpoint]>,
+        source: Source<'_>,
     ) -> Result<Pick, Unavailable> {
         let needed = query.prompt.plus(query.answer);
         if query.memory.is_some_and(|memory| needed > memory) {
@@ -170,21 +209,18 @@
         }
         let chains: Vec<u64> = chains(query.parts).collect();
         let prefix = shared_prefix(query, &chains);
-        let preferred = self.preferred(now, query, prefix);
+        let preferred = self.preferred(now, query, source, prefix);
         let model = self.latency_model(query.service);
         let mut unavailable = Unavailable::Absent;
         let mut best: Option<(&Node, Estimate)> = None;
         let mut among = 0;
         let mut some_unreachable = false;
         for node in &self.nodes {
-            if !query.allows(node) || query.exclude.contains(&node.entry.id) {
+            let takes_work = query.fits(node) && source.takes_work(now, node);
+            if !takes_work || query.exclude.contains(&node.entry.id) {
                 continue;
             }
-            let in_reach = match kept {
-                Some(kept) => kept.binary_search(&node.entry.id).is_ok(),
-                None => node.is_reachable(),
-            };
-            if !in_reach {
+            if !source.reaches(node) {
                 some_unreachable = true;
                 if unavailable == Unavailable::Absent {
                     unavailable = Unavailable::Unreachable;
@@ -206,7 +242,8 @@
                 best = Some((node, Estimate { cost, ..estimate }));
             }
         }
-        if some_unreachable && kept.is_none() && self.is_lost(now, query.service) {
+        let asks_all = matches!(source, Source::Ready);
+        if some_unreachable && asks_all && self.is_lost(now, query.service) {
             return Err(Unavailable::Unreachable);
         }
         let (node, estimate) = best.ok_or(unavailable)?;
@@ -225,12 +262,21 @@
     /// sent it to recently. For a prefix that was sent nowhere it is the first endpoint of the
     /// prefix's rendezvous hash, so that the prefix is prefilled once rather than once for each
     /// instance.
-    fn preferred(&self, now: Time, query: &Query<'_>, prefix: Option<Prefix>) -> Preferred<'_> {
+    fn preferred(
+        &self,
+        now: Time,
+        query: &Query<'_>,
+        source: Source<'_>,
+        prefix: Option<Prefix>,
+    ) -> Preferred<'_> {
         let Some(Prefix { chain, .. }) = prefix else {
             return Preferred::None;
         };
         let oldest = now - self.settings.prefix_ttl;
-        let nodes = || self.nodes.iter().filter(|node| query.allows(node));
+        let nodes = || {
+            let nodes = self.nodes.iter();
+            nodes.filter(|node| query.fits(node) && source.takes_work(now, node))
+        };
         if nodes().any(|node| node.has_cached(chain, oldest)) {
             return Preferred::Cached(oldest);
         }
--- a/coltsfoothall/src/forward/departure.rs
+++ b/coltsfoothall/src/forward/departure.rs
@@ -64,6 +64,12 @@
         self.entry.leaving || self.said.departure.is_some()
     }
 
+    /// Whether it is leaving as its own answers alone say, and they have for less than `limit`.
+    pub(super) fn may_still_serve(&self, now: Time, limit: Duration) -> bool {
+        let departure = self.said.departure.as_ref();
+        !self.entry.leaving && departure.is_some_and(|departure| now.since(departure.since) < limit)
+    }
+
     /// How long its own answers have said that it is leaving, if they have.
     #[must_use]
     pub fn departure_lead(&self, now: Time) -> Option<Lead> {
@@ -75,6 +81,14 @@
 }
 
 impl Roster {
+    /// Whether a request that was meant for an endpoint must not be sent to it any more: it has said
+    /// for `limit` that it is leaving.
+    #[must_use]
+    pub fn is_withheld(&self, now: Time, id: &id::Endpoint, limit: Duration) -> bool {
+        let node = self.node(id);
+        node.is_some_and(|node| node.said.departure.is_some() && !node.may_still_serve(now, limit))
+    }
+
     /// Records that an answer to a run says that its endpoint is leaving.
     pub fn record_departure(&mut self, now: Time, run: &Run) -> Option<Event> {
         let (id, born) = (run.endpoint.clone(), run.born);
--- a/coltsfoothall/src/forward/reach.rs
+++ b/coltsfoothall/src/forward/reach.rs
@@ -57,7 +57,7 @@
     }
 
     fn takes_work(&self, service: &id::Service) -> bool {
-        self.entry.service == *service && !self.entry.leaving
+        self.entry.service == *service && !self.is_leaving()
     }
 }
 
@@ -135,7 +135,7 @@
     ) -> Vec<(id::Endpoint, SocketAddr)> {
         let others = |reachable: bool| {
             self.nodes.iter().filter(move |node| {
-                node.entry.id != *id && !node.entry.leaving && node.is_reachable() == reachable
+                node.entry.id != *id && !node.is_leaving() && node.is_reachable() == reachable
             })
         };
         let mut chosen = others(true).choose_multiple(random, max);
@@ -152,7 +152,7 @@
     pub fn take_silent(&mut self, now: Time, id: &id::Endpoint) -> Option<SocketAddr> {
         let index = self.index(id).ok()?;
         let node = &mut self.nodes[index];
-        let due = !node.entry.leaving
+        let due = !node.is_leaving()
             && now.since(node.answered_at) >= SILENCE_TIMEOUT
             && now.since(node.probed_at) >= PROBE_PERIOD;
         due.then(|| node.take_probe(now).1)
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -286,7 +286,7 @@
         let nodes = self
             .nodes
             .iter()
-            .filter(|node| node.entry.service == *service && !node.entry.leaving);
+            .filter(|node| node.entry.service == *service && !node.is_leaving());
         let (open, slots) = nodes.fold((0, 0), |(open, slots), node| {
             (
                 open + u64::from(node.load().open),
--- a/coltsfoothall/src/forward/version.rs
+++ b/coltsfoothall/src/forward/version.rs
@@ -93,7 +93,7 @@
         let mut present: Vec<Present> = Vec::new();
         for node in &self.nodes {
             let entry = &node.entry;
-            if entry.service != *service || entry.leaving {
+            if entry.service != *service || node.is_leaving() {
                 continue;
             }
             let capacity = if node.is_reachable() {
