Instances tell each other which endpoints say that they leave

An instance that had not passed on such an answer itself sent on, and one that starts knew nothing of it. Each message has up to as many of them as of other lists now, those first that are new to the sender, with the time since the first answer; older versions do not look there. An instance that starts, thaws or comes back from a cut hears them with its first messages.

--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -18,7 +18,7 @@
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
-use crate::message::{Extension, Heartbeat, Message, Reach, Streams, Supplement};
+use crate::message::{Departures, Extension, Heartbeat, Message, Reach, Streams, Supplement};
 use crate::relays::Relayed;
 use crate::state::State;
 use crate::upgrades;
@@ -81,6 +81,7 @@
             reach: Some(Reach::new(state, round)),
             streams: Some(streams(state, round)),
             crashes: Some(crashes(state, round)),
+            departures: Some(Departures::new(state, round)),
         }
     }
 
@@ -103,6 +104,7 @@
             reach: Some(Reach::new(state, round)),
             streams: Some(streams(state, round)),
             crashes: Some(crashes(state, round)),
+            departures: Some(Departures::new(state, round)),
         }
     }
 }
@@ -137,6 +139,16 @@
     }
 }
 
+impl Departures {
+    fn new(state: &State, round: usize) -> Self {
+        let rows = peer::max_rows(state.sharers() as usize);
+        let roster = state.roster.borrow();
+        Self {
+            leaving: roster.departure_reports(state.now(), rows, round),
+        }
+    }
+}
+
 /// What others are told of the versions that begin streams.
 fn streams(state: &State, round: usize) -> Streams {
     let sharers = state.sharers() as usize;
@@ -327,6 +339,7 @@
         reach,
         streams,
         crashes,
+        departures,
     } = message;
     let boot = heartbeat.profile.boot;
     if boot == state.boot {
@@ -370,6 +383,9 @@
         let mut roster = state.roster.borrow_mut();
         roster.merge_brittle(now, &reach.brittle, relays);
     }
+    if let Some(departures) = &departures {
+        state.merge_departures(&departures.leaving);
+    }
     let mut peers = state.peers.borrow_mut();
     peers.record_status(now, &name, status);
     peers.record_lost(&name, reach.map(|reach| reach.lost));
--- a/coltsfoothall-forward/src/message.rs
+++ b/coltsfoothall-forward/src/message.rs
@@ -17,6 +17,7 @@
 use coltsfoothall::forward::upgrade::{self, Order};
 use coltsfoothall::forward::usage::Count;
 use coltsfoothall::id;
+use coltsfoothall::size::Millis;
 use coltsfoothall::suspicion::Evidence;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -97,6 +98,13 @@
 /// What versions after those that send a [`Reach`] add about streams. It follows the reach.
 pub type Streams = stream::Report;
 
+/// What versions after those that report crashes add about endpoints. It follows the crashes.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Departures {
+    /// Endpoints whose answers say that they are leaving, and the time since the first that did.
+    pub leaving: Vec<Counted<Millis>>,
+}
+
 /// A datagram between instances.
 #[derive(Debug, Clone)]
 pub struct Message {
@@ -112,6 +120,8 @@
     pub streams: Option<Streams>,
     /// Absent from instances of an older version.
     pub crashes: Option<crash::Report>,
+    /// Absent from instances of an older version.
+    pub departures: Option<Departures>,
 }
 
 impl Message {
@@ -131,6 +141,9 @@
                         bytes.extend(rmp_serde::to_vec(streams)?);
                         if let Some(crashes) = &self.crashes {
                             bytes.extend(rmp_serde::to_vec(crashes)?);
+                            if let Some(departures) = &self.departures {
+                                bytes.extend(rmp_serde::to_vec(departures)?);
+                            }
                         }
                     }
                 }
@@ -151,7 +164,9 @@
         let reach = next(&mut rest)?;
         let streams = next(&mut rest)?;
         let crashes = next(&mut rest)?;
+        let departures = next(&mut rest)?;
         Ok(Self {
+            departures,
             crashes,
             reach,
             streams,
--- a/coltsfoothall-forward/tests/message.rs
+++ b/coltsfoothall-forward/tests/message.rs
@@ -12,7 +12,9 @@
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::forward::stream;
 use coltsfoothall::size::{Megabits, Millis};
-use coltsfoothall_forward::message::{Extension, Heartbeat, Message, Reach, Supplement};
+use coltsfoothall_forward::message::{
+    Departures, Extension, Heartbeat, Message, Reach, Supplement,
+};
 
 fn heartbeat() -> Heartbeat {
     Heartbeat {
@@ -72,6 +74,17 @@
         }),
         streams: Some(streams()),
         crashes: Some(crashes()),
+        departures: Some(Departures {
+            leaving: vec![departure()],
+        }),
+    }
+}
+
+fn departure() -> Count<Millis> {
+    Count {
+        id: "e-2".parse().unwrap(),
+        born: Millis(6),
+        value: Millis(70),
     }
 }
 
@@ -153,6 +166,12 @@
     assert_eq!(read.crashes, Some(crashes()));
 }
 
+#[test]
+fn departures_kept() {
+    let read = Message::decode(&message().encode().unwrap()).unwrap();
+    assert_eq!(read.departures.unwrap().leaving, [departure()]);
+}
+
 /// A version that knows no supplement reads the extension and no more, and sends none.
 #[test]
 fn without_supplement() {
@@ -194,10 +213,32 @@
     assert_eq!(read.extension.unwrap().status.requests, 11);
 }
 
+/// Lengths at which a datagram ends whole, as older versions send it.
+fn ends() -> Vec<usize> {
+    let mut message = message();
+    let mut ends = Vec::new();
+    let mut add = |message: &Message| ends.push(message.encode().unwrap().len());
+    message.departures = None;
+    add(&message);
+    message.crashes = None;
+    add(&message);
+    message.streams = None;
+    add(&message);
+    message.reach = None;
+    add(&message);
+    message.supplement = None;
+    add(&message);
+    message.extension = None;
+    add(&message);
+    ends
+}
+
 #[test]
 fn cut_off_refused() {
     let bytes = message().encode().unwrap();
-    for len in [0, 1, bytes.len() / 3, bytes.len() - 1] {
-        assert!(Message::decode(&bytes[..len]).is_err(), "{len} bytes");
+    let ends = ends();
+    for len in 0..bytes.len() {
+        let read = Message::decode(&bytes[..len]);
+        assert_eq!(read.is_ok(), ends.contains(&len), "{len} bytes");
     }
 }
--- a/coltsfoothall/src/forward/departure.rs
+++ b/coltsfoothall/src/forward/departure.rs
@@ -123,7 +123,9 @@
             known: now,
             avoided: 0,
         });
-        self.record_announced(id);
+        if self.index(id).is_ok() {
+            self.record_announced(id);
+        }
         (!was_leaving).then(|| Event::Leaving(id.clone()))
     }
 
