An endpoint that asks for a pause gets no requests until it is over

An endpoint that rejected a request and named a time got 5 to 49 more from the same instance in it. Each was rejected, cost a retry of the fleet's budget, and ended as a 503 with 0.3 s told, so that callers came back into the same pause.

The time was parsed and dropped. A rejection counted for 0.3 s, and that for plain endpoints alone: engines were chosen again at once. The choice leaves an endpoint out now until its longest pause is over, kinds alike; the pause outlasts a lapse of the registration, not a new start, and no later answer ends it. Each send asks once more after its connection is open. If no endpoint wants requests, callers are refused at once and told when the first does, spread over a quarter of that time.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::{Pick, Unavailable};
 use coltsfoothall::forward::reach::SILENCE_TIMEOUT;
 use coltsfoothall::forward::roster::End;
@@ -11,6 +12,7 @@
 use coltsfoothall::forward::version::{self, Binding};
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
+use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempt::{self, Job, Sent, Share};
@@ -32,6 +34,9 @@
 const REQUESTS_PER_CHOICE_LOG: u64 = 64;
 /// `Retry-After` when all endpoints are full: about the time of one batch of short answers.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Share of the time until endpoints want requests again by which the times differ that callers are
+/// told.
+const RETRY_SPREAD: f64 = 0.25;
 /// `Retry-After` when there is no endpoint.
 const NO_ENDPOINT_RETRY_DELAY: Duration = Duration::from_millis(600);
 /// Multiple of the route's target latency, or of the expected wait, after which an endpoint counts
@@ -222,6 +227,24 @@
     }
 }
 
+/// The refusal of a request while no endpoint wants any before `resumes`. Callers are told different
+/// times, so that they do not return at one moment.
+fn back_off(state: &State, resumes: Time) -> Refusal {
+    state.board.refused_in_backoff();
+    let left = resumes.since(state.now());
+    let spread = left.mul_f64(RETRY_SPREAD).max(FULL_RETRY_DELAY);
+    let retry_after = left + spread.mul_f64(rand::rng().random());
+    unavailable("no endpoint wants requests now", retry_after)
+}
+
+/// The refusal of a request that an endpoint rejected and that is not sent once more.
+fn reject(state: &State, job: &Job, trail: &Trail, reason: &'static str) -> Refusal {
+    match choose(state, job, &trail.binding, &[]) {
+        Err(Unavailable::BackedOff(resumes)) => back_off(state, resumes),
+        Ok(_) | Err(_) => unavailable(reason, FULL_RETRY_DELAY),
+    }
+}
+
 /// Logs the chosen endpoint: for every retry, and for the first send of one request in
 /// [`REQUESTS_PER_CHOICE_LOG`], sampled by request id so that all instances log the same requests.
 fn log_choice(state: &State, job: &Job, trail: &Trail, pick: &Pick) {
@@ -295,6 +318,7 @@
             Err(Unavailable::Full) => {
                 return Err(unavailable("all endpoints are full", FULL_RETRY_DELAY));
             }
+            Err(Unavailable::BackedOff(resumes)) => return Err(back_off(state, resumes)),
             Err(Unavailable::Absent) if trail.binding != Binding::Free => {
                 return Err(unavailable(
                     "no endpoint of the stream's version",
@@ -393,7 +417,7 @@
             return Err(if trail.runs > 0 {
                 bad_gateway(reason)
             } else {
-                unavailable(reason, FULL_RETRY_DELAY)
+                reject(state, job, trail, reason)
             });
         }
     }
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -84,8 +84,9 @@
     let roster = state.roster.borrow();
     match reason {
         Unavailable::Absent | Unavailable::Unreachable => roster.has_unreachable(&job.service),
-        // All instances see the same endpoints full, unless this one sees only a few of them.
-        Unavailable::Full => roster.is_mostly_unreachable(&job.service),
+        // All instances see the same endpoints full, unless this one sees only a few of them. An
+        // endpoint that wants no requests is not asked by way of another instance either.
+        Unavailable::Full | Unavailable::BackedOff(_) => roster.is_mostly_unreachable(&job.service),
         Unavailable::Large => false,
     }
 }
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -92,6 +92,7 @@
     departures: Counter<u64>,
     backoffs: Counter<u64>,
     sends_avoided: Counter<u64>,
+    refused_in_backoff: Counter<u64>,
     lost_services: Gauge<u64>,
     handed_over: Counter<u64>,
     resumed: Counter<u64>,
@@ -189,6 +190,11 @@
                 "sends_avoided",
                 "Requests that were not sent to an endpoint, by what it had said",
             ),
+            refused_in_backoff: count(
+                &meter,
+                "refused_in_backoff",
+                "Requests refused as no endpoint wants any from this instance",
+            ),
             handed_over: count(
                 &meter,
                 "handed_over",
@@ -354,6 +360,11 @@
             .add(count, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a request that is refused as no endpoint wants any from this instance.
+    pub fn refused_in_backoff(&self) {
+        self.refused_in_backoff.add(1, &[]);
+    }
+
     /// Counts a request that was handed to another instance.
     pub fn handed_over(&self, result: &'static str) {
         self.handed_over.add(1, &[KeyValue::new("result", result)]);
--- a/coltsfoothall/src/forward/backoff.rs
+++ b/coltsfoothall/src/forward/backoff.rs
@@ -24,6 +24,11 @@
 /// Unanswered requests at once from which on an endpoint counts as recovered.
 const RECOVERED: u32 = 16;
 
+/// Time in which one more may be open although none is answered, as answers may take long.
+const GROWTH_INTERVAL: Duration = Duration::from_millis(500);
+/// When a request may be sent again after one that waits for the first answers after a period.
+const TRIAL_DELAY: Duration = Duration::from_millis(200);
+
 quick_error! {
     /// A period that cannot be parsed.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -91,7 +96,7 @@
     rejected: u32,
     /// Requests that went elsewhere since.
     avoided: u64,
-    /// Unanswered requests that may be open at once.
+    /// Unanswered requests that may be open at once at its end, and one more for each answer since.
     window: u32,
     /// Requests sent since `resumes` that are unanswered.
     open: u32,
@@ -124,14 +129,35 @@
         self.reported = false;
     }
 
+    /// Whether no request may be sent, not even one that was meant for the endpoint before.
+    pub(super) fn withholds(&self, now: Time) -> bool {
+        now < self.resumes
+    }
+
     /// Whether a request may be sent.
     pub(super) fn allows(&self, now: Time) -> bool {
-        now >= self.resumes && self.open < self.window
+        !self.withholds(now) && self.open < self.window(now)
+    }
+
+    /// When a request may be sent at the earliest.
+    pub(super) fn earliest(&self, now: Time) -> Time {
+        if self.withholds(now) {
+            self.resumes
+        } else {
+            now + TRIAL_DELAY
+        }
+    }
+
+    /// Unanswered requests that may be open at once now.
+    fn window(&self, now: Time) -> u32 {
+        let intervals = now.since(self.resumes).as_millis() / GROWTH_INTERVAL.as_millis();
+        let grown = u32::try_from(intervals).unwrap_or(u32::MAX);
+        self.window.saturating_add(grown)
     }
 
     /// Whether requests are held back, or only few are sent.
-    fn is_active(&self) -> bool {
-        self.window < RECOVERED
+    fn is_active(&self, now: Time) -> bool {
+        self.window(now) < RECOVERED
     }
 
     pub(super) fn record_avoided(&mut self) {
@@ -140,7 +166,7 @@
 
     /// Begins a request. Returns whether it is one of those with which this instance begins again.
     pub(super) fn begin(&mut self, now: Time) -> bool {
-        let counts = now >= self.resumes && self.is_active();
+        let counts = !self.withholds(now) && self.is_active(now);
         self.open += u32::from(counts);
         counts
     }
@@ -148,7 +174,7 @@
     fn settle(&mut self, accepted: bool) {
         self.open = self.open.saturating_sub(1);
         if accepted {
-            self.window = self.window.saturating_mul(2);
+            self.window = self.window.saturating_add(1);
         }
     }
 }
@@ -208,13 +234,11 @@
         };
         if let Some(backoff) = &mut said.backoff {
             backoff.settle(accepted);
-            if !backoff.is_active() && backoff.reported {
-                said.backoff = None;
-            }
         }
     }
 
-    /// Periods that ended since the last call.
+    /// Periods that ended since the last call. Endpoints that have recovered from one are treated as
+    /// before it.
     pub fn take_ended_backoffs(&mut self, now: Time) -> Vec<Report> {
         let mut reports = Vec::new();
         for node in &mut self.nodes {
@@ -222,6 +246,10 @@
             let Some(backoff) = &mut node.said.backoff else {
                 continue;
             };
+            if backoff.reported && !backoff.is_active(now) {
+                node.said.backoff = None;
+                continue;
+            }
             if backoff.reported || now < backoff.until {
                 continue;
             }
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -156,6 +156,8 @@
     Unreachable,
     /// All endpoints are full.
     Full,
+    /// No endpoint wants requests from this instance before this time.
+    BackedOff(Time),
     /// The request needs more memory than an endpoint has.
     Large,
 }
@@ -164,7 +166,8 @@
     /// Chooses the endpoint with the lowest cost.
     ///
     /// # Errors
-    /// No endpoint takes work, none is in reach, all are full, or the request fits in none.
+    /// No endpoint takes work, none is in reach, all are full or want no requests, or the request fits
+    /// in none.
     pub fn choose(&self, now: Time, query: &Query<'_>) -> Result<Pick, Unavailable> {
         self.choose_from(now, query, Source::Ready)
     }
@@ -215,6 +218,7 @@
         let mut best: Option<(&Node, Estimate)> = None;
         let mut among = 0;
         let mut some_unreachable = false;
+        let mut resumes = None;
         for node in &self.nodes {
             let takes_work = query.fits(node) && source.takes_work(now, node);
             if !takes_work || query.exclude.contains(&node.entry.id) {
@@ -227,6 +231,11 @@
                 }
                 continue;
             }
+            if let Some(backoff) = node.said.backoff.filter(|backoff| !backoff.allows(now)) {
+                let earliest = backoff.earliest(now);
+                resumes = Some(resumes.map_or(earliest, |other| earliest.min(other)));
+                continue;
+            }
             let limited = node.limit.as_ref().is_some_and(|limit| !limit.allows(now));
             if limited || self.is_risky(now, node) || self.is_full(now, node, query) {
                 unavailable = Unavailable::Full;
@@ -246,6 +255,11 @@
         if some_unreachable && asks_all && self.is_lost(now, query.service) {
             return Err(Unavailable::Unreachable);
         }
+        if unavailable != Unavailable::Full
+            && let Some(resumes) = resumes
+        {
+            unavailable = Unavailable::BackedOff(resumes);
+        }
         let (node, estimate) = best.ok_or(unavailable)?;
         Ok(Pick {
             endpoint: node.entry.id.clone(),
--- a/coltsfoothall/src/forward/departure.rs
+++ b/coltsfoothall/src/forward/departure.rs
@@ -81,12 +81,16 @@
 }
 
 impl Roster {
-    /// Whether a request that was meant for an endpoint must not be sent to it any more: it has said
-    /// for `limit` that it is leaving.
+    /// Whether a request that was meant for an endpoint must not be sent to it any more: it wants none,
+    /// or has said for `limit` that it is leaving.
     #[must_use]
     pub fn is_withheld(&self, now: Time, id: &id::Endpoint, limit: Duration) -> bool {
         let node = self.node(id);
-        node.is_some_and(|node| node.said.departure.is_some() && !node.may_still_serve(now, limit))
+        node.is_some_and(|node| {
+            let backoff = node.said.backoff.as_ref();
+            backoff.is_some_and(|backoff| backoff.withholds(now))
+                || (node.said.departure.is_some() && !node.may_still_serve(now, limit))
+        })
     }
 
     /// Records that an answer to a run says that its endpoint is leaving.
--- a/coltsfoothall/tests/forward_backoff.rs
+++ b/coltsfoothall/tests/forward_backoff.rs
@@ -152,7 +152,10 @@
                     world.roster.registered(at(now), entry(world.born, revision + 1));
                     revision += 2;
                 }
-                Step::Wait { millis } => now += millis,
+                Step::Wait { millis } => {
+                    now += millis;
+                    world.roster.take_ended_backoffs(at(now));
+                }
             }
         }
         // It begins again in the end, and another start of it is not bound.
