An answer passed on by way of another instance tells who leaves

The instance that hands a request over passes on its answer, and is bound by what that says, but did not know its endpoint. The recipient names it in a header of its own, with its start. leaving_handed_over, which asks an instance as another one does, fails before (no header) and passes. That the sender learns from the header rather than from a heartbeat is not tested apart.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -10,6 +10,7 @@
 use coltsfoothall::forward::config::Route;
 use coltsfoothall::forward::crash::Mark;
 use coltsfoothall::forward::culprit;
+use coltsfoothall::forward::departure;
 use coltsfoothall::forward::limit::{Notice, Rate};
 use coltsfoothall::forward::roster::{End, Run};
 use coltsfoothall::forward::upgrade::Versions;
@@ -24,7 +25,7 @@
 use hyper::body::{Body, Incoming};
 
 use crate::adapter::{Call, Forward, Reply};
-use crate::origin::Origin;
+use crate::origin::{Departs, Origin};
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::probe;
 use crate::reach;
@@ -119,6 +120,8 @@
     writing: Option<Time>,
     /// Whether the answer has shown that the parts of the prompt are harmless.
     proven: bool,
+    /// Its endpoint, if the answer says that it is leaving.
+    departs: Option<Departs>,
     /// The endpoint, or the instance that the request was handed to.
     pub target: Target,
 }
@@ -145,6 +148,7 @@
             answered: false,
             writing: None,
             proven: false,
+            departs: None,
             target: Target::Endpoint(pick.endpoint.clone()),
         }
     }
@@ -169,6 +173,7 @@
             answered: true,
             writing: None,
             proven: false,
+            departs: None,
             target,
         }
     }
@@ -286,11 +291,20 @@
     pub fn record_statements(&mut self, job: &Job, status: StatusCode, reply: &Reply) {
         let is_own = reply.signed || !status.is_success();
         if let Some(run) = self.run.as_mut().filter(|_| is_own) {
+            if reply.departure == departure::Notice::Leaving {
+                self.departs = Some(Departs(run.count(())));
+            }
             let accepted = !reply.not_run && status != StatusCode::SERVICE_UNAVAILABLE;
             self.state.record_statements(job.id(), run, reply, accepted);
         }
     }
 
+    /// The endpoint of the response, if that says that it is leaving.
+    #[must_use]
+    pub fn departs(&self) -> Option<Departs> {
+        self.departs.clone()
+    }
+
     /// Records that more events of the response arrived.
     pub fn record_events(&self, events: u64) {
         if let Some(run) = &self.run {
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -10,9 +10,11 @@
 
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::choice::Unavailable;
+use coltsfoothall::forward::gossip::Count;
 use coltsfoothall::forward::handover::{Terms, parse_label, write_label};
 use coltsfoothall::forward::peer::Profile;
 use coltsfoothall::forward::version::Binding;
+use coltsfoothall::size::Millis;
 use coltsfoothall_shell::event;
 use futures_util::future::LocalBoxFuture;
 use http::header::CONNECTION;
@@ -25,7 +27,7 @@
 use crate::dispatch::Trail;
 use crate::intake;
 use crate::listen::{Handler, Limits};
-use crate::origin::{Began, Origin};
+use crate::origin::{Began, Departs, Origin};
 use crate::outgoing::Outgoing;
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::refusal::{Refusal, bad_gateway, unavailable};
@@ -42,6 +44,8 @@
 const UNKNOWN: &str = "unknown";
 /// Response header with the version that sent the first event of a stream.
 const VERSION: HeaderName = HeaderName::from_static("coltsfoothall-handover-version");
+/// Response header with the endpoint of a response that says that it is leaving, and its start.
+const DEPARTS: HeaderName = HeaderName::from_static("coltsfoothall-handover-departs");
 /// Maximum number of instances that a request is handed to until one does not refuse it.
 const MAX_RECIPIENTS: usize = 3;
 /// `Retry-After` if all of them refused it and none said when to come back.
@@ -233,6 +237,9 @@
     if reply.id.is_some() && reply.id != job.call.id {
         return Outcome::Unknown;
     }
+    if let Some(departs) = take_departs(response.headers_mut()) {
+        state.merge_departures(&[departs]);
+    }
     let version = response.headers_mut().remove(&VERSION);
     let version = version.and_then(|version| parse_label(version.to_str().ok()?));
     let share = Share::remote(state, job, link.target().clone(), version);
@@ -288,6 +295,13 @@
         Ok(mut answer) => {
             answer.headers_mut().remove(&REFUSED);
             answer.headers_mut().remove(&VERSION);
+            answer.headers_mut().remove(&DEPARTS);
+            if let Some(Departs(count)) = answer.extensions_mut().remove()
+                && let Ok(departs) =
+                    HeaderValue::from_str(&format!("{} {}", count.id, count.born.0))
+            {
+                answer.headers_mut().insert(DEPARTS, departs);
+            }
             if let Some(Began(version)) = answer.extensions_mut().remove()
                 && let Ok(version) = HeaderValue::from_str(&write_label(&version))
             {
@@ -310,6 +324,17 @@
     value.to_str().ok()?.parse().ok()
 }
 
+/// The endpoint that a response names as leaving, with the time since it said so.
+fn take_departs(headers: &mut HeaderMap) -> Option<Count<Millis>> {
+    let value = headers.remove(&DEPARTS)?;
+    let (id, born) = value.to_str().ok()?.split_once(' ')?;
+    Some(Count {
+        id: id.parse().ok()?,
+        born: Millis(born.parse().ok()?),
+        value: Millis(0),
+    })
+}
+
 fn refused(mut answer: Response<Outgoing>, mark: &'static str) -> Response<Outgoing> {
     let mark = HeaderValue::from_static(mark);
     answer.headers_mut().insert(REFUSED, mark);
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -17,7 +17,7 @@
 use coltsfoothall_wire::http as body;
 use coltsfoothall_wire::sse::Splitter;
 use futures_util::stream;
-use http::Response;
+use http::{Extensions, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -95,13 +95,15 @@
         Ok(bytes) => {
             checkout.release(state);
             let failed = status.is_server_error();
+            let departs = extensions(&share);
             share.record_answer(failed);
             if status.is_success() {
                 share.record_harmless();
             }
             share.end(if failed { End::Failed } else { End::Whole });
             let headers = state.adapter.response_headers(&head.headers);
-            let answer = outgoing::answer(status, headers, Outgoing::full(bytes));
+            let mut answer = outgoing::answer(status, headers, Outgoing::full(bytes));
+            answer.extensions_mut().extend(departs);
             if !failed {
                 log_late(state, job, &endpoint);
                 if status.is_success() {
@@ -132,6 +134,15 @@
     }
 }
 
+/// What the response tells the instance that handed the request over.
+fn extensions(share: &Share) -> Extensions {
+    let mut extensions = Extensions::new();
+    if let Some(departs) = share.departs() {
+        extensions.insert(departs);
+    }
+    extensions
+}
+
 /// Logs a response that took longer than the target of its route.
 fn log_late(state: &State, job: &Job, endpoint: &Target) {
     let took = state.now().since(job.received_at);
@@ -241,6 +252,7 @@
     }
     let headers = state.adapter.response_headers(&head.headers);
     let began = relay.began.clone();
+    let departs = relay.share.as_ref().map(extensions).unwrap_or_default();
     let chunks = stream::unfold((relay, first), |(mut relay, first)| async move {
         let chunk = match first {
             Some(bytes) => Ok(bytes),
@@ -249,6 +261,7 @@
         Some((chunk, (relay, None)))
     });
     let mut answer = outgoing::answer(head.status, headers, Outgoing::chunks(Box::pin(chunks)));
+    answer.extensions_mut().extend(departs);
     if let Some(version) = began {
         answer.extensions_mut().insert(Began(version));
     }
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Time;
 use crate::forward::choice::{Pick, Query, Settings, chains, pairs};
-use crate::forward::gossip::{PLACEMENT_INTERVAL, Peer, Placement};
+use crate::forward::gossip::{Count, PLACEMENT_INTERVAL, Peer, Placement};
 use crate::forward::history::Position;
 use crate::forward::latency::{Model, Sample};
 use crate::forward::node::{
@@ -44,6 +44,16 @@
     pub fn endpoint(&self) -> &id::Endpoint {
         &self.endpoint
     }
+
+    /// A value for the start of the endpoint that runs it.
+    #[must_use]
+    pub fn count<T>(&self, value: T) -> Count<T> {
+        Count {
+            id: self.endpoint.clone(),
+            born: self.born,
+            value,
+        }
+    }
 }
 
 /// How a run ended, as evidence about its endpoint.
