A send to an endpoint whose registration lapsed asks what the endpoint had said

It asked only while the endpoint was listed. Tests that a departure which was told counts as announced when the endpoint is gone, also after a lapse.

--- a/coltsfoothall/src/forward/departure.rs
+++ b/coltsfoothall/src/forward/departure.rs
@@ -85,12 +85,12 @@
     /// or has said for `limit` that it is leaving.
     #[must_use]
     pub fn is_withheld(&self, now: Time, id: &id::Endpoint, limit: Duration) -> bool {
-        let node = self.node(id);
-        node.is_some_and(|node| {
-            let backoff = node.said.backoff.as_ref();
-            backoff.is_some_and(|backoff| backoff.withholds(now))
-                || (node.said.departure.is_some() && !node.may_still_serve(now, limit))
-        })
+        let (said, may_still_serve) = match self.node(id) {
+            Some(node) => (node.said, node.may_still_serve(now, limit)),
+            None => (self.unlisted_statement(id), false),
+        };
+        let is_backed_off = said.backoff.is_some_and(|backoff| backoff.withholds(now));
+        is_backed_off || (said.departure.is_some() && !may_still_serve)
     }
 
     /// Records that an answer to a run says that its endpoint is leaving.
--- a/coltsfoothall/src/forward/statement.rs
+++ b/coltsfoothall/src/forward/statement.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// What an endpoint that is not registered has said.
+    pub(super) fn unlisted_statement(&self, id: &id::Endpoint) -> Statement {
+        let index = self.unlisted_index(id);
+        index.map_or_else(|_| Statement::default(), |index| self.unlisted[index].said)
+    }
+
     /// What one start of an endpoint has said; none if a later one is known.
     pub(super) fn statement_mut(
         &mut self,
