--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -176,7 +176,7 @@
         let query = job.query(&state.domain, exclude, versions);
         roster.choose_leaving(state.now(), &query, limit).ok()
     });
-    leaving.next().ok_or(()).or(found)
+    leaving.next().map_or(found, Ok)
 }
 
 /// Chooses an endpoint to which a connection is still open, if no other instance can run the
--- a/coltsfoothall/src/forward/backoff.rs
+++ b/coltsfoothall/src/forward/backoff.rs
@@ -1,8 +1,9 @@
 //! Periods in which an endpoint wants no requests from this instance.
 //!
 //! An endpoint that rejects a request may say for how long it wants none. It speaks to one instance
-//! alone: others learn of it by rejections of their own. Afterwards requests begin one at a time, and
-//! twice as many with each answer, so that those of all instances do not return at one moment.
+//! alone: others learn of it by rejections of their own. Afterwards one request may be
+//! unanswered, and one more with each answer and as time passes, so that the requests of all instances
+//! do not return at one moment.
 
 use std::fmt;
 use std::str::FromStr;
@@ -23,7 +24,6 @@
 const MAX_SPREAD: Duration = Duration::from_secs(1);
 /// Unanswered requests at once from which on an endpoint counts as recovered.
 const RECOVERED: u32 = 16;
-
 /// Time in which one more may be open although none is answered, as answers may take long.
 const GROWTH_INTERVAL: Duration = Duration::from_millis(500);
 /// When a request may be sent again after one that waits for the first answers after a period.
