--- a/coltsfoothall-forward/src/probe.rs
+++ b/coltsfoothall-forward/src/probe.rs
@@ -6,7 +6,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use coltsfoothall::id;
 
@@ -17,12 +16,6 @@
 /// Number of connections by which an endpoint is probed. It may be accepted while the endpoint falls,
 /// or reset as one too many.
 const TRIES: usize = 2;
-/// Pauses before each connection by which an endpoint that interrupted a run is probed.
-const DELAYS: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(100),
-    Duration::from_millis(300),
-];
 
 /// Starts to connect to an endpoint that interrupted a run, unless it is leaving or such an attempt
 /// is under way.
@@ -37,29 +30,14 @@
     probed.insert(index, endpoint.clone());
     let (state, endpoint) = (Rc::clone(state), endpoint.clone());
     tokio::task::spawn_local(async move {
-        let has_crashed = crashes_soon(&state, &endpoint, address).await;
+        let opened = reach::probe(&state, &endpoint, address).await;
         state.probed.borrow_mut().retain(|other| *other != endpoint);
-        if has_crashed {
+        if let Err(Fault::Refused(_)) = opened {
             confirm_crash(&state, &endpoint).await;
         }
     });
 }
 
-/// Whether an endpoint refuses connections now or soon: it may end an answer in good order before it
-/// falls.
-async fn crashes_soon(state: &Rc<State>, endpoint: &id::Endpoint, address: SocketAddr) -> bool {
-    for delay in DELAYS {
-        tokio::time::sleep(delay).await;
-        if listed(state, endpoint).is_none() {
-            return false;
-        }
-        if let Err(Fault::Refused(_)) = reach::probe(state, endpoint, address).await {
-            return true;
-        }
-    }
-    false
-}
-
 /// The address of an endpoint that takes requests.
 fn listed(state: &State, endpoint: &id::Endpoint) -> Option<SocketAddr> {
     let roster = state.roster.borrow();
