--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -78,6 +78,20 @@
     }
 }
 
+/// Behavior under overload that is in force only where the settings name it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Feature {
+    /// Endpoints are ordered for the load that callers offer, refused requests included.
+    OfferedLoad,
+    /// Endpoints are ordered for the load that is expected once they have started.
+    Forecast,
+    /// Requests wait in the queues of engines whose slots are taken.
+    Queueing,
+    /// Refused callers are told when there will be room.
+    RetryAfter,
+}
+
 /// Settings of a forwarding instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -110,11 +124,19 @@
     pub link: f64,
     /// Limits on which the operators' service guarantees depend.
     pub bounds: Bounds,
+    /// Behavior under overload that is in force.
+    pub overload: Vec<Feature>,
     /// The log.
     pub log: Log,
 }
 
 impl Settings {
+    /// Whether a behavior under overload is in force.
+    #[must_use]
+    pub fn has(&self, feature: Feature) -> bool {
+        self.overload.contains(&feature)
+    }
+
     /// Bandwidth of the machine's link, rounded down to Mbit/s.
     #[must_use]
     pub fn link(&self) -> Megabits {
@@ -138,6 +160,7 @@
             first_start: false,
             link: 0.0,
             bounds: Bounds::default(),
+            overload: Vec::new(),
             log: Log::default(),
         }
     }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -265,6 +265,7 @@
             store: previous.store,
             store_history: previous.store_history,
             cloud: previous.cloud,
+            overload: previous.overload.clone(),
             log: previous.log.clone(),
             ..settings
         });
