Endpoints are ordered for the load that callers offer, not for what was sent

Cause: a refused request was no load, and a leader that starts took the load for what the endpoints found then were presumably used for. Change: instances count the work of what they refuse for lack of capacity, each request once, by fingerprints that they tell each other; leaders save the load in the store beside the usage counts, and the next one starts from it.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -120,6 +120,10 @@
     writing: Option<Time>,
     /// Whether the answer has shown that the parts of the prompt are harmless.
     proven: bool,
+    /// Upper bound of the answer's length, if an engine writes it.
+    answer: Option<Tokens>,
+    /// Events of the answer so far.
+    events: Cell<u64>,
     /// Its endpoint, if the answer says that it is leaving.
     departs: Option<Departs>,
     /// The endpoint, or the instance that the request was handed to.
@@ -129,6 +133,10 @@
 impl Share {
     fn new(state: &Rc<State>, pick: &Pick, query: &Query<'_>, job: &Job) -> Self {
         let now = state.now();
+        if query.memory.is_some() {
+            let mut demand = state.demand.borrow_mut();
+            demand.record_prompt(&job.service, query.prompt, pick.unread);
+        }
         let run = state.roster.borrow_mut().begin(now, pick, query);
         let version = pick.version.as_ref();
         let route = &job.route.name;
@@ -148,6 +156,8 @@
             answered: false,
             writing: None,
             proven: false,
+            answer: query.memory.map(|_engine| query.answer),
+            events: Cell::new(0),
             departs: None,
             target: Target::Endpoint(pick.endpoint.clone()),
         }
@@ -173,6 +183,8 @@
             answered: true,
             writing: None,
             proven: false,
+            answer: None,
+            events: Cell::new(0),
             departs: None,
             target,
         }
@@ -308,6 +320,7 @@
     /// Records that more events of the response arrived.
     pub fn record_events(&self, events: u64) {
         if let Some(run) = &self.run {
+            self.events.set(self.events.get() + events);
             self.state.roster.borrow_mut().record_events(run, events);
         }
     }
@@ -322,6 +335,10 @@
             return;
         };
         let now = self.state.now();
+        if let (End::Whole, Some(answer)) = (end, self.answer) {
+            let mut demand = self.state.demand.borrow_mut();
+            demand.record_answer(&self.service, answer, self.events.get());
+        }
         self.state.roster.borrow_mut().finish(now, &run, end);
         self.state
             .record_evidence(endpoint, self.fingerprint, self.started_at, end);
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -305,6 +305,7 @@
             // A response that would be late anyway would delay others as well; this request has not
             // run yet.
             Ok(pick) if trail.sends == 0 && is_late(job, &pick) => {
+                state.record_shortage(job);
                 let retry_after = pick
                     .wait
                     .saturating_sub(job.route.target_latency.duration() / 2);
@@ -316,6 +317,7 @@
             Ok(pick) => pick,
             Err(_) if trail.runs > 0 => return Err(bad_gateway("no other endpoint")),
             Err(Unavailable::Full) => {
+                state.record_shortage(job);
                 return Err(unavailable("all endpoints are full", FULL_RETRY_DELAY));
             }
             Err(Unavailable::BackedOff(resumes)) => return Err(back_off(state, resumes)),
@@ -326,6 +328,7 @@
                 ));
             }
             Err(Unavailable::Absent) => {
+                state.record_shortage(job);
                 return Err(unavailable("no endpoint", NO_ENDPOINT_RETRY_DELAY));
             }
             Err(Unavailable::Unreachable) => {
@@ -343,6 +346,7 @@
         };
         if !std::mem::replace(&mut trail.counted, true) {
             state.count_sent(&job.service);
+            state.record_offered(job);
         }
         trail.sends += 1;
         log_choice(state, job, trail, &pick);
--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -41,6 +41,8 @@
 const SNAPSHOT_NAME: &str = "runs";
 /// Key of the snapshot of older versions of the program, which could not read this one.
 const OLD_SNAPSHOT_NAME: &str = "tally";
+/// Key of the loads of services.
+const LOAD_NAME: &str = "load";
 /// Maximum number of usage reports that are kept at the store.
 const MAX_KEPT_REPORTS: u64 = 6;
 
@@ -273,6 +275,10 @@
         if !self.restored {
             state.calls.count(Call::List(Keyspace::Notes));
             let listing = state.adapter.list(Keyspace::Notes).await?;
+            let load = listing.items.iter().find(|item| item.name == LOAD_NAME);
+            if let Some(value) = load.and_then(|item| item.value.as_ref()) {
+                state.restore_loads(value);
+            }
             let names = [SNAPSHOT_NAME, OLD_SNAPSHOT_NAME];
             let items = listing.items.iter();
             let items = items.filter(|item| names.contains(&item.name.as_str()));
@@ -295,8 +301,12 @@
         let snapshot = state.usage.borrow().snapshot(window.saturating_sub(1));
         let value = rmp_serde::to_vec(&snapshot)
             .map_err(|error| Error::Format("save usage counts", error.to_string()))?;
+        let mut puts = vec![(format!("notes/{SNAPSHOT_NAME}"), value.into(), None)];
+        if let Some(loads) = state.loads_to_save() {
+            puts.push((format!("notes/{LOAD_NAME}"), loads, None));
+        }
         let write = Write {
-            puts: vec![(format!("notes/{SNAPSHOT_NAME}"), value.into(), None)],
+            puts,
             ..Write::default()
         };
         state.calls.count(Call::Write);
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -88,6 +88,7 @@
             streams: Some(streams(state, round)),
             crashes: Some(crashes(state, round)),
             departures: Some(Departures::new(state, rows, round)),
+            demand: state.demand_report(rows),
         }
     }
 
@@ -117,6 +118,7 @@
                 MAX_DIGEST_DEPARTURES,
                 turn / TURNS_PER_DIGEST,
             )),
+            demand: None,
         }
     }
 }
@@ -360,6 +362,7 @@
         streams,
         crashes,
         departures,
+        demand,
     } = message;
     let boot = heartbeat.profile.boot;
     if boot == state.boot {
@@ -394,7 +397,9 @@
     if let Some(crashes) = &crashes {
         state.merge_culprits(crashes, relays);
     }
+    let work = heartbeat.work.clone();
     receive_heartbeat(state, heartbeat);
+    state.merge_demand(boot, work, demand);
     if let Some(supplement) = supplement {
         let mut roster = state.roster.borrow_mut();
         roster.merge_limits(now, &supplement.limits, relays);
@@ -489,7 +494,6 @@
         .usage
         .borrow_mut()
         .merge_counts(boot, &heartbeat.counts);
-    state.merge_work(boot, &heartbeat.work);
     state
         .upgrades
         .borrow_mut()
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod configuration;
 pub mod connection;
 pub mod culprit;
+pub mod demand;
 pub mod dispatch;
 pub mod duty;
 pub mod fetch;
--- a/coltsfoothall-forward/src/message.rs
+++ b/coltsfoothall-forward/src/message.rs
@@ -6,6 +6,7 @@
 
 use coltsfoothall::forward::active::Digest;
 use coltsfoothall::forward::crash;
+use coltsfoothall::forward::demand;
 use coltsfoothall::forward::gossip::Count as Counted;
 use coltsfoothall::forward::history::Era;
 use coltsfoothall::forward::limit;
@@ -105,6 +106,10 @@
     pub leaving: Vec<Counted<Millis>>,
 }
 
+/// What versions after those that report departures add about refused requests. It follows the
+/// departures.
+pub type Demand = demand::Report;
+
 /// A datagram between instances.
 #[derive(Debug, Clone)]
 pub struct Message {
@@ -122,6 +127,8 @@
     pub crashes: Option<crash::Report>,
     /// Absent from instances of an older version.
     pub departures: Option<Departures>,
+    /// Absent from instances of an older version.
+    pub demand: Option<Demand>,
 }
 
 impl Message {
@@ -143,6 +150,9 @@
                             bytes.extend(rmp_serde::to_vec(crashes)?);
                             if let Some(departures) = &self.departures {
                                 bytes.extend(rmp_serde::to_vec(departures)?);
+                                if let Some(demand) = &self.demand {
+                                    bytes.extend(rmp_serde::to_vec(demand)?);
+                                }
                             }
                         }
                     }
@@ -165,7 +175,9 @@
         let streams = next(&mut rest)?;
         let crashes = next(&mut rest)?;
         let departures = next(&mut rest)?;
+        let demand = next(&mut rest)?;
         Ok(Self {
+            demand,
             departures,
             crashes,
             reach,
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -13,6 +13,7 @@
 use coltsfoothall::forward::config::Route;
 use coltsfoothall::forward::crash;
 use coltsfoothall::forward::culprit;
+use coltsfoothall::forward::demand;
 use coltsfoothall::forward::duration;
 use coltsfoothall::forward::history::{Era, Fence, Position};
 use coltsfoothall::forward::leader::Leader;
@@ -162,6 +163,10 @@
     departures: RefCell<Vec<Departure>>,
     store_returned_at: Cell<Option<Time>>,
     meters: RefCell<Vec<(id::Service, Meter)>>,
+    /// Requests that were refused for lack of capacity.
+    pub demand: RefCell<demand::Tracker>,
+    /// The loads that an earlier leader saved, or that this one saved last; sorted by service.
+    pub saved_loads: RefCell<Vec<order::Saved>>,
 }
 
 impl std::fmt::Debug for State {
@@ -228,6 +233,8 @@
             departures: RefCell::default(),
             store_returned_at: Cell::new(None),
             meters: RefCell::default(),
+            demand: RefCell::default(),
+            saved_loads: RefCell::default(),
             clock: Clock::start(),
             settings: RefCell::new(Rc::new(settings)),
             name,
@@ -434,8 +441,9 @@
     /// The load of a service, summed over all instances.
     #[must_use]
     pub fn load(&self, service: &id::Service) -> Option<order::Load> {
-        let own = self.roster.borrow().endpoint_time().to_vec();
-        self.merge_work(self.boot, &own);
+        let work = self.roster.borrow().endpoint_time().to_vec();
+        let refused = self.demand.borrow().totals();
+        self.merge_work(self.boot, &demand::sum(work, &refused));
         let meters = self.meters.borrow();
         let found = meters.binary_search_by(|(have, _)| have.cmp(service));
         found
--- a/coltsfoothall-forward/tests/message.rs
+++ b/coltsfoothall-forward/tests/message.rs
@@ -13,7 +13,7 @@
 use coltsfoothall::forward::stream;
 use coltsfoothall::size::{Megabits, Millis};
 use coltsfoothall_forward::message::{
-    Departures, Extension, Heartbeat, Message, Reach, Supplement,
+    Demand, Departures, Extension, Heartbeat, Message, Reach, Supplement,
 };
 
 fn heartbeat() -> Heartbeat {
@@ -77,6 +77,10 @@
         departures: Some(Departures {
             leaving: vec![departure()],
         }),
+        demand: Some(Demand {
+            refused: vec![("reader".parse().unwrap(), 12)],
+            recent: vec![u64::MAX],
+        }),
     }
 }
 
@@ -172,6 +176,12 @@
     assert_eq!(read.departures.unwrap().leaving, [departure()]);
 }
 
+#[test]
+fn demand_kept() {
+    let read = Message::decode(&message().encode().unwrap()).unwrap();
+    assert_eq!(read.demand, message().demand);
+}
+
 /// A version that knows no supplement reads the extension and no more, and sends none.
 #[test]
 fn without_supplement() {
@@ -218,6 +228,8 @@
     let mut message = message();
     let mut ends = Vec::new();
     let mut add = |message: &Message| ends.push(message.encode().unwrap().len());
+    message.demand = None;
+    add(&message);
     message.departures = None;
     add(&message);
     message.crashes = None;
--- a/coltsfoothall/src/fingerprint.rs
+++ b/coltsfoothall/src/fingerprint.rs
@@ -44,14 +44,20 @@
         }
     }
 
-    /// Short hash of the content.
+    /// Hash of the content.
     #[must_use]
-    pub fn content_hash(&self) -> u32 {
+    pub fn digest(&self) -> u64 {
         match self.content {
-            Mark::Content(digest) | Mark::Kin(digest) => digest as u32,
+            Mark::Content(digest) | Mark::Kin(digest) => digest,
         }
     }
 
+    /// Short hash of the content.
+    #[must_use]
+    pub fn content_hash(&self) -> u32 {
+        self.digest() as u32
+    }
+
     /// The fingerprint of `intake`.
     #[must_use]
     pub fn new(intake: &Intake) -> Self {
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod crash;
 pub mod culprit;
+pub mod demand;
 pub mod departure;
 pub mod duration;
 pub mod egress;
--- a/coltsfoothall/src/forward/order.rs
+++ b/coltsfoothall/src/forward/order.rs
@@ -8,9 +8,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Time;
 use crate::forward::config::{Cost, Scaling};
 use crate::id;
+use crate::size::Millis;
 
 /// Parameters of the planner.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -142,6 +145,42 @@
     }
 }
 
+/// The load of a service as a leader saves it for the next one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Saved {
+    /// The service.
+    pub service: id::Service,
+    /// Endpoints' time in use per second.
+    pub value: f64,
+    /// When it was measured, in milliseconds since 1970.
+    pub at: Millis,
+}
+
+impl Saved {
+    /// The load to save: the measured one, or the larger of what is measured so far and what was
+    /// saved before, which keeps its time.
+    #[must_use]
+    pub fn update(
+        service: &id::Service,
+        before: Option<&Self>,
+        load: Option<Load>,
+        at: Millis,
+    ) -> Option<Self> {
+        match (load, before) {
+            (Some(load), _) if load.settled => Some(Self {
+                service: service.clone(),
+                value: load.value,
+                at,
+            }),
+            (load, Some(before)) => Some(Self {
+                value: before.value.max(load.map_or(0.0, |load| load.value)),
+                ..before.clone()
+            }),
+            (_, None) => None,
+        }
+    }
+}
+
 /// Endpoints of each kind in one domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Live {
@@ -197,15 +236,19 @@
     /// Reclaimable endpoints found at the start.
     initial_reclaimable: u32,
     started: Time,
+    /// Whether an earlier leader saved the load.
+    is_remembered: bool,
 }
 
 impl Planner {
-    /// Creates a planner that starts from the endpoints found.
+    /// Creates a planner that starts from the endpoints found, and from the load that an earlier
+    /// leader saved, if any.
     #[must_use]
     pub fn new(
         now: Time,
         scaling: Scaling,
         found: &[(id::Domain, Live)],
+        remembered: Option<f64>,
         settings: Settings,
     ) -> Self {
         let mut cells = Vec::new();
@@ -239,7 +282,9 @@
         }
         let initial_reclaimable = found.iter().map(|(_, live)| live.reclaimable).sum();
         Self {
-            assumed_load: assumed_load(found, initial_reclaimable, &settings),
+            assumed_load: assumed_load(found, initial_reclaimable, &settings)
+                .max(remembered.unwrap_or(0.0)),
+            is_remembered: remembered.is_some(),
             initial_reclaimable,
             started: now,
             settings,
@@ -266,8 +311,11 @@
                 &self.settings,
             ));
         }
-        // Before there is traffic, endpoints that are still registering must not count as absent.
-        let early = load.is_none() && now.since(self.started) < self.settings.registration_delay;
+        // Before there is traffic, endpoints that are still registering must not count as absent,
+        // unless there were leaders before: then endpoints have registered, or are gone.
+        let early = load.is_none()
+            && !self.is_remembered
+            && now.since(self.started) < self.settings.registration_delay;
         let idle = load.is_none();
         let load = match load {
             Some(load) if load.settled => load.value,
--- a/coltsfoothall/src/forward/reach.rs
+++ b/coltsfoothall/src/forward/reach.rs
@@ -56,7 +56,7 @@
         (self.entry.id.clone(), self.entry.address)
     }
 
-    fn takes_work(&self, service: &id::Service) -> bool {
+    pub(super) fn takes_work(&self, service: &id::Service) -> bool {
         self.entry.service == *service && !self.is_leaving()
     }
 }
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
+use crate::forward::brittle::Bound;
 use crate::forward::choice::{Pick, Query, Settings, chains, pairs};
 use crate::forward::gossip::{Count, PLACEMENT_INTERVAL, Peer, Placement};
 use crate::forward::history::Position;
@@ -15,7 +16,7 @@
 use crate::forward::reach::Contact;
 use crate::forward::statement::{Avoided, Unlisted};
 use crate::id;
-use crate::size::Millis;
+use crate::size::{Millis, Tokens};
 
 /// A request that runs at an endpoint.
 #[derive(Debug)]
@@ -407,6 +408,30 @@
         }
     }
 
+    /// Microseconds of an endpoint's time that a request takes which prefills `unread` tokens of its
+    /// prompt and writes `events` events.
+    #[must_use]
+    pub fn work(&self, service: &id::Service, prompt: Tokens, unread: Tokens, events: f64) -> u64 {
+        let model = self.latency_model(service);
+        let prefill = model.prefill(unread.0, pairs(prompt, unread));
+        (prefill + model.event() * events) as u64
+    }
+
+    /// Whether the endpoints of a service alone decide how many requests they take: none that takes
+    /// work names a limit or is brittle.
+    #[must_use]
+    pub fn is_unrestricted(&self, service: &id::Service) -> bool {
+        let mut takers = self.nodes.iter().filter(|node| node.takes_work(service));
+        takers.all(|node| {
+            let is_limited = node
+                .limit
+                .as_ref()
+                .is_some_and(|limit| limit.rate().is_some());
+            let is_brittle = node.brittle.as_ref().is_some_and(Bound::is_brittle);
+            !is_limited && !is_brittle
+        })
+    }
+
     /// Latency model of a service's engines; the assumed one before their first answer.
     #[must_use]
     pub fn latency_model(&self, service: &id::Service) -> &Model {
--- a/coltsfoothall/tests/forward_order.rs
+++ b/coltsfoothall/tests/forward_order.rs
@@ -68,7 +68,7 @@
                 )
             })
             .collect();
-        let planner = Planner::new(at(0), scaling(Some(0.2)), &live, Settings::default());
+        let planner = Planner::new(at(0), scaling(Some(0.2)), &live, None, Settings::default());
         Self {
             live,
             planner,
@@ -213,7 +213,7 @@
 #[test]
 fn late_listing() {
     let none: Vec<(id::Domain, Live)> = Vec::new();
-    let mut planner = Planner::new(at(0), scaling(Some(0.2)), &none, Settings::default());
+    let mut planner = Planner::new(at(0), scaling(Some(0.2)), &none, None, Settings::default());
     let live: Vec<(id::Domain, Live)> = NAMES
         .iter()
         .map(|name| {
@@ -246,7 +246,7 @@
 #[test]
 fn without_reclaimable() {
     let live: Vec<(id::Domain, Live)> = Vec::new();
-    let mut planner = Planner::new(at(0), scaling(None), &live, Settings::default());
+    let mut planner = Planner::new(at(0), scaling(None), &live, None, Settings::default());
     let orders = planner.decide(at(0), settled(5.0), &live);
     assert!(orders.iter().all(|order| !order.reclaimable));
     assert_eq!(
@@ -304,7 +304,7 @@
             )
         })
         .collect();
-    let mut planner = Planner::new(at(0), scaling(Some(0.2)), &live, Settings::default());
+    let mut planner = Planner::new(at(0), scaling(Some(0.2)), &live, None, Settings::default());
     let young = Load {
         value: 1.0,
         settled: false,
