Orders are not delayed by a store that does not answer; counts of offered load corrected

Cause: orders followed the leader's calls to the store in one task, and the first of them hung. Change: orders have a task of their own, which waits up to 1 s for the load that an earlier leader saved. Found in review and corrected: what others report again cleared the note that a request had been sent; credit had no end; a first total counted for nothing; samples were not nested; one limited endpoint ended all counting; a saved load had no age; without any endpoint no instance could lead.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -29,6 +29,7 @@
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::probe;
 use crate::reach;
+use crate::settings::Feature;
 use crate::state::State;
 
 /// An admitted request.
@@ -121,7 +122,7 @@
     /// Whether the answer has shown that the parts of the prompt are harmless.
     proven: bool,
     /// Upper bound of the answer's length, if an engine writes it.
-    answer: Option<Tokens>,
+    max_answer: Option<Tokens>,
     /// Events of the answer so far.
     events: Cell<u64>,
     /// Its endpoint, if the answer says that it is leaving.
@@ -133,7 +134,7 @@
 impl Share {
     fn new(state: &Rc<State>, pick: &Pick, query: &Query<'_>, job: &Job) -> Self {
         let now = state.now();
-        if query.memory.is_some() {
+        if query.memory.is_some() && state.settings().has(Feature::OfferedLoad) {
             let mut demand = state.demand.borrow_mut();
             demand.record_prompt(&job.service, query.prompt, pick.unread);
         }
@@ -156,7 +157,7 @@
             answered: false,
             writing: None,
             proven: false,
-            answer: query.memory.map(|_engine| query.answer),
+            max_answer: query.memory.map(|_engine| query.answer),
             events: Cell::new(0),
             departs: None,
             target: Target::Endpoint(pick.endpoint.clone()),
@@ -183,7 +184,7 @@
             answered: true,
             writing: None,
             proven: false,
-            answer: None,
+            max_answer: None,
             events: Cell::new(0),
             departs: None,
             target,
@@ -335,7 +336,8 @@
             return;
         };
         let now = self.state.now();
-        if let (End::Whole, Some(answer)) = (end, self.answer) {
+        let is_counted = self.state.settings().has(Feature::OfferedLoad);
+        if let (End::Whole, Some(answer), true) = (end, self.max_answer, is_counted) {
             let mut demand = self.state.demand.borrow_mut();
             demand.record_answer(&self.service, answer, self.events.get());
         }
--- a/coltsfoothall-forward/src/demand.rs
+++ b/coltsfoothall-forward/src/demand.rs
@@ -12,7 +12,6 @@
 use crate::attempt::Job;
 use crate::gossip;
 use crate::message::Demand;
-use crate::origin::Origin;
 use crate::settings::Feature;
 use crate::state::State;
 
@@ -23,10 +22,9 @@
     /// Records that a request is refused as the endpoints of its service have no capacity for it.
     /// Refusals that more endpoints would not prevent do not count.
     pub fn record_shortage(&self, job: &Job) {
-        let is_prevented = self.is_ready()
-            && !self.registrations_lost.get()
-            && self.roster.borrow().is_unrestricted(&job.service);
-        if is_prevented {
+        let would_help =
+            !self.registrations_lost.get() && !self.roster.borrow().is_restricted(&job.service);
+        if would_help {
             self.record_demand(job, |tracker, now, request, sharers| {
                 tracker.refused(now, request, sharers);
             });
@@ -45,10 +43,7 @@
         job: &Job,
         record: impl FnOnce(&mut demand::Tracker, coltsfoothall::clock::Time, Request<'_>, u32),
     ) {
-        let (Some(_engine), Origin::Caller) = (job.memory, &job.origin) else {
-            return;
-        };
-        if !self.settings().has(Feature::OfferedLoad) {
+        if job.memory.is_none() || !self.settings().has(Feature::OfferedLoad) {
             return;
         }
         let (prompt, answer) = job.call.tokens.unwrap_or_default();
@@ -68,10 +63,19 @@
 
     /// What other instances are told of refused requests; none if the settings do not name it.
     #[must_use]
-    pub fn demand_report(&self, rows: usize) -> Option<Demand> {
+    pub fn demand_report(&self, rows: usize, round: usize) -> Option<Demand> {
+        if !self.settings().has(Feature::OfferedLoad) {
+            return None;
+        }
         let span = gossip::told_period(self.sharers() as usize);
-        let is_on = self.settings().has(Feature::OfferedLoad);
-        is_on.then(|| self.demand.borrow().report(self.now(), span, rows))
+        let mut demand = self.demand.borrow_mut();
+        if let Some(configuration) = self.configuration() {
+            let services = configuration.config.services().iter();
+            for service in services.filter(|service| service.scaling.is_some()) {
+                demand.add(&service.name);
+            }
+        }
+        Some(demand.report(self.now(), span, rows, round))
     }
 
     /// Merges the work that another instance sent and refused since it started.
@@ -115,6 +119,9 @@
     /// Restores the loads that an earlier leader saved, unless they are too old. A value that cannot
     /// be read is left out: the load is then assumed from the endpoints.
     pub fn restore_loads(&self, value: &[u8]) {
+        if !self.settings().has(Feature::OfferedLoad) {
+            return;
+        }
         let saved: Vec<order::Saved> = match rmp_serde::from_slice(value) {
             Ok(saved) => saved,
             Err(error) => {
@@ -125,18 +132,17 @@
                 return;
             }
         };
-        let oldest = self.true_time().saturating_sub(MAX_SAVED_AGE);
-        let recent = saved.into_iter();
-        let recent =
-            recent.filter(|saved| saved.at.duration() >= oldest && saved.value.is_finite());
-        *self.saved_loads.borrow_mut() = recent.collect();
+        let saved = saved.into_iter();
+        *self.saved_loads.borrow_mut() = saved.filter(|saved| saved.value.is_finite()).collect();
     }
 
-    /// The load of a service that an earlier leader saved.
+    /// The load of a service that a leader saved not long ago. The clocks of the two leaders may
+    /// differ.
     #[must_use]
     pub fn saved_load(&self, service: &id::Service) -> Option<f64> {
         let saved = self.saved_loads.borrow();
         let found = saved.iter().find(|saved| saved.service == *service)?;
-        Some(found.value)
+        let age = self.true_time().abs_diff(found.at.duration());
+        (age <= MAX_SAVED_AGE).then_some(found.value)
     }
 }
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -245,6 +245,14 @@
     }
 }
 
+/// Records a refusal for lack of capacity. A request that was sent before counts as sent, and what
+/// its endpoints answered is no shortage.
+fn record_shortage(state: &State, job: &Job, trail: &Trail) {
+    if trail.sends == 0 {
+        state.record_shortage(job);
+    }
+}
+
 /// Logs the chosen endpoint: for every retry, and for the first send of one request in
 /// [`REQUESTS_PER_CHOICE_LOG`], sampled by request id so that all instances log the same requests.
 fn log_choice(state: &State, job: &Job, trail: &Trail, pick: &Pick) {
@@ -288,6 +296,9 @@
         if let Err(reason) = chosen {
             let handed = handover::send(state, job, trail, reason, after).await;
             if let Some(Ok(sent)) = handed {
+                if !trail.counted {
+                    state.record_offered(job);
+                }
                 return Ok(sent);
             }
             // A request that was handed over and may have run there is not sent again.
@@ -317,7 +328,7 @@
             Ok(pick) => pick,
             Err(_) if trail.runs > 0 => return Err(bad_gateway("no other endpoint")),
             Err(Unavailable::Full) => {
-                state.record_shortage(job);
+                record_shortage(state, job, trail);
                 return Err(unavailable("all endpoints are full", FULL_RETRY_DELAY));
             }
             Err(Unavailable::BackedOff(resumes)) => return Err(back_off(state, resumes)),
@@ -328,7 +339,7 @@
                 ));
             }
             Err(Unavailable::Absent) => {
-                state.record_shortage(job);
+                record_shortage(state, job, trail);
                 return Err(unavailable("no endpoint", NO_ENDPOINT_RETRY_DELAY));
             }
             Err(Unavailable::Unreachable) => {
--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -37,6 +37,8 @@
 /// Interval between snapshots of the usage counts; if all instances are lost at once, at most the
 /// counts of one interval are lost.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(800);
+/// How long a new leader waits for the loads that an earlier one saved before it orders endpoints.
+const MAX_RESTORE_DELAY: Duration = Duration::from_millis(1_000);
 /// Key of the snapshot.
 const SNAPSHOT_NAME: &str = "runs";
 /// Key of the snapshot of older versions of the program, which could not read this one.
@@ -145,7 +147,7 @@
             let peers = state.peers.borrow();
             peers.rank(state.now())
         };
-        let ready = state.is_ready();
+        let ready = state.may_lead();
         let step = state.leader.borrow().step(now, rank);
         match step {
             Step::Claim if ready && state.role() == Role::Active => claim(&state).await,
@@ -171,11 +173,39 @@
         };
         let term = match &mut term {
             Some(term) if term.fence == fence => term,
-            other => other.insert(Term::new(fence)),
+            other => {
+                state.saved_loads.borrow_mut().clear();
+                other.insert(Term::new(fence))
+            }
         };
         term.driver.tick(&state).await;
         term.reporter.tick(&state).await;
-        term.autoscaler.tick(&state).await;
+    }
+}
+
+/// Orders endpoints while this instance is the leader. This task is separate from the duties that
+/// call the store: a store that does not answer would delay the replacement of endpoints that are
+/// reclaimed meanwhile.
+pub async fn run_autoscaler(state: Rc<State>) {
+    let mut term: Option<(Fence, Time, Autoscaler)> = None;
+    loop {
+        tokio::time::sleep(TICK_INTERVAL).await;
+        let Some(fence) = state.fence() else {
+            term = None;
+            continue;
+        };
+        if term.as_ref().is_none_or(|(known, ..)| *known != fence) {
+            term = Some((fence, state.now(), Autoscaler::default()));
+        }
+        let Some((_fence, began, autoscaler)) = &mut term else {
+            continue;
+        };
+        if state.loads_restored.get() != Some(fence)
+            && state.now().since(*began) < MAX_RESTORE_DELAY
+        {
+            continue;
+        }
+        autoscaler.tick(&state).await;
     }
 }
 
@@ -184,7 +214,6 @@
 struct Term {
     fence: Fence,
     reporter: Reporter,
-    autoscaler: Autoscaler,
     driver: Driver,
 }
 
@@ -193,7 +222,6 @@
         Self {
             fence,
             reporter: Reporter::default(),
-            autoscaler: Autoscaler::default(),
             driver: Driver::default(),
         }
     }
@@ -288,6 +316,7 @@
                 state.usage.borrow_mut().restore(&snapshot);
             }
             self.restored = true;
+            state.loads_restored.set(state.fence());
         }
         let now = state.now();
         if now.since(self.saved_at) < SNAPSHOT_INTERVAL {
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -88,7 +88,7 @@
             streams: Some(streams(state, round)),
             crashes: Some(crashes(state, round)),
             departures: Some(Departures::new(state, rows, round)),
-            demand: state.demand_report(rows),
+            demand: state.demand_report(rows, round),
         }
     }
 
--- a/coltsfoothall-forward/src/orders.rs
+++ b/coltsfoothall-forward/src/orders.rs
@@ -45,10 +45,10 @@
     async fn order_service(&mut self, state: &State, service: &Service, scaling: &Scaling) {
         let now = state.now();
         let found = count_live(state, &service.name, scaling);
-        let remembered = state.saved_load(&service.name);
-        let entry = self.entry(now, service, scaling, &found, remembered);
+        let saved = state.saved_load(&service.name);
+        let entry = self.entry(now, service, scaling, &found);
         let load = state.load(&service.name);
-        for order in entry.planner.decide(now, load, &found) {
+        for order in entry.planner.decide(now, load, saved, &found) {
             let Some(fence) = state.fence() else {
                 return;
             };
@@ -77,7 +77,6 @@
         service: &Service,
         scaling: &Scaling,
         found: &[(id::Domain, Live)],
-        remembered: Option<f64>,
     ) -> &mut Entry {
         let known = self
             .entries
@@ -91,7 +90,7 @@
         if let Some(index) = known {
             self.entries.remove(index);
         }
-        let planner = Planner::new(now, scaling.clone(), found, remembered, Settings::default());
+        let planner = Planner::new(now, scaling.clone(), found, Settings::default());
         self.entries.push(Entry {
             service: service.name.clone(),
             scaling: scaling.clone(),
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -127,6 +127,7 @@
     tokio::task::spawn_local(duty::register(Rc::clone(state)));
     tokio::task::spawn_local(duty::campaign(Rc::clone(state)));
     tokio::task::spawn_local(duty::run_leader(Rc::clone(state)));
+    tokio::task::spawn_local(duty::run_autoscaler(Rc::clone(state)));
 }
 
 /// Logs summaries at intervals.
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -44,7 +44,7 @@
 use crate::pool::Pool;
 use crate::retries::{Reason, Retries};
 use crate::role::Standing;
-use crate::settings::Settings;
+use crate::settings::{Feature, Settings};
 use crate::time::{self, Clock};
 use crate::versions;
 
@@ -167,6 +167,8 @@
     pub demand: RefCell<demand::Tracker>,
     /// The loads that an earlier leader saved, or that this one saved last; sorted by service.
     pub saved_loads: RefCell<Vec<order::Saved>>,
+    /// The term for which the loads of earlier leaders were read from the store.
+    pub loads_restored: Cell<Option<Fence>>,
 }
 
 impl std::fmt::Debug for State {
@@ -235,6 +237,7 @@
             meters: RefCell::default(),
             demand: RefCell::default(),
             saved_loads: RefCell::default(),
+            loads_restored: Cell::default(),
             clock: Clock::start(),
             settings: RefCell::new(Rc::new(settings)),
             name,
@@ -289,6 +292,15 @@
             && !self.roster.borrow().nodes().is_empty()
     }
 
+    /// Whether this instance may act for all: without any endpoint, if it orders them for what callers
+    /// ask.
+    #[must_use]
+    pub fn may_lead(&self) -> bool {
+        let has_read = self.configuration().is_some() && self.registrations_as_of.get().is_some();
+        let orders_any = self.settings().has(Feature::OfferedLoad) && has_read;
+        self.is_ready() || (orders_any && !self.stopping.is_cancelled())
+    }
+
     /// The description of this instance that other instances receive.
     #[must_use]
     pub fn profile(&self) -> Profile {
--- a/coltsfoothall/src/forward/demand.rs
+++ b/coltsfoothall/src/forward/demand.rs
@@ -10,12 +10,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch;
 use crate::clock::Time;
 use crate::id;
 use crate::size::Tokens;
 
-/// Bounds the memory for known requests, at 32 bytes each.
-const MAX_KNOWN: usize = 8_192;
+/// Bounds the memory for known requests, at 32 bytes each. At 1,000 refusals a second all requests of
+/// the last 15 s are known.
+const MAX_KNOWN: usize = 16_384;
 /// Least time between two searches for requests that need no longer be known.
 const PURGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Weight of the newest request in the moving averages of work.
@@ -27,8 +29,9 @@
     /// How long a request counts as known after its last refusal: callers come back within their
     /// time limit.
     pub retention: Duration,
-    /// Sharers for one sampled fingerprint in as many: 12,000 refusals a second at 985 instances
-    /// are then 390 reported fingerprints.
+    /// One fingerprint in as many is sampled as there are multiples of this number of sharers, rounded
+    /// up to a power of two: 12,000 refusals a second at 985 instances are then 375 reported
+    /// fingerprints.
     pub sharers_per_sample: u32,
     /// Share of the prompt that is prefilled, assumed before a request was sent.
     pub unread_share: f64,
@@ -98,11 +101,11 @@
 #[derive(Debug, Clone, Copy)]
 struct Known {
     fingerprint: u64,
-    /// When it was refused last, or heard of.
+    /// When it was refused here last, or first heard of.
     at: Time,
     /// Whether this instance refused it.
-    own: bool,
-    /// Whether its work was taken back, as it was sent.
+    refused_here: bool,
+    /// Whether this instance sent it since, so that its work was taken back.
     sent: bool,
 }
 
@@ -114,6 +117,8 @@
     /// Refused work of requests that were sent later. Totals never fall, so it covers later
     /// refusals.
     credit: u64,
+    /// When the credit rose last. It lapses, so that it does not hide the next shortage.
+    credited_at: Time,
     unread_share: f64,
     /// Events for each token of the answer's upper bound.
     events_per_token: f64,
@@ -184,8 +189,12 @@
         if !self.learn(now, request.fingerprint, true) {
             return;
         }
+        let oldest = now - self.settings.retention;
         let account = self.account(request.service);
         let work = request.work.saturating_mul(weight);
+        if account.credited_at < oldest {
+            account.credit = 0;
+        }
         let covered = work.min(account.credit);
         account.credit -= covered;
         account.refused += work - covered;
@@ -204,30 +213,39 @@
         if known.at < oldest || std::mem::replace(&mut known.sent, true) {
             return;
         }
-        self.account(request.service).credit += request.work.saturating_mul(weight);
+        let account = self.account(request.service);
+        account.credit = account
+            .credit
+            .saturating_add(request.work.saturating_mul(weight));
+        account.credited_at = now;
+    }
+
+    /// Begins to count a service, so that its total is reported before the first refusal: others
+    /// take the first total that they hear for work done before.
+    pub fn add(&mut self, service: &id::Service) {
+        self.account(service);
     }
 
     /// Microseconds of endpoints' time that this instance refused since it started, by service.
     #[must_use]
     pub fn totals(&self) -> Vec<(id::Service, u64)> {
-        let refusing = self.accounts.iter().filter(|account| account.refused > 0);
-        refusing
+        let accounts = self.accounts.iter();
+        accounts
             .map(|account| (account.service.clone(), account.refused))
             .collect()
     }
 
     /// What other instances are told: the totals, and at most `rows` of the requests refused here
-    /// within `span`, the newest first.
+    /// within `span`, others in each round.
     #[must_use]
-    pub fn report(&self, now: Time, span: Duration, rows: usize) -> Report {
+    pub fn report(&self, now: Time, span: Duration, rows: usize, round: usize) -> Report {
         let oldest = now - span;
-        let own = self.known.iter().filter(|known| known.own);
-        let mut recent: Vec<&Known> = own.filter(|known| known.at >= oldest).collect();
-        recent.sort_unstable_by_key(|known| std::cmp::Reverse(known.at));
-        recent.truncate(rows);
+        let here = self.known.iter().filter(|known| known.refused_here);
+        let recent = here.filter(|known| known.at >= oldest);
+        let recent: Vec<u64> = recent.map(|known| known.fingerprint).collect();
         Report {
             refused: self.totals(),
-            recent: recent.iter().map(|known| known.fingerprint).collect(),
+            recent: batch::select(&recent, rows, round),
         }
     }
 
@@ -241,24 +259,27 @@
     /// How many requests a sampled one counts for; none if the fingerprint is not sampled.
     fn weight(&self, fingerprint: u64, sharers: u32) -> Option<u64> {
         let each = u64::from(self.settings.sharers_per_sample.max(1));
-        let weight = u64::from(sharers).div_ceil(each).max(1);
+        // Samples of powers of two are nested: instances that count the members differently still
+        // sample the same requests.
+        let weight = u64::from(sharers).div_ceil(each).max(1).next_power_of_two();
         fingerprint.is_multiple_of(weight).then_some(weight)
     }
 
-    /// Remembers a refused request. Returns whether it was not known.
-    fn learn(&mut self, now: Time, fingerprint: u64, own: bool) -> bool {
+    /// Remembers a request that this instance or another one refused. Returns whether its work counts
+    /// now: it was not known, or its work was taken back.
+    fn learn(&mut self, now: Time, fingerprint: u64, here: bool) -> bool {
         let oldest = now - self.settings.retention;
         if let Ok(index) = self.find(fingerprint) {
             let known = &mut self.known[index];
             let is_new = known.at < oldest;
-            // A refusal that others report says nothing of when the caller came here.
-            if is_new || own {
-                known.own = own;
-                known.at = now;
+            // Others report a refusal several times; only the first report says something new.
+            if !is_new && !here {
+                return false;
             }
-            // Sent and refused again: it is one request, but its work was taken back.
+            known.refused_here = here;
+            known.at = now;
             let was_sent = std::mem::take(&mut known.sent);
-            return is_new || (own && was_sent);
+            return is_new || was_sent;
         }
         if self.known.len() >= MAX_KNOWN && now.since(self.purged_at) >= PURGE_INTERVAL {
             self.purged_at = now;
@@ -272,7 +293,7 @@
         let known = Known {
             fingerprint,
             at: now,
-            own,
+            refused_here: here,
             sent: false,
         };
         self.known.insert(index, known);
@@ -293,6 +314,7 @@
                 service: service.clone(),
                 refused: 0,
                 credit: 0,
+                credited_at: Time::START,
                 unread_share: self.settings.unread_share,
                 events_per_token: self.settings.answer_share / self.settings.tokens_per_event,
             };
--- a/coltsfoothall/src/forward/order.rs
+++ b/coltsfoothall/src/forward/order.rs
@@ -236,19 +236,15 @@
     /// Reclaimable endpoints found at the start.
     initial_reclaimable: u32,
     started: Time,
-    /// Whether an earlier leader saved the load.
-    is_remembered: bool,
 }
 
 impl Planner {
-    /// Creates a planner that starts from the endpoints found, and from the load that an earlier
-    /// leader saved, if any.
+    /// Creates a planner that starts from the endpoints found.
     #[must_use]
     pub fn new(
         now: Time,
         scaling: Scaling,
         found: &[(id::Domain, Live)],
-        remembered: Option<f64>,
         settings: Settings,
     ) -> Self {
         let mut cells = Vec::new();
@@ -282,9 +278,7 @@
         }
         let initial_reclaimable = found.iter().map(|(_, live)| live.reclaimable).sum();
         Self {
-            assumed_load: assumed_load(found, initial_reclaimable, &settings)
-                .max(remembered.unwrap_or(0.0)),
-            is_remembered: remembered.is_some(),
+            assumed_load: assumed_load(found, initial_reclaimable, &settings),
             initial_reclaimable,
             started: now,
             settings,
@@ -293,11 +287,13 @@
         }
     }
 
-    /// Returns the orders that are due now, given the load if it is known.
+    /// Returns the orders that are due now, given the load if it is known, and the load that an
+    /// earlier leader saved not long ago.
     pub fn decide(
         &mut self,
         now: Time,
         load: Option<Load>,
+        saved: Option<f64>,
         found: &[(id::Domain, Live)],
     ) -> Vec<Order> {
         self.update_live(now, found);
@@ -314,13 +310,14 @@
         // Before there is traffic, endpoints that are still registering must not count as absent,
         // unless there were leaders before: then endpoints have registered, or are gone.
         let early = load.is_none()
-            && !self.is_remembered
+            && saved.is_none()
             && now.since(self.started) < self.settings.registration_delay;
         let idle = load.is_none();
+        let assumed = self.assumed_load.max(saved.unwrap_or(0.0));
         let load = match load {
             Some(load) if load.settled => load.value,
-            Some(load) => load.value.max(self.assumed_load),
-            None => self.assumed_load,
+            Some(load) => load.value.max(assumed),
+            None => assumed,
         };
         let wanted = self.wanted(now, load);
         let mut orders = Vec::new();
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -417,19 +417,21 @@
         (prefill + model.event() * events) as u64
     }
 
-    /// Whether the endpoints of a service alone decide how many requests they take: none that takes
-    /// work names a limit or is brittle.
+    /// Whether all endpoints of a service that take work restrict what they are sent: they name a limit
+    /// or are brittle. Their slots then say nothing of the service's capacity.
     #[must_use]
-    pub fn is_unrestricted(&self, service: &id::Service) -> bool {
-        let mut takers = self.nodes.iter().filter(|node| node.takes_work(service));
-        takers.all(|node| {
-            let is_limited = node
-                .limit
-                .as_ref()
-                .is_some_and(|limit| limit.rate().is_some());
-            let is_brittle = node.brittle.as_ref().is_some_and(Bound::is_brittle);
-            !is_limited && !is_brittle
-        })
+    pub fn is_restricted(&self, service: &id::Service) -> bool {
+        let takers = self.nodes.iter().filter(|node| node.takes_work(service));
+        let mut takers = takers.peekable();
+        takers.peek().is_some()
+            && takers.all(|node| {
+                let is_limited = node
+                    .limit
+                    .as_ref()
+                    .is_some_and(|limit| limit.rate().is_some());
+                let is_brittle = node.brittle.as_ref().is_some_and(Bound::is_brittle);
+                is_limited || is_brittle
+            })
     }
 
     /// Latency model of a service's engines; the assumed one before their first answer.
