--- a/coltsfoothall-forward/src/demand.rs
+++ b/coltsfoothall-forward/src/demand.rs
@@ -25,6 +25,7 @@
         let would_help =
             !self.registrations_lost.get() && !self.roster.borrow().is_restricted(&job.service);
         if would_help {
+            self.board.refused_for_capacity(&job.service);
             self.record_demand(job, |tracker, now, request, sharers| {
                 tracker.refused(now, request, sharers);
             });
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -90,5 +90,14 @@
         self.board
             .parts_condemned(self.culprits.borrow().verdicts().len() as u64);
         self.update_retry_gauges();
+        let configuration = self.configuration();
+        let services = configuration
+            .iter()
+            .flat_map(|configuration| configuration.config.services());
+        for service in services.filter(|service| service.scaling.is_some()) {
+            let load = self.load(&service.name);
+            self.board
+                .offered_load(&service.name, load.map_or(0.0, |load| load.value));
+        }
     }
 }
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -86,6 +86,8 @@
     retry_decisions: Counter<u64>,
     retry_balance: Gauge<f64>,
     retry_sharers: Gauge<u64>,
+    offered_load: Gauge<f64>,
+    shortages: Counter<u64>,
     recomputed: Counter<u64>,
     dropped: Counter<u64>,
     endpoints: Gauge<u64>,
@@ -168,6 +170,18 @@
                 "retry_sharers",
                 "Instances that share the retry budgets",
             ),
+            offered_load: meter
+                .f64_gauge(qualified_name("offered_load"))
+                .with_description(
+                    "Endpoints that the requests of all callers keep busy, by service; refused \
+                     requests count where the settings name offered_load",
+                )
+                .build(),
+            shortages: count(
+                &meter,
+                "refused_for_capacity",
+                "Requests refused as endpoints had no capacity, by service",
+            ),
             recomputed: count(&meter, "recomputed_tokens", "Tokens computed a second time"),
             dropped: count(
                 &meter,
@@ -323,6 +337,18 @@
         self.retry_balance.record(balance, &[service]);
     }
 
+    /// Sets the number of endpoints that the requests of all callers of a service keep busy.
+    pub fn offered_load(&self, service: &Service, load: f64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.offered_load.record(load, &[service]);
+    }
+
+    /// Counts a request that was refused as the endpoints of its service had no capacity.
+    pub fn refused_for_capacity(&self, service: &Service) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.shortages.add(1, &[service]);
+    }
+
     /// Sets the number of instances that share the retry budgets.
     pub fn retry_sharers(&self, count: u64) {
         self.retry_sharers.record(count, &[]);
