Refused callers are told when there will be capacity

While the load exceeds what the live endpoints carry, the time is now that until the endpoints ordered at the start of the shortage serve, with jitter, at most a third of what is left to the caller. In force where the settings name retry_after; without it the times are as before.

--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::reach;
 use crate::refusal::{Refusal, bad_gateway, unavailable};
 use crate::retries::Reason;
+use crate::shortage;
 use crate::state::State;
 use crate::suspicion;
 
@@ -49,6 +50,8 @@
 const TOO_LARGE_RETRY_DELAY: Duration = Duration::from_secs(30);
 /// Response timeout of an endpoint when no other may run the request.
 const LAST_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Reason of a refusal after endpoints rejected the request.
+const REJECTED: &str = "turned away";
 
 /// Attempts of a request so far.
 #[derive(Debug)]
@@ -241,6 +244,9 @@
 fn reject(state: &State, job: &Job, trail: &Trail, reason: &'static str) -> Refusal {
     match choose(state, job, &trail.binding, &[]) {
         Err(Unavailable::BackedOff(resumes)) => back_off(state, resumes),
+        Ok(_) | Err(_) if reason == REJECTED => {
+            shortage::refuse(state, job, reason, FULL_RETRY_DELAY)
+        }
         Ok(_) | Err(_) => unavailable(reason, FULL_RETRY_DELAY),
     }
 }
@@ -309,7 +315,9 @@
                 let retry_after = pick
                     .wait
                     .saturating_sub(job.route.target_latency.duration() / 2);
-                return Err(unavailable(
+                return Err(shortage::refuse(
+                    state,
+                    job,
                     "all endpoints are behind",
                     retry_after.max(FULL_RETRY_DELAY),
                 ));
@@ -318,7 +326,12 @@
             Err(_) if trail.runs > 0 => return Err(bad_gateway("no other endpoint")),
             Err(Unavailable::Full) => {
                 state.record_shortage(job);
-                return Err(unavailable("all endpoints are full", FULL_RETRY_DELAY));
+                return Err(shortage::refuse(
+                    state,
+                    job,
+                    "all endpoints are full",
+                    FULL_RETRY_DELAY,
+                ));
             }
             Err(Unavailable::BackedOff(resumes)) => return Err(back_off(state, resumes)),
             Err(Unavailable::Absent) if trail.binding != Binding::Free => {
@@ -329,7 +342,12 @@
             }
             Err(Unavailable::Absent) => {
                 state.record_shortage(job);
-                return Err(unavailable("no endpoint", NO_ENDPOINT_RETRY_DELAY));
+                return Err(shortage::refuse(
+                    state,
+                    job,
+                    "no endpoint",
+                    NO_ENDPOINT_RETRY_DELAY,
+                ));
             }
             Err(Unavailable::Unreachable) => {
                 return Err(unavailable(
@@ -369,7 +387,7 @@
             Ok(sent) if sent.reply.not_run => {
                 let (_response, _reply, share, _checkout) = sent.split();
                 share.end(End::Refused);
-                "turned away"
+                REJECTED
             }
             Ok(sent) => {
                 trail.runs += 1;
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod role;
 pub mod run;
 pub mod settings;
+pub mod shortage;
 pub mod socket;
 pub mod state;
 pub mod statement;
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -21,6 +21,7 @@
 use coltsfoothall::forward::order::{self, Meter};
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
+use coltsfoothall::forward::retry_after;
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::forward::roster::{Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
@@ -165,6 +166,8 @@
     meters: RefCell<Vec<(id::Service, Meter)>>,
     /// Requests that were refused for lack of capacity.
     pub demand: RefCell<demand::Tracker>,
+    /// Shortages of capacity, by which refused callers are told when to retry.
+    pub shortages: RefCell<retry_after::Tracker>,
     /// The loads that an earlier leader saved, or that this one saved last; sorted by service.
     pub saved_loads: RefCell<Vec<order::Saved>>,
 }
@@ -234,6 +237,7 @@
             store_returned_at: Cell::new(None),
             meters: RefCell::default(),
             demand: RefCell::default(),
+            shortages: RefCell::default(),
             saved_loads: RefCell::default(),
             clock: Clock::start(),
             settings: RefCell::new(Rc::new(settings)),
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -35,6 +35,8 @@
     0.005, 0.01, 0.015, 0.02, 0.025, 0.029, 0.033, 0.037, 0.042, 0.05, 0.075, 0.1, 0.25, 0.5, 1.0,
     5.0,
 ];
+/// Bucket bounds in seconds for the retry times of refused requests.
+const RETRY_AFTER_BOUNDS_SECONDS: &[f64] = &[0.15, 0.3, 0.5, 1.0, 2.0, 3.0, 5.0, 7.5, 10.0];
 
 quick_error! {
     /// The metrics could not be set up or rendered.
@@ -93,6 +95,7 @@
     backoffs: Counter<u64>,
     sends_avoided: Counter<u64>,
     refused_in_backoff: Counter<u64>,
+    retry_after: Histogram<f64>,
     lost_services: Gauge<u64>,
     handed_over: Counter<u64>,
     resumed: Counter<u64>,
@@ -195,6 +198,12 @@
                 "refused_in_backoff",
                 "Requests refused as no endpoint wants any from this instance",
             ),
+            retry_after: seconds(
+                &meter,
+                "refused.retry_after",
+                "Retry times given to requests refused for lack of capacity, by reason",
+                RETRY_AFTER_BOUNDS_SECONDS,
+            ),
             handed_over: count(
                 &meter,
                 "handed_over",
@@ -365,6 +374,13 @@
         self.refused_in_backoff.add(1, &[]);
     }
 
+    /// Records the retry time of a request that is refused for lack of capacity; `reason` is the
+    /// one that its caller is told.
+    pub fn refused_for_capacity(&self, reason: &'static str, retry_after: Duration) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.retry_after.record(retry_after.as_secs_f64(), &labels);
+    }
+
     /// Counts a request that was handed to another instance.
     pub fn handed_over(&self, result: &'static str) {
         self.handed_over.add(1, &[KeyValue::new("result", result)]);
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -35,6 +35,7 @@
 pub mod reach;
 pub mod reader;
 pub mod retry;
+pub mod retry_after;
 pub mod role;
 pub mod roster;
 pub mod statement;
