--- a/coltsfoothall-shell/tests/metric.rs
+++ b/coltsfoothall-shell/tests/metric.rs
@@ -87,6 +87,7 @@
     board.broken("at_most_once");
     board.store_call("timeout");
     board.peer_bytes(Flow::Out, 100);
+    board.refused_for_capacity("no endpoint", Duration::from_secs(4));
     let text = board.render().unwrap();
     for line in [
         "coltsfoothall_endpoints{state=\"ready\"} 9",
@@ -97,6 +98,7 @@
         "coltsfoothall_broken_rules_total{rule=\"at_most_once\"} 1",
         "coltsfoothall_store_calls_total{result=\"timeout\"} 1",
         "coltsfoothall_peer_bytes_total{flow=\"out\"} 100",
+        "coltsfoothall_refused_retry_after_seconds_sum{reason=\"no endpoint\"} 4",
     ] {
         assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
     }
