--- a/coltsfoothall/tests/forward_retry_after.rs
+++ b/coltsfoothall/tests/forward_retry_after.rs
@@ -11,6 +11,14 @@
 /// The times in milliseconds without and with the largest jitter at a load of 50 on the 16
 /// endpoints left of 84, for a caller with a limit of 60 s, as far as `change` leaves it so.
 fn times(tracker: &mut Tracker, millis: u64, change: impl Fn(&mut Shortage)) -> (u128, u128) {
+    times_of(tracker, ("reader", millis), change)
+}
+
+fn times_of(
+    tracker: &mut Tracker,
+    at: (&str, u64),
+    change: impl Fn(&mut Shortage),
+) -> (u128, u128) {
     let mut shortage = Shortage {
         load: Some(50.0),
         capacity: 16.0 * 0.6,
@@ -19,8 +27,8 @@
         left: Duration::from_secs(60),
     };
     change(&mut shortage);
-    let now = Time::START + Duration::from_millis(millis);
-    let service: id::Service = "reader".parse().unwrap();
+    let now = Time::START + Duration::from_millis(at.1);
+    let service: id::Service = at.0.parse().unwrap();
     let mut draw = |draw| tracker.refuse(now, &service, &shortage, draw).as_millis();
     (draw(0.0), draw(1.0))
 }
@@ -84,3 +92,14 @@
     let over = |shortage: &mut Shortage| shortage.left = Duration::ZERO;
     assert!(times(&mut Tracker::default(), 0, over).0 > 0);
 }
+
+/// Load on 257 services, all short. Guards against memory that grows with the services: the one
+/// that was refused longest ago begins anew, the others go on.
+#[test]
+fn services_bounded() {
+    let mut tracker = Tracker::default();
+    let mut at =
+        |number: u64, millis| times_of(&mut tracker, (&format!("s-{number}"), millis), |_| {}).0;
+    assert!((0..257).all(|number| at(number, number) == 4_500));
+    assert_eq!((at(256, 1_256), at(0, 1_300)), (3_500, 4_500));
+}
