The bytes read before the head of a response are limited

hyper skips informational heads without a limit, so that an endpoint which sends them without end stopped the instance. The log names the cause of a failed connection as well.

--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -17,6 +18,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -28,6 +31,11 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum number of idle connections to one endpoint, which bounds file descriptors and memory.
 const MAX_IDLE_PER_ENDPOINT: usize = 24;
+/// Bytes read for a response until its head is complete, informational (1xx) heads included. hyper
+/// limits a single head to its read buffer of 408 KiB, but skips informational ones without a limit,
+/// and reads them in one go as long as more arrive: that stopped the whole instance for 10 s. The
+/// limit is above the largest head and a read buffer of its body.
+const MAX_HEAD_BYTES: usize = 2 << 20;
 
 /// A request body that records when all of it was passed to the connection.
 #[derive(Debug)]
@@ -78,6 +86,65 @@
     }
 }
 
+/// Bytes that may be read until the head of a response is complete; no limit if there is none.
+type HeadLimit = Rc<Cell<Option<usize>>>;
+
+/// A socket that fails once it has read more than the limit allows.
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    limit: HeadLimit,
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let limit = self.limit.get();
+        if limit == Some(0) {
+            return Poll::Ready(Err(io::Error::other("the head does not end")));
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let bytes = buf.filled().len() - before;
+        self.limit
+            .set(limit.map(|limit| limit.saturating_sub(bytes)));
+        read
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 /// Where a connection leads.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Target {
@@ -101,6 +168,7 @@
 pub struct Link {
     target: Target,
     sender: SendRequest<Payload>,
+    limit: HeadLimit,
     _driver: Driver,
     expires_at: Instant,
 }
@@ -132,8 +200,13 @@
                 _ => Fault::Unsent(reason),
             }
         })?;
+        let limit = HeadLimit::default();
+        let socket = Socket {
+            stream,
+            limit: Rc::clone(&limit),
+        };
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(|error| unsent(error.to_string()))?;
         let driver = Driver(tokio::task::spawn_local(async move {
@@ -143,6 +216,7 @@
         Ok(Self {
             target,
             sender,
+            limit,
             _driver: driver,
             expires_at: Instant::now(),
         })
@@ -165,11 +239,17 @@
     /// # Errors
     /// Returns whether anything was written.
     pub async fn send(&mut self, request: Request<Payload>) -> Result<Response<Incoming>, Fault> {
-        match self.sender.try_send_request(request).await {
+        self.limit.set(Some(MAX_HEAD_BYTES));
+        let sent = self.sender.try_send_request(request).await;
+        self.limit.set(None);
+        match sent {
             Ok(response) => Ok(response),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
-                let text = error.into_error().to_string();
+                let error = error.into_error();
+                let text = error
+                    .source()
+                    .map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"));
                 Err(if unsent {
                     Fault::Unsent(text)
                 } else {
