An event of a stream is limited to the size of a plain response

An endpoint that sent no line ends filled memory until the time limit of its request, and each part that arrived was searched again from the start of the event.

--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -36,6 +36,9 @@
 /// Largest response that is buffered.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 
+/// Largest event of a stream. An event is buffered until it is complete, as a plain response is.
+const MAX_EVENT_BYTES: usize = MAX_BUFFERED_BYTES;
+
 /// Time without an event after which an endpoint counts as stalled. Callers accept gaps of 0.8 s,
 /// and batches with long prompts come close to that.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -285,6 +288,9 @@
                         }
                         return Next::Events(events);
                     }
+                    if self.splitter.buffered() > MAX_EVENT_BYTES {
+                        return Next::Broken(format!("an event is over {MAX_EVENT_BYTES} bytes"));
+                    }
                 }
                 Some(Err(error)) => return Next::Broken(error.to_string()),
                 None if self.splitter.is_within() => {
--- a/coltsfoothall-wire/src/sse.rs
+++ b/coltsfoothall-wire/src/sse.rs
@@ -107,10 +107,13 @@
 /// Start of the line that holds an event's id.
 const ID_PREFIX: &[u8] = b"id:";
 
-/// Splits a stream at event boundaries, so that complete events are forwarded byte for byte.
+/// Splits a stream at event boundaries, so that complete events are forwarded byte for byte. Each
+/// byte is searched once, however many parts an event arrives in.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: Vec<u8>,
+    /// Where the last line of the buffer starts.
+    line: usize,
     last: Option<String>,
     events: u64,
 }
@@ -118,19 +121,39 @@
 impl Splitter {
     /// Appends received bytes; returns the bytes of all events that are now complete.
     pub fn push(&mut self, bytes: bytes::Bytes) -> Option<bytes::Bytes> {
-        let bytes = if self.buffer.is_empty() {
+        let mut buffer = std::mem::take(&mut self.buffer);
+        let mut line = std::mem::take(&mut self.line);
+        let mut searched = buffer.len();
+        let is_first = buffer.is_empty();
+        if !is_first {
+            buffer.extend_from_slice(&bytes);
+        }
+        let all: &[u8] = if is_first { &bytes } else { &buffer };
+        let mut end = 0;
+        while let Some(length) = all[searched..].iter().position(|b| *b == b'\n') {
+            let line_end = searched + length;
+            searched = line_end + 1;
+            if matches!(&all[line..line_end], b"" | b"\r") {
+                self.record_event(&all[end..searched]);
+                end = searched;
+            }
+            line = searched;
+        }
+        self.line = line - end;
+        if end == 0 {
+            if is_first {
+                buffer.extend_from_slice(&bytes);
+            }
+            self.buffer = buffer;
+            return None;
+        }
+        let bytes = if is_first {
             bytes
         } else {
-            self.buffer.extend_from_slice(&bytes);
-            bytes::Bytes::from(std::mem::take(&mut self.buffer))
+            bytes::Bytes::from(buffer)
         };
-        let mut end = 0;
-        while let Some(next) = event_len(&bytes[end..]) {
-            self.record_event(&bytes[end..end + next]);
-            end += next;
-        }
         self.buffer.extend_from_slice(&bytes[end..]);
-        (end > 0).then(|| bytes.slice(..end))
+        Some(bytes.slice(..end))
     }
 
     /// Id of the last complete event that had one.
@@ -151,9 +174,16 @@
         !self.buffer.is_empty()
     }
 
+    /// Number of bytes of an incomplete event that are buffered.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Drops an incomplete event whose remaining bytes will not arrive.
     pub fn discard(&mut self) {
         self.buffer.clear();
+        self.line = 0;
     }
 
     fn record_event(&mut self, event: &[u8]) {
