--- a/coltsfoothall-wire/src/http.rs
+++ b/coltsfoothall-wire/src/http.rs
@@ -47,9 +47,16 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(Error::Large(limit));
     }
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) => Err(body_error(error.as_ref(), limit)),
+    // The frames are copied: one of a few bytes would keep its whole read buffer alive, and take
+    // many times its size itself.
+    let mut read = BytesMut::new();
+    let mut body = pin!(Limited::new(body, limit));
+    loop {
+        match body.frame().await.transpose() {
+            Ok(None) => return Ok(read.freeze()),
+            Ok(Some(frame)) => read.extend(frame.into_data()),
+            Err(error) => return Err(body_error(error.as_ref(), limit)),
+        }
     }
 }
 
