Work of requests may be computed from a fit that waiting hardly raises

The time that requests wait at overloaded engines raised the coefficients from which the load is computed, and twice the endpoints needed were ordered. A second fit gives late answers and those of crowded engines little weight. Settings::robust_pace selects it; off by default.

--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -44,6 +44,10 @@
     /// An endpoint is suspected once a request has waited for its first event for this long
     /// beyond twice the expected time.
     pub silence_timeout: Duration,
+    /// Whether the work of requests is computed from a second fit, which waiting at overloaded
+    /// engines hardly raises. In one overload the first fit raised the load from 30
+    /// to 113 endpoints, and twice the endpoints needed were ordered.
+    pub robust_pace: bool,
 }
 
 impl Default for Settings {
@@ -59,6 +63,7 @@
             prefix_ttl: Duration::from_secs(60),
             avoid_period: Duration::from_millis(1_500),
             silence_timeout: Duration::from_millis(1_500),
+            robust_pace: false,
         }
     }
 }
--- a/coltsfoothall/src/forward/latency.rs
+++ b/coltsfoothall/src/forward/latency.rs
@@ -24,6 +24,14 @@
 /// An answer time is capped at this multiple of the expected one, so that one stalled endpoint
 /// does not make all of them appear slow.
 const MAX_RATIO: f64 = 3.0;
+/// Weight in [`Model::record_cost`] of an answer that took longer than expected: waiting only ever
+/// adds time, so the lower answers are closer to the cost itself.
+const LATE_WEIGHT: f64 = 0.1;
+/// Cap of an answer time in [`Model::record_cost`], as a multiple of the expected one.
+const MAX_COST_RATIO: f64 = 1.25;
+/// Weight in [`Model::record_cost`] of an answer of a crowded engine. It is not zero, so that the
+/// cost of engines that are never uncrowded is learned as well, over some thousand answers.
+const CROWDED_WEIGHT: f64 = 0.02;
 /// Tokens per unit of the fit. The units bring all inputs to a similar magnitude.
 const TOKENS_PER_UNIT: f64 = 1e4;
 /// Token pairs per unit of the fit.
@@ -129,11 +137,27 @@
 
     /// Records the measured time to a first event.
     pub fn record(&mut self, sample: Sample, took: Duration) {
+        self.record_weighted(sample, took, MAX_RATIO, 1.0);
+    }
+
+    /// Records the measured time to a first event in a fit of the cost alone, which waiting at
+    /// overloaded engines must not raise. `crowded` tells whether the engine was far enough from
+    /// idle that requests may have waited there.
+    pub fn record_cost(&mut self, sample: Sample, took: Duration, crowded: bool) {
+        let late = took.as_micros() as f64 > self.micros(sample);
+        let late_weight = if late { LATE_WEIGHT } else { 1.0 };
+        let crowded_weight = if crowded { CROWDED_WEIGHT } else { 1.0 };
+        self.record_weighted(sample, took, MAX_COST_RATIO, late_weight * crowded_weight);
+    }
+
+    /// Answers decay by the weight of the newer ones, so that light ones do not displace others.
+    fn record_weighted(&mut self, sample: Sample, took: Duration, max_ratio: f64, weight: f64) {
         let units = sample.units();
-        let max_micros = self.micros(sample) * MAX_RATIO;
+        let max_micros = self.micros(sample) * max_ratio;
         let took = (took.as_micros() as f64).min(max_micros);
-        self.products = self.products * DECAY + units * units.transpose();
-        self.times = self.times * DECAY + units * took;
+        let decay = DECAY.powf(weight);
+        self.products = self.products * decay + units * units.transpose() * weight;
+        self.times = self.times * decay + units * (took * weight);
         self.fit();
     }
 
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -116,6 +116,9 @@
     endpoint_time: Vec<(id::Service, u64)>,
     /// Latency models of the engines, sorted by service.
     latency_models: Vec<(id::Service, Model)>,
+    /// Models of the engines' cost without waiting, sorted by service; empty unless
+    /// [`Settings::robust_pace`] is set.
+    cost_models: Vec<(id::Service, Model)>,
     /// Latency model of engines without an answer yet.
     assumed: Model,
     /// Endpoints that were draining or gone at a position in the store's history; sorted by id.
@@ -130,6 +133,11 @@
     pub(super) avoided: Avoided,
 }
 
+/// Share of an engine's slots from which on it counts as crowded.
+const CROWDED_FILL: f64 = 0.5;
+/// Prompt tokens of other requests queued at an engine from which on it counts as crowded: those of
+/// some 0.2 s.
+const CROWDED_TOKENS: u64 = 20_000;
 /// Bounds the memory for ended endpoints of a process that runs for long.
 const MAX_ENDED: usize = 4096;
 
@@ -140,6 +148,7 @@
         Self {
             assumed: Model::new(settings.latency),
             latency_models: Vec::new(),
+            cost_models: Vec::new(),
             settings,
             nodes: Vec::new(),
             listings: Listing::default(),
@@ -319,7 +328,7 @@
         let number = self.runs;
         if query.memory.is_some() {
             let work = self
-                .latency_model(query.service)
+                .cost_model(query.service)
                 .prefill(load.unread, load.pairs);
             self.record_endpoint_time(query.service, work as u64);
         }
@@ -385,7 +394,16 @@
             ..Load::default()
         };
         if let Some(sample) = run.sample {
-            self.latency_model_mut(&run.service).record(sample, took);
+            let assumed = &self.assumed;
+            model_mut(&mut self.latency_models, &run.service, assumed).record(sample, took);
+            if self.settings.robust_pace {
+                // What others send becomes known while the run waits, so the load now counts too.
+                let crowded = self
+                    .node(&run.endpoint)
+                    .is_none_or(|node| is_crowded(node, run, sample));
+                model_mut(&mut self.cost_models, &run.service, &self.assumed)
+                    .record_cost(sample, took, crowded);
+            }
         }
         let Some(node) = self.endpoint_of(run) else {
             return;
@@ -403,7 +421,7 @@
     /// Records further events of a run's answer.
     pub fn record_events(&mut self, run: &Run, events: u64) {
         if run.sample.is_some() {
-            let work = self.latency_model(&run.service).event() * events as f64;
+            let work = self.cost_model(&run.service).event() * events as f64;
             self.record_endpoint_time(&run.service, work as u64);
         }
     }
@@ -412,7 +430,7 @@
     /// prompt and writes `events` events.
     #[must_use]
     pub fn work(&self, service: &id::Service, prompt: Tokens, unread: Tokens, events: f64) -> u64 {
-        let model = self.latency_model(service);
+        let model = self.cost_model(service);
         let prefill = model.prefill(unread.0, pairs(prompt, unread));
         (prefill + model.event() * events) as u64
     }
@@ -441,16 +459,15 @@
         found.map_or(&self.assumed, |index| &self.latency_models[index].1)
     }
 
-    fn latency_model_mut(&mut self, service: &id::Service) -> &mut Model {
+    /// The model from which the work of requests is computed.
+    fn cost_model(&self, service: &id::Service) -> &Model {
+        if !self.settings.robust_pace {
+            return self.latency_model(service);
+        }
         let found = self
-            .latency_models
+            .cost_models
             .binary_search_by(|(name, _)| name.cmp(service));
-        let index = found.unwrap_or_else(|index| {
-            let model = self.assumed.clone();
-            self.latency_models.insert(index, (service.clone(), model));
-            index
-        });
-        &mut self.latency_models[index].1
+        found.map_or(&self.assumed, |index| &self.cost_models[index].1)
     }
 
     /// Ends a run.
@@ -537,3 +554,28 @@
         self.nodes.binary_search_by(|node| node.entry.id.cmp(id))
     }
 }
+
+/// Model of a service, which begins as the `assumed` one.
+fn model_mut<'a>(
+    models: &'a mut Vec<(id::Service, Model)>,
+    service: &id::Service,
+    assumed: &Model,
+) -> &'a mut Model {
+    let found = models.binary_search_by(|(name, _)| name.cmp(service));
+    let index = found.unwrap_or_else(|index| {
+        models.insert(index, (service.clone(), assumed.clone()));
+        index
+    });
+    &mut models[index].1
+}
+
+/// Whether requests may have waited at an engine when a run began there or since.
+fn is_crowded(node: &Node, run: &Run, sample: Sample) -> bool {
+    let load = node.load();
+    let queued = sample
+        .tokens
+        .max(load.unread)
+        .saturating_sub(run.load.unread);
+    let max_open = f64::from(node.entry.slots) * CROWDED_FILL;
+    f64::from(sample.open.max(load.open)) >= max_open || queued >= CROWDED_TOKENS
+}
--- a/coltsfoothall/tests/forward_latency.rs
+++ b/coltsfoothall/tests/forward_latency.rs
@@ -154,6 +154,27 @@
     }
 }
 
+/// Guards against a work estimate that stays at the prior for engines that cost far more: too few
+/// endpoints would be ordered for them.
+#[test]
+fn costly_engine() {
+    let truth = Truth {
+        start: 20_000.0,
+        read: 32.0,
+        pairs: 100.0,
+        per_open: 500.0,
+    };
+    let mut random = Pcg64Mcg::seed_from_u64(6);
+    let mut model = Model::new(Settings::default());
+    for _ in 0..600 {
+        let sample = sample(&mut random);
+        let took = truth.wait(sample) * random.random_range(0.8..1.25);
+        model.record_cost(sample, Duration::from_micros(took as u64), false);
+    }
+    let read = model.prefill(1_000, 0) / 1e3 / truth.read;
+    assert!((1.0 / 1.5..1.5).contains(&read), "{read}");
+}
+
 proptest! {
     /// For any answers, no coefficient is negative and the expected time is finite.
     #[test]
--- a/coltsfoothall/tests/forward_roster.rs
+++ b/coltsfoothall/tests/forward_roster.rs
@@ -14,6 +14,8 @@
 use coltsfoothall::id;
 use coltsfoothall::size::{Millis, Tokens};
 use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 fn at(millis: u64) -> Time {
     Time::START + Duration::from_millis(millis)
@@ -662,3 +664,74 @@
     let unknown = "v9".parse().unwrap();
     assert_eq!(among(&Versions::Only(unknown)), Err(Unavailable::Absent));
 }
+
+/// Work of a request as estimated after an overload, as a multiple of the true one. Engines are seen
+/// with little load first, then almost full with waiting that this instance does not know of.
+fn work_ratio(robust_pace: bool, seed: u64, calm: usize) -> f64 {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let settings = Settings {
+        robust_pace,
+        ..Settings::default()
+    };
+    let mut roster = Roster::new(settings);
+    let slots = 32;
+    let _ = roster.registered(
+        at(0),
+        Entry {
+            slots,
+            ..entry("a", "north", 1)
+        },
+    );
+    let cost = |tokens: f64, pairs: f64, open: f64| 8.9 * tokens + 1e-4 * pairs + 780.0 * open;
+    for round in 0..calm + 600 {
+        let now = at(round as u64 * 5_000);
+        let mut case = Case::new();
+        let (open, unseen) = if round < calm {
+            (0..12, 0.0..5_000.0)
+        } else {
+            (4..28, 0.0..800_000.0)
+        };
+        let others: Vec<_> = (0..random.random_range(open))
+            .map(|_| {
+                let pick = roster.choose(now, &case.query(&[])).unwrap();
+                roster.begin(now, &pick, &case.query(&[]))
+            })
+            .collect();
+        case.parts.push(Part {
+            hash: random.random(),
+            tokens: Tokens(random.random_range(500..8_000)),
+        });
+        let pick = roster.choose(now, &case.query(&[])).unwrap();
+        let (sample, waited) = (pick.sample, random.random_range(unseen));
+        let known = cost(
+            sample.tokens as f64,
+            sample.pairs as f64,
+            f64::from(sample.open),
+        );
+        let took = (20_000.0 + known) * random.random_range(0.8..1.25) + waited;
+        let mut run = roster.begin(now, &pick, &case.query(&[]));
+        let first = now + Duration::from_micros(took as u64);
+        roster.record_first_event(first, &mut run);
+        for run in others.iter().chain([&run]) {
+            roster.finish(first, run, End::Whole);
+        }
+    }
+    let (prompt, events) = (6_600, 64.0);
+    let service = "reader".parse().unwrap();
+    let work = roster.work(&service, Tokens(prompt), Tokens(prompt), events);
+    work as f64 / cost(prompt as f64, (prompt * prompt) as f64, events)
+}
+
+/// Guards against orders for the time that requests wait at overloaded engines, also if the instance
+/// has seen nothing else.
+#[test]
+fn overload_no_work() {
+    for (seed, calm) in [(1, 300), (2, 300), (3, 40), (4, 0)] {
+        let (plain, robust) = (work_ratio(false, seed, calm), work_ratio(true, seed, calm));
+        assert!(
+            robust < plain,
+            "seed {seed}: {robust}, {plain} with the first fit"
+        );
+        assert!((1.0 / 1.5..1.5).contains(&robust), "seed {seed}: {robust}");
+    }
+}
