Endpoints are ordered for the load expected once they have started

forward::forecast takes the place of order::Meter where the settings name forecast, which also selects the robust fit of work.

--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod listen;
 pub mod membership;
 pub mod message;
+pub mod meter;
 pub mod orders;
 pub mod origin;
 pub mod outgoing;
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -18,7 +18,7 @@
 use coltsfoothall::forward::history::{Era, Fence, Position};
 use coltsfoothall::forward::leader::Leader;
 use coltsfoothall::forward::limit::{Candidate, Fleet};
-use coltsfoothall::forward::order::{self, Meter};
+use coltsfoothall::forward::order;
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
 use coltsfoothall::forward::role::Role;
@@ -41,10 +41,11 @@
 use crate::calls::Calls;
 use crate::changelog::Changelog;
 use crate::health::Health;
+use crate::meter::Meter;
 use crate::pool::Pool;
 use crate::retries::{Reason, Retries};
 use crate::role::Standing;
-use crate::settings::Settings;
+use crate::settings::{Feature, Settings};
 use crate::time::{self, Clock};
 use crate::versions;
 
@@ -190,7 +191,10 @@
     ) -> Self {
         let boot = rand::rng().random();
         Self {
-            roster: RefCell::new(Roster::new(choice::Settings::default())),
+            roster: RefCell::new(Roster::new(choice::Settings {
+                robust_pace: settings.has(Feature::Forecast),
+                ..choice::Settings::default()
+            })),
             pool: RefCell::default(),
             rate_limiter: RefCell::new(rate_limit::Limiter::new(rate_limit::Settings {
                 seed: boot,
@@ -429,7 +433,7 @@
             let index = match meters.binary_search_by(|(have, _)| have.cmp(service)) {
                 Ok(index) => index,
                 Err(index) => {
-                    let meter = Meter::new(now, order::Settings::default());
+                    let meter = Meter::new(now, self.settings().has(Feature::Forecast));
                     meters.insert(index, (service.clone(), meter));
                     index
                 }
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -18,6 +18,7 @@
 pub mod departure;
 pub mod duration;
 pub mod egress;
+pub mod forecast;
 pub mod gossip;
 pub mod handover;
 pub mod history;
