--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -45,8 +45,8 @@
     /// beyond twice the expected time.
     pub silence_timeout: Duration,
     /// Whether the work of requests is computed from a second fit, which waiting at overloaded
-    /// engines hardly raises. In one overload the first fit raised the load from 30
-    /// to 113 endpoints, and twice the endpoints needed were ordered.
+    /// engines hardly raises. In one overload the first fit raised the load from 30 to 113
+    /// endpoints, and twice the endpoints needed were ordered.
     pub robust_pace: bool,
 }
 
