--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::reach;
 use crate::refusal::{Refusal, bad_gateway, unavailable};
 use crate::retries::Reason;
+use crate::shortage;
 use crate::state::State;
 use crate::suspicion;
 
@@ -49,6 +50,8 @@
 const TOO_LARGE_RETRY_DELAY: Duration = Duration::from_secs(30);
 /// Response timeout of an endpoint when no other may run the request.
 const LAST_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Reason of a refusal after endpoints rejected the request.
+const REJECTED: &str = "turned away";
 
 /// Attempts of a request so far.
 #[derive(Debug)]
@@ -241,10 +244,21 @@
 fn reject(state: &State, job: &Job, trail: &Trail, reason: &'static str) -> Refusal {
     match choose(state, job, &trail.binding, &[]) {
         Err(Unavailable::BackedOff(resumes)) => back_off(state, resumes),
+        Ok(_) | Err(_) if reason == REJECTED => {
+            shortage::refuse(state, job, reason, FULL_RETRY_DELAY)
+        }
         Ok(_) | Err(_) => unavailable(reason, FULL_RETRY_DELAY),
     }
 }
 
+/// Records a refusal for lack of capacity. A request that was sent before counts as sent, and what
+/// its endpoints answered is no shortage.
+fn record_shortage(state: &State, job: &Job, trail: &Trail) {
+    if trail.sends == 0 {
+        state.record_shortage(job);
+    }
+}
+
 /// Logs the chosen endpoint: for every retry, and for the first send of one request in
 /// [`REQUESTS_PER_CHOICE_LOG`], sampled by request id so that all instances log the same requests.
 fn log_choice(state: &State, job: &Job, trail: &Trail, pick: &Pick) {
@@ -288,6 +302,9 @@
         if let Err(reason) = chosen {
             let handed = handover::send(state, job, trail, reason, after).await;
             if let Some(Ok(sent)) = handed {
+                if !trail.counted {
+                    state.record_offered(job);
+                }
                 return Ok(sent);
             }
             // A request that was handed over and may have run there is not sent again.
@@ -309,7 +326,9 @@
                 let retry_after = pick
                     .wait
                     .saturating_sub(job.route.target_latency.duration() / 2);
-                return Err(unavailable(
+                return Err(shortage::refuse(
+                    state,
+                    job,
                     "all endpoints are behind",
                     retry_after.max(FULL_RETRY_DELAY),
                 ));
@@ -317,8 +336,13 @@
             Ok(pick) => pick,
             Err(_) if trail.runs > 0 => return Err(bad_gateway("no other endpoint")),
             Err(Unavailable::Full) => {
-                state.record_shortage(job);
-                return Err(unavailable("all endpoints are full", FULL_RETRY_DELAY));
+                record_shortage(state, job, trail);
+                return Err(shortage::refuse(
+                    state,
+                    job,
+                    "all endpoints are full",
+                    FULL_RETRY_DELAY,
+                ));
             }
             Err(Unavailable::BackedOff(resumes)) => return Err(back_off(state, resumes)),
             Err(Unavailable::Absent) if trail.binding != Binding::Free => {
@@ -328,8 +352,13 @@
                 ));
             }
             Err(Unavailable::Absent) => {
-                state.record_shortage(job);
-                return Err(unavailable("no endpoint", NO_ENDPOINT_RETRY_DELAY));
+                record_shortage(state, job, trail);
+                return Err(shortage::refuse(
+                    state,
+                    job,
+                    "no endpoint",
+                    NO_ENDPOINT_RETRY_DELAY,
+                ));
             }
             Err(Unavailable::Unreachable) => {
                 return Err(unavailable(
@@ -369,7 +398,7 @@
             Ok(sent) if sent.reply.not_run => {
                 let (_response, _reply, share, _checkout) = sent.split();
                 share.end(End::Refused);
-                "turned away"
+                REJECTED
             }
             Ok(sent) => {
                 trail.runs += 1;
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -18,9 +18,10 @@
 use coltsfoothall::forward::history::{Era, Fence, Position};
 use coltsfoothall::forward::leader::Leader;
 use coltsfoothall::forward::limit::{Candidate, Fleet};
-use coltsfoothall::forward::order::{self, Meter};
+use coltsfoothall::forward::order;
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
+use coltsfoothall::forward::retry_after;
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::forward::roster::{Ended, Event, Roster};
 use coltsfoothall::forward::stop::Stop;
@@ -41,10 +42,11 @@
 use crate::calls::Calls;
 use crate::changelog::Changelog;
 use crate::health::Health;
+use crate::meter::Meter;
 use crate::pool::Pool;
 use crate::retries::{Reason, Retries};
 use crate::role::Standing;
-use crate::settings::Settings;
+use crate::settings::{Feature, Settings};
 use crate::time::{self, Clock};
 use crate::versions;
 
@@ -165,8 +167,12 @@
     meters: RefCell<Vec<(id::Service, Meter)>>,
     /// Requests that were refused for lack of capacity.
     pub demand: RefCell<demand::Tracker>,
+    /// Shortages of capacity, by which refused callers are told when to retry.
+    pub shortages: RefCell<retry_after::Tracker>,
     /// The loads that an earlier leader saved, or that this one saved last; sorted by service.
     pub saved_loads: RefCell<Vec<order::Saved>>,
+    /// The term for which the loads of earlier leaders were read from the store.
+    pub loads_restored: Cell<Option<Fence>>,
 }
 
 impl std::fmt::Debug for State {
@@ -190,7 +196,10 @@
     ) -> Self {
         let boot = rand::rng().random();
         Self {
-            roster: RefCell::new(Roster::new(choice::Settings::default())),
+            roster: RefCell::new(Roster::new(choice::Settings {
+                robust_pace: settings.has(Feature::Forecast),
+                ..choice::Settings::default()
+            })),
             pool: RefCell::default(),
             rate_limiter: RefCell::new(rate_limit::Limiter::new(rate_limit::Settings {
                 seed: boot,
@@ -234,7 +243,9 @@
             store_returned_at: Cell::new(None),
             meters: RefCell::default(),
             demand: RefCell::default(),
+            shortages: RefCell::default(),
             saved_loads: RefCell::default(),
+            loads_restored: Cell::default(),
             clock: Clock::start(),
             settings: RefCell::new(Rc::new(settings)),
             name,
@@ -289,6 +300,15 @@
             && !self.roster.borrow().nodes().is_empty()
     }
 
+    /// Whether this instance may act for all: without any endpoint, if it orders them for what callers
+    /// ask.
+    #[must_use]
+    pub fn may_lead(&self) -> bool {
+        let has_read = self.configuration().is_some() && self.registrations_as_of.get().is_some();
+        let orders_any = self.settings().has(Feature::OfferedLoad) && has_read;
+        self.is_ready() || (orders_any && !self.stopping.is_cancelled())
+    }
+
     /// The description of this instance that other instances receive.
     #[must_use]
     pub fn profile(&self) -> Profile {
@@ -429,7 +449,7 @@
             let index = match meters.binary_search_by(|(have, _)| have.cmp(service)) {
                 Ok(index) => index,
                 Err(index) => {
-                    let meter = Meter::new(now, order::Settings::default());
+                    let meter = Meter::new(now, self.settings().has(Feature::Forecast));
                     meters.insert(index, (service.clone(), meter));
                     index
                 }
