--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::admission;
 use coltsfoothall::forward::choice::{Pick, Query};
 use coltsfoothall::forward::config::Route;
 use coltsfoothall::forward::crash::Mark;
@@ -92,6 +93,17 @@
             exclude,
             memory: self.memory,
             versions,
+            target: Some(self.target()),
+        }
+    }
+
+    /// When its first event is of use.
+    #[must_use]
+    pub fn target(&self) -> admission::Target {
+        admission::Target {
+            latency: self.route.target_latency.duration(),
+            received_at: self.received_at,
+            rank: self.rank,
         }
     }
 
--- a/coltsfoothall-forward/src/dispatch.rs
+++ b/coltsfoothall-forward/src/dispatch.rs
@@ -105,14 +105,19 @@
 }
 
 /// Whether the first event is expected too late to be of use.
-fn is_late(job: &Job, pick: &Pick) -> bool {
-    job.memory.is_some()
-        && pick.wait
-            > job
-                .route
-                .target_latency
-                .duration()
-                .mul_f64(MAX_FIRST_EVENT_FACTOR)
+fn is_late(state: &State, job: &Job, pick: &Pick) -> bool {
+    if job.memory.is_none() {
+        return false;
+    }
+    if state.roster.borrow().has_queueing() {
+        return !job.target().admits(state.now(), &pick.waits());
+    }
+    pick.wait
+        > job
+            .route
+            .target_latency
+            .duration()
+            .mul_f64(MAX_FIRST_EVENT_FACTOR)
 }
 
 /// The refusal of a request that must not be sent once more, as its content or a part of its prompt
@@ -304,7 +309,7 @@
         let pick = match chosen {
             // A response that would be late anyway would delay others as well; this request has not
             // run yet.
-            Ok(pick) if trail.sends == 0 && is_late(job, &pick) => {
+            Ok(pick) if trail.sends == 0 && is_late(state, job, &pick) => {
                 state.record_shortage(job);
                 let retry_after = pick
                     .wait
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -44,7 +44,7 @@
 use crate::pool::Pool;
 use crate::retries::{Reason, Retries};
 use crate::role::Standing;
-use crate::settings::Settings;
+use crate::settings::{Feature, Settings};
 use crate::time::{self, Clock};
 use crate::versions;
 
@@ -190,7 +190,10 @@
     ) -> Self {
         let boot = rand::rng().random();
         Self {
-            roster: RefCell::new(Roster::new(choice::Settings::default())),
+            roster: RefCell::new(Roster::new(choice::Settings {
+                queueing: settings.has(Feature::Queueing),
+                ..choice::Settings::default()
+            })),
             pool: RefCell::default(),
             rate_limiter: RefCell::new(rate_limit::Limiter::new(rate_limit::Settings {
                 seed: boot,
--- a/coltsfoothall/benches/gossip.rs
+++ b/coltsfoothall/benches/gossip.rs
@@ -228,6 +228,7 @@
         exclude: &[],
         memory: Some(Tokens(500_000)),
         versions: &Versions::Any,
+        target: None,
     };
     let started = Instant::now();
     for _ in 0..100 {
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -11,6 +11,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Time;
+use crate::forward::admission::{Target, Wait};
+use crate::forward::brittle::Bound;
 use crate::forward::latency::{self, Model, Sample};
 use crate::forward::node::Node;
 use crate::forward::roster::Roster;
@@ -18,6 +20,9 @@
 use crate::id;
 use crate::size::Tokens;
 
+/// Microseconds that a request and the first part of its answer take on the network.
+const NETWORK_US: f64 = 4_000.0;
+
 /// Weights and bounds of the choice.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -44,6 +49,9 @@
     /// An endpoint is suspected once a request has waited for its first event for this long
     /// beyond twice the expected time.
     pub silence_timeout: Duration,
+    /// Whether requests may wait in the queues of engines whose slots are taken, and are admitted by
+    /// the time that is left of their target latency.
+    pub queueing: bool,
 }
 
 impl Default for Settings {
@@ -59,6 +67,7 @@
             prefix_ttl: Duration::from_secs(60),
             avoid_period: Duration::from_millis(1_500),
             silence_timeout: Duration::from_millis(1_500),
+            queueing: false,
         }
     }
 }
@@ -91,6 +100,8 @@
     pub memory: Option<Tokens>,
     /// Versions of the service that may run the request.
     pub versions: &'a Versions,
+    /// When its first event is of use; a request without this waits in no queue of an engine.
+    pub target: Option<Target>,
 }
 
 impl Query<'_> {
@@ -139,6 +150,10 @@
     pub version: Option<id::Version>,
     /// Expected time to the first event or the answer.
     pub wait: Duration,
+    /// Expected time until it gets a slot there, as a part of `wait`.
+    pub slot_wait: Duration,
+    /// Expected time to the first event if the endpoint were idle.
+    pub alone: Duration,
     /// Estimated tokens of the prompt that it has to prefill.
     pub unread: Tokens,
     /// Work before the first event, as input of the latency model.
@@ -162,6 +177,18 @@
     Large,
 }
 
+impl Pick {
+    /// The expected wait at the endpoint.
+    #[must_use]
+    pub fn waits(&self) -> Wait {
+        Wait {
+            slot: self.slot_wait,
+            first_event: self.wait,
+            alone: self.alone,
+        }
+    }
+}
+
 impl Roster {
     /// Chooses the endpoint with the lowest cost.
     ///
@@ -237,12 +264,22 @@
                 continue;
             }
             let limited = node.limit.as_ref().is_some_and(|limit| !limit.allows(now));
-            if limited || self.is_risky(now, node) || self.is_full(now, node, query) {
+            let room = self.room(now, node, query);
+            if limited || self.is_risky(now, node) || room == Room::Full {
                 unavailable = Unavailable::Full;
                 continue;
             }
-            among += 1;
             let estimate = self.estimate(now, node, query, &chains, model);
+            let is_queued = room == Room::Queue;
+            if is_queued
+                && !query
+                    .target
+                    .is_some_and(|target| target.admits(now, &estimate.waits()))
+            {
+                unavailable = Unavailable::Full;
+                continue;
+            }
+            among += 1;
             let cached = prefix.filter(|prefix| preferred.includes(node, prefix.chain));
             // Prefilling the prefix elsewhere takes time now, and for later requests there.
             let saved = cached.map_or(0.0, |prefix| model.prefill(prefix.tokens.0, 0));
@@ -266,6 +303,8 @@
             address: node.entry.address,
             version: node.entry.version.clone(),
             wait: Duration::from_micros(estimate.wait as u64),
+            slot_wait: Duration::from_micros(estimate.slot_wait as u64),
+            alone: Duration::from_micros(estimate.alone as u64),
             unread: estimate.unread,
             sample: estimate.sample,
             among,
@@ -308,20 +347,61 @@
             .is_some_and(|brittle| !brittle.allows(now, node.load().open, node.entry.slots))
     }
 
-    fn is_full(&self, now: Time, node: &Node, query: &Query<'_>) -> bool {
+    fn room(&self, now: Time, node: &Node, query: &Query<'_>) -> Room {
         let load = node.load();
         let slots = f64::from(node.entry.slots.max(1));
-        match query.memory {
+        let (has_slot, may_queue) = match query.memory {
             Some(memory) => {
                 let needed = query
                     .prompt
                     .plus(query.answer)
                     .0
                     .saturating_add(load.memory);
-                f64::from(load.open) >= slots * self.settings.max_fill
-                    || (load.open > 0 && needed as f64 > memory.0 as f64 * self.settings.max_fill)
+                if load.open > 0 && needed as f64 > memory.0 as f64 * self.settings.max_fill {
+                    return Room::Full;
+                }
+                let has_slot = f64::from(load.open) < slots * self.settings.max_fill;
+                (has_slot, self.may_queue(now, node))
+            }
+            None => {
+                let is_below = f64::from(load.open) < slots * queue_factor(node);
+                (now >= node.full_until && is_below, false)
+            }
+        };
+        match (has_slot, may_queue) {
+            (true, _) => Room::Slot,
+            (false, true) => Room::Queue,
+            (false, false) => Room::Full,
+        }
+    }
+
+    /// Whether one more request may wait at an engine whose slots are taken. An engine that is
+    /// leaving, or that names how many requests or rejections it stands, gets none to queue.
+    fn may_queue(&self, now: Time, node: &Node) -> bool {
+        let is_limited = node
+            .limit
+            .as_ref()
+            .is_some_and(|limit| limit.rate().is_some());
+        let is_brittle = node.brittle.as_ref().is_some_and(Bound::is_brittle);
+        let queued = node.load().open.saturating_sub(node.entry.slots);
+        self.settings.queueing
+            && now >= node.full_until
+            && queued < node.entry.slots
+            && !is_limited
+            && !is_brittle
+            && !node.is_leaving()
+    }
+
+    /// Microseconds until a slot of an engine is expected to be free.
+    fn slot_wait(&self, node: &Node, query: &Query<'_>) -> f64 {
+        let (open, slots) = (node.load().open, node.entry.slots);
+        let is_free = f64::from(open) < f64::from(slots) * self.settings.max_fill;
+        match query.target {
+            Some(target) if self.settings.queueing && query.memory.is_some() && !is_free => {
+                let mean = self.occupancy.mean(query.service);
+                target.slot_wait(open, slots, mean).as_micros() as f64 * node.slowness
             }
-            None => now < node.full_until || f64::from(load.open) >= slots * queue_factor(node),
+            Some(_) | None => 0.0,
         }
     }
 
@@ -348,7 +428,14 @@
             let queued = f64::from(load.open) / f64::from(node.entry.slots.max(1));
             settings.plain_work_us * (1.0 + queued * queued)
         };
-        let wait = work * node.slowness + 4_000.0;
+        let slot_wait = self.slot_wait(node, query);
+        let wait = work * node.slowness + NETWORK_US + slot_wait;
+        let own = Sample {
+            tokens: unread.0,
+            pairs: pairs(query.prompt, unread),
+            open: 0,
+        };
+        let alone = model.first_event(own).as_micros() as f64 + NETWORK_US;
         let hop = if node.entry.domain == *query.domain {
             0.0
         } else {
@@ -379,6 +466,8 @@
         Estimate {
             cost,
             wait,
+            slot_wait,
+            alone,
             unread,
             sample,
         }
@@ -414,10 +503,36 @@
     cost: f64,
     /// Microseconds until the first event or the answer.
     wait: f64,
+    /// Microseconds until a slot is free, as a part of `wait`.
+    slot_wait: f64,
+    /// Microseconds until the first event if the endpoint were idle.
+    alone: f64,
     unread: Tokens,
     sample: Sample,
 }
 
+impl Estimate {
+    fn waits(&self) -> Wait {
+        let micros = |micros: f64| Duration::from_micros(micros as u64);
+        Wait {
+            slot: micros(self.slot_wait),
+            first_event: micros(self.wait),
+            alone: micros(self.alone),
+        }
+    }
+}
+
+/// Whether an endpoint takes one more request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Room {
+    /// It has a free slot.
+    Slot,
+    /// The request may wait there.
+    Queue,
+    /// It takes none.
+    Full,
+}
+
 /// Longest prefix of a prompt that other requests share.
 #[derive(Debug, Clone, Copy)]
 struct Prefix {
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! changes too fast for the store.
 
 pub mod active;
+pub mod admission;
 pub mod assignment;
 pub mod backoff;
 pub mod brittle;
@@ -28,6 +29,7 @@
 pub mod limit;
 pub mod limits;
 pub mod node;
+pub mod occupancy;
 pub mod order;
 pub mod peer;
 pub mod poll;
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -13,6 +13,7 @@
 use crate::forward::node::{
     Entry, Listing, Load, Node, SLOWNESS_BOUNDS, SLOWNESS_WEIGHT, SUCCESS_WEIGHT, Waiting,
 };
+use crate::forward::occupancy::Occupancy;
 use crate::forward::reach::Contact;
 use crate::forward::statement::{Avoided, Unlisted};
 use crate::id;
@@ -30,6 +31,8 @@
     number: u64,
     began: Time,
     expected: Duration,
+    /// Expected time until it got a slot, as a part of `expected`.
+    slot_wait: Duration,
     sample: Option<Sample>,
     first: bool,
     /// Whether its endpoint is brittle and has not said yet whether it accepts the request.
@@ -118,6 +121,8 @@
     latency_models: Vec<(id::Service, Model)>,
     /// Latency model of engines without an answer yet.
     assumed: Model,
+    /// Time for which requests hold slots.
+    pub(super) occupancy: Occupancy,
     /// Endpoints that were draining or gone at a position in the store's history; sorted by id.
     ended: Vec<Ended>,
     /// Endpoints whose own registration said that they are leaving, sorted.
@@ -147,6 +152,7 @@
             runs: 0,
             placements: Vec::new(),
             endpoint_time: Vec::new(),
+            occupancy: Occupancy::default(),
             ended: Vec::new(),
             announced: Vec::new(),
             contacts: Vec::new(),
@@ -155,6 +161,12 @@
         }
     }
 
+    /// Whether requests may wait in the queues of engines.
+    #[must_use]
+    pub fn has_queueing(&self) -> bool {
+        self.settings.queueing
+    }
+
     /// All endpoints, sorted by id.
     #[must_use]
     pub fn nodes(&self) -> &[Node] {
@@ -363,6 +375,7 @@
             number,
             began: now,
             expected: pick.wait,
+            slot_wait: pick.slot_wait,
             sample: query.memory.map(|_engine| pick.sample),
             first: false,
             at_risk,
@@ -384,7 +397,10 @@
             pairs: run.load.pairs,
             ..Load::default()
         };
-        if let Some(sample) = run.sample {
+        // The latency model describes engines with a free slot.
+        if let Some(sample) = run.sample
+            && run.slot_wait.is_zero()
+        {
             self.latency_model_mut(&run.service).record(sample, took);
         }
         let Some(node) = self.endpoint_of(run) else {
@@ -457,6 +473,10 @@
     pub fn finish(&mut self, now: Time, run: &Run, end: End) {
         self.settle(now, run, end == End::Refused);
         self.settle_backoff(now, run, false);
+        if end == End::Whole {
+            let held = now.since(run.began).saturating_sub(run.slot_wait);
+            self.occupancy.record(&run.service, held);
+        }
         let avoid_period = self.settings.avoid_period;
         let Some(node) = self.endpoint_of(run) else {
             return;
--- a/coltsfoothall/tests/forward_backoff.rs
+++ b/coltsfoothall/tests/forward_backoff.rs
@@ -74,6 +74,7 @@
             exclude: &[],
             memory: self.engine.then_some(Tokens(100_000)),
             versions: &Versions::Any,
+            target: None,
         };
         let Ok(pick) = self.roster.choose(at(now), &query) else {
             return false;
--- a/coltsfoothall/tests/forward_brittle.rs
+++ b/coltsfoothall/tests/forward_brittle.rs
@@ -163,6 +163,7 @@
                 exclude: &[],
                 memory: None,
                 versions: &Versions::Any,
+                target: None,
             };
             while let Ok(pick) = instance.roster.choose(now, &query) {
                 let run = instance.roster.begin(now, &pick, &query);
--- a/coltsfoothall/tests/forward_departure.rs
+++ b/coltsfoothall/tests/forward_departure.rs
@@ -73,6 +73,7 @@
         exclude,
         memory: None,
         versions: &Versions::Any,
+        target: None,
     }
 }
 
--- a/coltsfoothall/tests/forward_limit.rs
+++ b/coltsfoothall/tests/forward_limit.rs
@@ -167,6 +167,7 @@
             exclude: &[],
             memory: None,
             versions: &Versions::Any,
+            target: None,
         };
         let Ok(pick) = instance.roster.choose(now, &query) else {
             return;
--- a/coltsfoothall/tests/forward_parts.rs
+++ b/coltsfoothall/tests/forward_parts.rs
@@ -116,6 +116,7 @@
             exclude: &[],
             memory: Some(Tokens(600_000)),
             versions: &Versions::Any,
+            target: None,
         };
         let roster = &mut self.rosters[random.random_range(0..INSTANCES)];
         let pick = roster.choose(at(now), &query).unwrap();
--- a/coltsfoothall/tests/forward_reach.rs
+++ b/coltsfoothall/tests/forward_reach.rs
@@ -65,6 +65,7 @@
         exclude,
         memory: None,
         versions: &Versions::Any,
+        target: None,
     };
     let pick = roster.choose(now, &query).ok()?;
     let run = roster.begin(now, &pick, &query);
--- a/coltsfoothall/tests/forward_roster.rs
+++ b/coltsfoothall/tests/forward_roster.rs
@@ -90,6 +90,7 @@
             exclude,
             memory: Some(Tokens(100_000)),
             versions: &Versions::Any,
+            target: None,
         }
     }
 }
@@ -652,6 +653,7 @@
     let among = |versions: &Versions| {
         let query = Query {
             versions,
+            target: None,
             ..case.query(&[])
         };
         roster.choose(at(0), &query).map(|pick| pick.among)
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -206,6 +206,7 @@
         exclude,
         memory: None,
         versions: &versions,
+        target: None,
     };
     assert_eq!(roster.choose(at(0), &query(&[])).unwrap().endpoint, first);
     assert_eq!(
