--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -55,6 +55,8 @@
     pub fingerprint: Fingerprint,
     /// Parts of its prompt by which it may crash endpoints.
     pub marks: Rc<[Mark]>,
+    /// The shortest target latency among the routes to its service.
+    pub shortest_target: Duration,
     /// When its headers were read.
     pub received_at: Time,
     /// Deadline of its response.
@@ -102,6 +104,7 @@
     pub fn target(&self) -> admission::Target {
         admission::Target {
             latency: self.route.target_latency.duration(),
+            shortest: self.shortest_target,
             received_at: self.received_at,
             rank: self.rank,
         }
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -264,6 +264,9 @@
         Origin::Caller => route.attempts,
         Origin::Instance(terms) => route.attempts.min(terms.attempts),
     };
+    let shortest_target = config
+        .shortest_target(&service)
+        .unwrap_or(route.target_latency);
     let binding = binding::bind(state, route, &service, &call, &origin)?;
     let job = Job {
         marks: marks.into(),
@@ -272,6 +275,7 @@
         binding,
         route: std::sync::Arc::clone(route),
         memory: engine.map(|engine| engine.memory),
+        shortest_target: shortest_target.duration(),
         service,
         call,
         head,
--- a/coltsfoothall/src/forward/choice.rs
+++ b/coltsfoothall/src/forward/choice.rs
@@ -435,7 +435,9 @@
             pairs: pairs(query.prompt, unread),
             open: 0,
         };
-        let alone = model.first_event(own).as_micros() as f64 + NETWORK_US;
+        let own = model.first_event(own).as_micros() as f64;
+        // That the endpoint is slow counts as a delay; that it is fast shortens both.
+        let alone = own * node.slowness.min(1.0) + NETWORK_US;
         let hop = if node.entry.domain == *query.domain {
             0.0
         } else {
--- a/coltsfoothall/src/forward/config.rs
+++ b/coltsfoothall/src/forward/config.rs
@@ -263,6 +263,14 @@
         self.routes.iter().map(Arc::as_ref)
     }
 
+    /// The shortest target latency among the routes to a service.
+    #[must_use]
+    pub fn shortest_target(&self, service: &id::Service) -> Option<Millis> {
+        let has = |route: &&Route| route.targets.iter().any(|to| to.service == *service);
+        let latencies = self.routes().filter(has).map(|route| route.target_latency);
+        latencies.min()
+    }
+
     /// The workspace that an API key belongs to.
     #[must_use]
     pub fn workspace_by_key(&self, key: &str) -> Option<&Workspace> {
