--- a/coltsfoothall/benches/admission.rs
+++ b/coltsfoothall/benches/admission.rs
@@ -29,10 +29,12 @@
                     seed: 1,
                 });
                 print!(
-                    " queueing={queueing} goodput={:.0}/s late={} sent={:.3} large={:.3};",
+                    " queueing={queueing} goodput={:.0}/s late={} sent={:.3} short={:.3} long={:.3} large={:.3};",
                     outcome.goodput,
                     outcome.all.sent - outcome.all.timely,
                     outcome.all.share_sent(),
+                    outcome.kinds[0].share_sent(),
+                    outcome.kinds[1].share_sent(),
                     outcome.large.share_sent(),
                 );
             }
--- a/coltsfoothall/tests/overload/mod.rs
+++ b/coltsfoothall/tests/overload/mod.rs
@@ -105,6 +105,8 @@
     pub all: Count,
     /// Requests of the largest tenth of each kind.
     pub large: Count,
+    /// Requests of each kind, the short ones first.
+    pub kinds: [Count; KINDS.len()],
     /// Timely answers a second.
     pub goodput: f64,
 }
@@ -114,6 +116,7 @@
     instance: usize,
     run: Option<Run>,
     kind: Kind,
+    index: usize,
     is_large: bool,
     is_counted: bool,
     received: u64,
@@ -257,6 +260,7 @@
                     }
                     if request.is_counted && request.is_timely {
                         outcome.all.timely += 1;
+                        outcome.kinds[request.index].timely += 1;
                         outcome.large.timely += u32::from(request.is_large);
                     }
                 }
@@ -362,6 +366,7 @@
             instance,
             run: Some(run),
             kind,
+            index,
             is_large,
             is_counted,
             received: now,
@@ -376,6 +381,7 @@
     if is_counted {
         let counts = [
             Some(&mut outcome.all),
+            Some(&mut outcome.kinds[index]),
             is_large.then_some(&mut outcome.large),
         ];
         for count in counts.into_iter().flatten() {
