--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::admission;
 use coltsfoothall::forward::choice::{Pick, Query};
 use coltsfoothall::forward::config::Route;
 use coltsfoothall::forward::crash::Mark;
@@ -55,6 +56,8 @@
     pub fingerprint: Fingerprint,
     /// Parts of its prompt by which it may crash endpoints.
     pub marks: Rc<[Mark]>,
+    /// The shortest target latency among the routes to its service.
+    pub shortest_target: Duration,
     /// When its headers were read.
     pub received_at: Time,
     /// Deadline of its response.
@@ -93,6 +96,18 @@
             exclude,
             memory: self.memory,
             versions,
+            target: Some(self.target()),
+        }
+    }
+
+    /// When its first event is of use.
+    #[must_use]
+    pub fn target(&self) -> admission::Target {
+        admission::Target {
+            latency: self.route.target_latency.duration(),
+            shortest: self.shortest_target,
+            received_at: self.received_at,
+            rank: self.rank,
         }
     }
 
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -197,6 +197,7 @@
         let boot = rand::rng().random();
         Self {
             roster: RefCell::new(Roster::new(choice::Settings {
+                queueing: settings.has(Feature::Queueing),
                 robust_pace: settings.has(Feature::Forecast),
                 ..choice::Settings::default()
             })),
--- a/coltsfoothall/tests/forward_roster.rs
+++ b/coltsfoothall/tests/forward_roster.rs
@@ -92,6 +92,7 @@
             exclude,
             memory: Some(Tokens(100_000)),
             versions: &Versions::Any,
+            target: None,
         }
     }
 }
@@ -654,6 +655,7 @@
     let among = |versions: &Versions| {
         let query = Query {
             versions,
+            target: None,
             ..case.query(&[])
         };
         roster.choose(at(0), &query).map(|pick| pick.among)
