--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -16,6 +16,7 @@
 use crate::membership::{self, LEADER_KEY, member_prefix};
 use crate::orders::Autoscaler;
 use crate::registrations;
+use crate::settings::Feature;
 use crate::state::State;
 use crate::time;
 use crate::upgrades::Driver;
@@ -200,9 +201,9 @@
         let Some((_fence, began, autoscaler)) = &mut term else {
             continue;
         };
-        if state.loads_restored.get() != Some(fence)
-            && state.now().since(*began) < MAX_RESTORE_DELAY
-        {
+        let restores =
+            state.settings().has(Feature::OfferedLoad) && state.loads_restored.get() != Some(fence);
+        if restores && state.now().since(*began) < MAX_RESTORE_DELAY {
             continue;
         }
         autoscaler.tick(&state).await;
