--- a/coltsfoothall-forward/src/shortage.rs
+++ b/coltsfoothall-forward/src/shortage.rs
@@ -41,7 +41,8 @@
         .count();
     Shortage {
         load: state.load(&job.service).map(|load| load.value),
-        capacity: live as f64 * order::Settings::default().max_utilization,
+        // Without any endpoint the capacity counts as that of one, so that the ratio stays finite.
+        capacity: live.max(1) as f64 * order::Settings::default().max_utilization,
         boot: scaling.map(|scaling| scaling.boot),
         wait,
         left: job.due.since(state.now()),
--- a/coltsfoothall/src/forward/forecast.rs
+++ b/coltsfoothall/src/forward/forecast.rs
@@ -165,6 +165,9 @@
             let end = rates.len().checked_sub(dropped).filter(|end| *end > 0)?;
             Some(self.predict(&rates[end.saturating_sub(self.settings.window)..end]))
         };
+        if rates.is_empty() {
+            return None;
+        }
         let value = (0..self.settings.hold.max(1))
             .filter_map(predict)
             .fold(0.0, f64::max);
@@ -221,7 +224,11 @@
     fn rates(&self, now: Time) -> Vec<f64> {
         let settings = &self.settings;
         let count = self.complete(now);
-        let first = count.saturating_sub(self.kept());
+        // Instances report first at different moments, so that the first measurement is too low and
+        // would look like the start of a rise.
+        let first = count
+            .saturating_sub(self.kept())
+            .max(usize::from(count > 1));
         let mut rates: Vec<f64> = Vec::with_capacity(count - first);
         for index in first..count {
             let start = self.origin + settings.bucket * u32::try_from(index).unwrap_or(u32::MAX);
@@ -245,7 +252,7 @@
             let before = rates.last().copied().unwrap_or(fresh);
             rates.push(fresh + held.min((before - fresh).max(0.0)));
         }
-        self.limit_bursts(&rates)
+        self.limit_bursts(&without_pauses(&rates))
     }
 
     fn limit_bursts(&self, rates: &[f64]) -> Vec<f64> {
@@ -282,6 +289,23 @@
     }
 }
 
+/// The measurements with traffic, without those that a pause begins or ends in, unless there are no
+/// others. Callers that pause for seconds, or whose requests are not counted meanwhile, return: the
+/// load is that before the pause until no measurement of it is left.
+fn without_pauses(rates: &[f64]) -> Vec<f64> {
+    let is_empty = |index: usize| rates.get(index).is_some_and(|rate| *rate <= 0.0);
+    let busy = (0..rates.len()).filter(|index| !is_empty(*index));
+    let whole = busy
+        .clone()
+        .filter(|index| !is_empty(index + 1) && (*index == 0 || !is_empty(index - 1)));
+    let whole: Vec<f64> = whole.map(|index| rates[index]).collect();
+    if whole.is_empty() {
+        busy.map(|index| rates[index]).collect()
+    } else {
+        whole
+    }
+}
+
 /// Least-squares slope per measurement.
 fn slope(rates: &[f64], mean: f64, middle: f64) -> f64 {
     let (mut products, mut squares) = (0.0, 0.0);
--- a/coltsfoothall/src/forward/latency.rs
+++ b/coltsfoothall/src/forward/latency.rs
@@ -29,8 +29,8 @@
 const LATE_WEIGHT: f64 = 0.1;
 /// Cap of an answer time in [`Model::record_cost`], as a multiple of the expected one.
 const MAX_COST_RATIO: f64 = 1.25;
-/// Weight in [`Model::record_cost`] of an answer of a crowded engine. It is not zero, so that the
-/// cost of engines that are never uncrowded is learned as well, over some thousand answers.
+/// Weight in [`Model::record_cost`] of an answer of a crowded engine. It is not zero, so that
+/// something is learned of engines that are never uncrowded.
 const CROWDED_WEIGHT: f64 = 0.02;
 /// Tokens per unit of the fit. The units bring all inputs to a similar magnitude.
 const TOKENS_PER_UNIT: f64 = 1e4;
--- a/coltsfoothall/src/forward/roster.rs
+++ b/coltsfoothall/src/forward/roster.rs
@@ -138,6 +138,10 @@
     pub(super) avoided: Avoided,
 }
 
+/// Least share of the cost in the latency model that counts as work. Engines that cost several times
+/// what is assumed of them are always crowded when too few are ordered, and the cost model then
+/// hardly learns.
+const MIN_COST_SHARE: f64 = 0.5;
 /// Share of an engine's slots from which on it counts as crowded.
 const CROWDED_FILL: f64 = 0.5;
 /// Prompt tokens of other requests queued at an engine from which on it counts as crowded: those of
@@ -339,9 +343,7 @@
         };
         let number = self.runs;
         if query.memory.is_some() {
-            let work = self
-                .cost_model(query.service)
-                .prefill(load.unread, load.pairs);
+            let work = self.prefill_cost(query.service, load.unread, load.pairs);
             self.record_endpoint_time(query.service, work as u64);
         }
         let mut born = Millis(0);
@@ -437,7 +439,7 @@
     /// Records further events of a run's answer.
     pub fn record_events(&mut self, run: &Run, events: u64) {
         if run.sample.is_some() {
-            let work = self.cost_model(&run.service).event() * events as f64;
+            let work = self.event_cost(&run.service) * events as f64;
             self.record_endpoint_time(&run.service, work as u64);
         }
     }
@@ -446,9 +448,8 @@
     /// prompt and writes `events` events.
     #[must_use]
     pub fn work(&self, service: &id::Service, prompt: Tokens, unread: Tokens, events: f64) -> u64 {
-        let model = self.cost_model(service);
-        let prefill = model.prefill(unread.0, pairs(prompt, unread));
-        (prefill + model.event() * events) as u64
+        let prefill = self.prefill_cost(service, unread.0, pairs(prompt, unread));
+        (prefill + self.event_cost(service) * events) as u64
     }
 
     /// Whether all endpoints of a service that take work restrict what they are sent: they name a limit
@@ -477,6 +478,18 @@
         found.map_or(&self.assumed, |index| &self.latency_models[index].1)
     }
 
+    /// Microseconds of an endpoint's time that a prefill costs.
+    fn prefill_cost(&self, service: &id::Service, tokens: u64, pairs: u64) -> f64 {
+        let least = self.latency_model(service).prefill(tokens, pairs) * MIN_COST_SHARE;
+        self.cost_model(service).prefill(tokens, pairs).max(least)
+    }
+
+    /// Microseconds of an endpoint's time that an event of an answer costs.
+    fn event_cost(&self, service: &id::Service) -> f64 {
+        let least = self.latency_model(service).event() * MIN_COST_SHARE;
+        self.cost_model(service).event().max(least)
+    }
+
     /// The model from which the work of requests is computed.
     fn cost_model(&self, service: &id::Service) -> &Model {
         if !self.settings.robust_pace {
--- a/coltsfoothall/tests/forward_forecast.rs
+++ b/coltsfoothall/tests/forward_forecast.rs
@@ -74,6 +74,37 @@
     );
 }
 
+/// Guards against endpoints that are given back while callers pause, and against a load that stays
+/// unknown after they return.
+#[test]
+fn pause_bridged() {
+    let pause = |millis| {
+        if (30_000..39_000).contains(&millis) {
+            0.0
+        } else {
+            40.0
+        }
+    };
+    let values = forecasts(pause, |_, _| false, |_| 0);
+    let range = 32.0..48.0;
+    assert!(
+        values[100..].iter().all(|value| range.contains(value)),
+        "{:?}",
+        &values[290..450]
+    );
+}
+
+/// Guards against a load that is never forgotten.
+#[test]
+fn end_noticed() {
+    let values = forecasts(
+        |millis| if millis < 20_000 { 40.0 } else { 0.0 },
+        |_, _| false,
+        |_| 0,
+    );
+    assert_eq!(values[599], 0.0);
+}
+
 /// Guards against the load of ended instances being added to that of their successors.
 #[test]
 fn restart_counted_once() {
