--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod relay;
 pub mod relays;
 pub mod report;
+pub mod reporter;
 pub mod retries;
 pub mod role;
 pub mod run;
