A usage window is not reported twice after a restore of the store

Cause: that a window was reported is known from the report that is stored before it is sent, and from the memory of live instances. The restore takes the first, the kill the second. The next leader then took each due window without a stored report for one that was never reported, and counted it anew from counts that the same copy had taken back.

E612 now says what was reported and what the leader counted itself.

Change: stored reports are complete only within an era of the store. The first leader of an era writes a mark: the last window that may have been reported before the era began. It is the last one that was due when the era was first seen, or, if the leader of the era before lives and still held its lease when it saw the new era, the last one that this leader may have reported. Windows up to the mark that have no stored report are given up (E612, coltsfoothall_usage_windows_given_up): a missing report is priced, a contradictory one is not allowed. Without a restore the mark is of the era, and nothing is given up.

--- a/coltsfoothall-forward/src/duty.rs
+++ b/coltsfoothall-forward/src/duty.rs
@@ -15,7 +15,7 @@
 use crate::membership::{self, LEADER_KEY, member_prefix};
 use crate::orders::Autoscaler;
 use crate::registrations;
-use crate::reporter::Reporter;
+use crate::reporter::{self, Reporter};
 use crate::settings::Feature;
 use crate::state::State;
 use crate::time;
@@ -155,7 +155,9 @@
     let mut term: Option<Term> = None;
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
-        let Some(fence) = state.fence() else {
+        let fence = state.fence();
+        reporter::leave_mark(&state).await;
+        let Some(fence) = fence else {
             term = None;
             continue;
         };
--- a/coltsfoothall-forward/src/reporter.rs
+++ b/coltsfoothall-forward/src/reporter.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use coltsfoothall::clock::Time;
+use coltsfoothall::forward::reported::{Doubt, Evidence, Mark};
 use coltsfoothall::forward::usage::{Count, Snapshot};
 use coltsfoothall_shell::event;
 
-use crate::adapter::{Error, Keyspace, Leadership, Write};
+use crate::adapter::{Error, Keyspace, Leadership, Listing, Write};
 use crate::calls::Call;
 use crate::state::State;
 
@@ -21,6 +23,12 @@
 const OLD_SNAPSHOT_NAME: &str = "tally";
 /// Key of the loads of services.
 const LOAD_NAME: &str = "load";
+/// Key of the mark of what was reported in earlier eras of the store.
+const MARK_NAME: &str = "reported";
+/// Prefix of the keys of stored reports; the number of the window follows.
+const REPORT_PREFIX: &str = "usage/";
+/// Difference between the times of two leaders, each of which is that of most instances' clocks.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_millis(500);
 /// Maximum number of usage reports that are kept at the store.
 const MAX_KEPT_REPORTS: u64 = 6;
 
@@ -29,32 +37,44 @@
 pub struct Reporter {
     /// Whether the counts that the previous leader saved were restored.
     restored: bool,
+    /// The windows that may have been reported in earlier eras of the store; none until that is known.
+    doubt: Option<Doubt>,
     /// When the counts were last saved.
     saved_at: Time,
 }
 
 impl Reporter {
-    /// Restores the counts that the previous leader saved, and then saves them at intervals, so
-    /// that they survive the loss of all instances at once.
-    async fn save_counts(&mut self, state: &State) -> Result<(), Error> {
+    /// Reads the notes of earlier leaders, until it is known which windows those may have reported.
+    async fn take_over(&mut self, state: &State) -> Result<(), Error> {
+        if self.doubt.is_some() {
+            return Ok(());
+        }
+        let fence = state.fence();
+        state.calls.count(Call::List(Keyspace::Notes));
+        let listing = state.adapter.list(Keyspace::Notes).await?;
         if !self.restored {
-            state.calls.count(Call::List(Keyspace::Notes));
-            let listing = state.adapter.list(Keyspace::Notes).await?;
-            let load = listing.items.iter().find(|item| item.name == LOAD_NAME);
-            if let Some(value) = load.and_then(|item| item.value.as_ref()) {
-                state.restore_loads(value);
-            }
-            let names = [SNAPSHOT_NAME, OLD_SNAPSHOT_NAME];
-            let items = listing.items.iter();
-            let items = items.filter(|item| names.contains(&item.name.as_str()));
-            for value in items.filter_map(|item| item.value.as_ref()) {
-                let snapshot: Snapshot = rmp_serde::from_slice(value)
-                    .map_err(|error| Error::Format("read usage counts", error.to_string()))?;
-                state.usage.borrow_mut().restore(&snapshot);
-            }
+            restore_counts(state, &listing)?;
             self.restored = true;
             state.loads_restored.set(state.fence());
         }
+        let evidence = evidence(state, &listing)?;
+        let Some(mark) = evidence.mark() else {
+            return Ok(());
+        };
+        if evidence.stored != Some(mark) {
+            write_mark(state, mark).await?;
+        }
+        let names = listing.items.iter().map(|item| item.name.as_str());
+        let numbers = names.filter_map(|name| name.strip_prefix(REPORT_PREFIX));
+        let windows: Vec<u64> = numbers.filter_map(|number| number.parse().ok()).collect();
+        state.record_attempt(mark.window.max(windows.iter().max().copied()));
+        state.reports_read.set(fence);
+        self.doubt = Some(Doubt::new(mark, windows));
+        Ok(())
+    }
+
+    /// Saves the counts at intervals, so that they survive the loss of all instances at once.
+    async fn save_counts(&mut self, state: &State) -> Result<(), Error> {
         let now = state.now();
         if now.since(self.saved_at) < SNAPSHOT_INTERVAL {
             return Ok(());
@@ -84,12 +104,18 @@
         if !state.settings().duties.iter().any(|duty| duty == "usage") {
             return;
         }
+        if let Err(error) = self.take_over(state).await {
+            event::STORE_FAILED.emit(format_args!("step=notes reason={error:?}"));
+        }
+        if !self.restored {
+            return;
+        }
         if let Err(error) = self.save_counts(state).await {
             event::STORE_FAILED.emit(format_args!("step=counts reason={error:?}"));
-            if !self.restored {
-                return;
-            }
         }
+        let Some(doubt) = self.doubt.clone() else {
+            return;
+        };
         let time = state.true_time();
         let (current, length) = {
             let usage = state.usage.borrow();
@@ -107,6 +133,10 @@
             if time < end + WINDOW_SETTLE_DELAY {
                 return;
             }
+            if doubt.covers(window) {
+                give_up(state, window);
+                continue;
+            }
             match self.send(state, window).await {
                 Ok(()) => state.record_reported(window),
                 Err(error) => {
@@ -123,13 +153,14 @@
     /// Stores the report before sending it. If a leader has already stored one for the window, that
     /// one is sent instead.
     async fn send(&mut self, state: &State, window: u64) -> Result<(), Error> {
-        let counts = state.usage.borrow().sum(window);
+        let counted = state.usage.borrow().sum(window);
         let fence = state.fence().ok_or(Error::Conflict("report"))?;
-        let counts = store_report(state, window, counts).await?;
+        let counts = store_report(state, window, &counted).await?;
         let fence = state
             .fence()
             .filter(|now| *now == fence)
             .ok_or(Error::Conflict("report"))?;
+        state.record_attempt(Some(window));
         let leadership = Leadership {
             instance: &state.name,
             fence,
@@ -138,30 +169,50 @@
             .adapter
             .report_usage(leadership, window, &counts)
             .await?;
-        let runs: u64 = counts.iter().map(|count| count.runs).sum();
-        event::USAGE.emit(format_args!("window={window} runs={runs} fence={fence}"));
+        event::USAGE.emit(format_args!(
+            "window={window} runs={} counted={} fence={fence}",
+            total(&counts),
+            total(&counted)
+        ));
         Ok(())
     }
 }
 
+/// Restores the counts and the loads that the previous leader saved.
+fn restore_counts(state: &State, listing: &Listing) -> Result<(), Error> {
+    let load = listing.items.iter().find(|item| item.name == LOAD_NAME);
+    if let Some(value) = load.and_then(|item| item.value.as_ref()) {
+        state.restore_loads(value);
+    }
+    let names = [SNAPSHOT_NAME, OLD_SNAPSHOT_NAME];
+    let items = listing.items.iter();
+    let items = items.filter(|item| names.contains(&item.name.as_str()));
+    for value in items.filter_map(|item| item.value.as_ref()) {
+        let snapshot: Snapshot = rmp_serde::from_slice(value)
+            .map_err(|error| Error::Format("read usage counts", error.to_string()))?;
+        state.usage.borrow_mut().restore(&snapshot);
+    }
+    Ok(())
+}
+
 /// Stores the report on a window. Returns the stored report, which is that of an earlier leader if
 /// there was one.
-async fn store_report(state: &State, window: u64, counts: Vec<Count>) -> Result<Vec<Count>, Error> {
-    let name = format!("usage/{window}");
+async fn store_report(state: &State, window: u64, counts: &[Count]) -> Result<Vec<Count>, Error> {
+    let name = format!("{REPORT_PREFIX}{window}");
     let key = format!("notes/{name}");
     let value =
-        serde_json::to_vec(&counts).map_err(|error| Error::Format("note", error.to_string()))?;
+        serde_json::to_vec(counts).map_err(|error| Error::Format("note", error.to_string()))?;
     let write = Write {
         absent: vec![key.clone()],
         puts: vec![(key, value.into(), None)],
         deletes: vec![format!(
-            "notes/usage/{}",
+            "notes/{REPORT_PREFIX}{}",
             window.saturating_sub(MAX_KEPT_REPORTS)
         )],
     };
     state.calls.count(Call::Write);
     match state.adapter.write(write).await {
-        Ok(_revision) => Ok(counts),
+        Ok(_revision) => Ok(counts.to_vec()),
         Err(Error::Conflict(_)) => {
             state.calls.count(Call::List(Keyspace::Notes));
             let listing = state.adapter.list(Keyspace::Notes).await?;
@@ -173,3 +224,67 @@
         Err(error) => Err(error),
     }
 }
+
+fn total(counts: &[Count]) -> u64 {
+    counts.iter().map(|count| count.runs).sum()
+}
+
+/// What is known of the windows that were reported, given all notes of the store.
+fn evidence(state: &State, listing: &Listing) -> Result<Evidence, Error> {
+    let found = listing.items.iter().find(|item| item.name == MARK_NAME);
+    let stored = found.and_then(|item| item.value.as_ref());
+    let stored: Option<Mark> = stored
+        .map(|value| serde_json::from_slice(value))
+        .transpose()
+        .map_err(|error| Error::Format("read mark", error.to_string()))?;
+    let age = state.era_age();
+    let known_at = state.true_time().saturating_sub(age) + MAX_CLOCK_DIFFERENCE;
+    Ok(Evidence {
+        era: listing.position.era,
+        stored,
+        own: state.mark.get(),
+        reported: state.reported(),
+        due: state
+            .usage
+            .borrow()
+            .last_ended(known_at, WINDOW_SETTLE_DELAY),
+        age,
+    })
+}
+
+async fn write_mark(state: &State, mark: Mark) -> Result<(), Error> {
+    let value = serde_json::to_vec(&mark)
+        .map_err(|error| Error::Format("write mark", error.to_string()))?;
+    let write = Write {
+        puts: vec![(format!("notes/{MARK_NAME}"), Bytes::from(value), None)],
+        ..Write::default()
+    };
+    state.calls.count(Call::Write);
+    state.adapter.write(write).await.map(drop)
+}
+
+/// Leaves the mark of what this instance reported before the store was restored, for the leader of
+/// the new era.
+pub async fn leave_mark(state: &State) {
+    let Some(mark) = state.mark.take() else {
+        return;
+    };
+    if state.era() != Some(mark.era) {
+        return;
+    }
+    if let Err(error) = write_mark(state, mark).await {
+        event::STORE_FAILED.emit(format_args!("step=mark reason={error:?}"));
+        if state.mark.get().is_none() {
+            state.mark.set(Some(mark));
+        }
+    }
+}
+
+/// Leaves a window unreported.
+fn give_up(state: &State, window: u64) {
+    event::USAGE.emit(format_args!(
+        "window={window} state=given_up reason=\"may have been reported in an earlier era of the store\""
+    ));
+    state.board.usage_given_up();
+    state.record_reported(window);
+}
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -21,6 +21,7 @@
 use coltsfoothall::forward::order;
 use coltsfoothall::forward::peer::{self, Peers, Profile};
 use coltsfoothall::forward::rate_limit::{self, Coverage};
+use coltsfoothall::forward::reported::Mark;
 use coltsfoothall::forward::retry_after;
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::forward::roster::{Ended, Event, Roster};
@@ -138,9 +139,17 @@
     /// Whether the store responds.
     pub health: Health,
     era: Cell<Option<Era>>,
+    /// When the era became known.
+    era_known_at: Cell<Time>,
     /// Notified when the store has been restored from an older copy.
     pub era_changed: Notify,
     reported: Cell<Option<u64>>,
+    /// The last usage window that may have been reported, as far as this instance knows as a leader.
+    attempted: Cell<Option<u64>>,
+    /// The term for which the reports of earlier leaders were read from the store.
+    pub reports_read: Cell<Option<Fence>>,
+    /// What was reported in earlier eras, if this instance led when the last one ended.
+    pub mark: Cell<Option<Mark>>,
     /// Counts of calls to the store.
     pub calls: Calls,
     /// Evidence about requests that crash endpoints.
@@ -226,8 +235,12 @@
             adoption: Adoption::new(settings.link()),
             health: Health::default(),
             era: Cell::default(),
+            era_known_at: Cell::default(),
             era_changed: Notify::new(),
             reported: Cell::default(),
+            attempted: Cell::default(),
+            reports_read: Cell::default(),
+            mark: Cell::default(),
             calls: Calls::default(),
             suspicions: RefCell::new(Tracker::new(suspicion::Settings::default())),
             culprits: RefCell::new(culprit::Tracker::new(crash::Settings::default())),
@@ -557,6 +570,21 @@
         self.era.get()
     }
 
+    /// What was reported before `era` began, if this instance leads in the era before it: its lease
+    /// rules out that another one reported since it read the store.
+    fn closing_mark(&self, known: Era, era: Era) -> Option<Mark> {
+        let fence = self.leader.borrow().fence(time::boot())?;
+        let knows = self.reports_read.get() == Some(fence) && era.before() == known;
+        let window = self.reported.get().max(self.attempted.get());
+        knows.then_some(Mark { era, window })
+    }
+
+    /// Time since the newest era became known here.
+    #[must_use]
+    pub fn era_age(&self) -> Duration {
+        self.now().since(self.era_known_at.get())
+    }
+
     /// Records the newest era that the adapter has seen in responses of the store.
     pub fn refresh_era(&self) {
         if let Some(era) = self.adapter.era() {
@@ -573,10 +601,12 @@
             return;
         }
         self.era.set(Some(era));
+        self.era_known_at.set(self.now());
         let Some(known) = known else {
             return;
         };
         event::STORE_ERA.emit(format_args!("from={known} to={era}"));
+        self.mark.set(self.closing_mark(known, era));
         self.leader.borrow_mut().record_era(era);
         self.store_returned();
         self.era_changed.notify_waiters();
@@ -600,6 +630,11 @@
         self.reported.set(self.reported.get().max(Some(window)));
     }
 
+    /// Records that this or an earlier leader may have reported a usage window.
+    pub fn record_attempt(&self, window: Option<u64>) {
+        self.attempted.set(self.attempted.get().max(window));
+    }
+
     /// Time that removed endpoints still have to register again; none if no such period is running.
     #[must_use]
     pub fn registration_grace(&self) -> Option<Duration> {
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -94,6 +94,7 @@
     endpoints: Gauge<u64>,
     departures: Counter<u64>,
     backoffs: Counter<u64>,
+    usage_given_up: Counter<u64>,
     sends_avoided: Counter<u64>,
     refused_in_backoff: Counter<u64>,
     retry_after: Histogram<f64>,
@@ -191,6 +192,11 @@
                 "endpoint_departures",
                 "Endpoints that are leaving, by who said so first",
             ),
+            usage_given_up: count(
+                &meter,
+                "usage_windows_given_up",
+                "Windows whose usage was not reported, as an earlier report may be lost.",
+            ),
             backoffs: count(
                 &meter,
                 "endpoint_backoffs",
@@ -377,6 +383,11 @@
         self.backoffs.add(1, &[]);
     }
 
+    /// Counts a window whose usage is not reported, as an earlier report of it may be lost.
+    pub fn usage_given_up(&self) {
+        self.usage_given_up.add(1, &[]);
+    }
+
     /// Counts requests that were not sent to an endpoint, as it is `leaving`, or in a `backoff`.
     pub fn sends_avoided(&self, cause: &'static str, count: u64) {
         self.sends_avoided
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -37,6 +37,7 @@
 pub mod rate_limit;
 pub mod reach;
 pub mod reader;
+pub mod reported;
 pub mod retry;
 pub mod retry_after;
 pub mod role;
--- a/coltsfoothall/src/forward/usage.rs
+++ b/coltsfoothall/src/forward/usage.rs
@@ -116,6 +116,12 @@
         Duration::from_millis((window + 1).saturating_mul(self.length.as_millis() as u64))
     }
 
+    /// The last window that ended at least `delay` before a time since 1970.
+    #[must_use]
+    pub fn last_ended(&self, since_1970: Duration, delay: Duration) -> Option<u64> {
+        self.window(since_1970.saturating_sub(delay)).checked_sub(1)
+    }
+
     /// Counts a request of `workspace` that this instance started.
     pub fn record_start(&mut self, window: u64, workspace: &id::Workspace) {
         let boot = self.boot;
