After an upgrade, a stream goes on only at the version that began it

What callers saw: streams that were taken up after all instances died at the end of an upgrade were answered 200 and ran to the end, but the first part was from the old version and the rest from the new one (ORDER).

Cause: an instance that knows no row of the version table for a service took the only version present for the one that began the stream. An upgrade takes the row away while it decides where streams begin, and the next leader writes another only after it is complete. All instances that knew the streams are gone by then, and so are the old endpoints; an instance that has just started knows no unfinished upgrade either.

Change: the only version present counts only as long as no instance has ever written a table and there is no order to upgrade the service, complete or not. Else a stream that nobody knows is refused at once (503, not run, Retry-After).

--- a/coltsfoothall-forward/src/binding.rs
+++ b/coltsfoothall-forward/src/binding.rs
@@ -59,7 +59,7 @@
 struct Service<'a> {
     name: &'a id::Service,
     present: Rc<[Present]>,
-    upgrading: bool,
+    upgraded: bool,
     covered: bool,
 }
 
@@ -72,7 +72,7 @@
                 name,
                 &state.roster.borrow(),
             ),
-            upgrading: state.upgrades.borrow().candidate(name).is_some(),
+            upgraded: state.upgrades.borrow().stage(name).is_some(),
             covered: is_covered(state),
         }
     }
@@ -81,7 +81,7 @@
         View {
             service: self.name,
             present: &self.present,
-            upgrading: self.upgrading,
+            upgraded: self.upgraded,
             covered: self.covered,
         }
     }
--- a/coltsfoothall/benches/gossip.rs
+++ b/coltsfoothall/benches/gossip.rs
@@ -76,7 +76,7 @@
         let view = View {
             service: &service,
             present: &present,
-            upgrading: false,
+            upgraded: false,
             covered: true,
         };
         black_box(tracker.begin(Time::START, hash, view));
--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -42,8 +42,8 @@
     pub service: &'a id::Service,
     /// Versions of its endpoints, sorted.
     pub present: &'a [Present],
-    /// Whether an upgrade decides where its requests go.
-    pub upgrading: bool,
+    /// Whether there is an order to upgrade it, complete or not.
+    pub upgraded: bool,
     /// Whether all members are heard, so that none can have a newer table.
     pub covered: bool,
 }
@@ -219,11 +219,11 @@
         view.covered || since.is_none() || self.confirmed_at >= since
     }
 
-    /// The version of a service that has no row, if no other can have begun a stream: there is none
-    /// in the beginning, when no stream has begun, and while an upgrade is under way.
+    /// The version of a service that has no row, if no other can have begun a stream. A row that an
+    /// upgrade took away says nothing: the versions that began streams may have left since.
     fn only_present<'a>(&self, view: View<'a>) -> Option<&'a Label> {
         match view.present {
-            [only] if self.is_known() && !view.upgrading => Some(&only.version),
+            [only] if self.is_known() && self.newest == 0 && !view.upgraded => Some(&only.version),
             _ => None,
         }
     }
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -54,7 +54,7 @@
     View {
         service,
         present,
-        upgrading: false,
+        upgraded: false,
         covered,
     }
 }
@@ -249,6 +249,33 @@
     assert_eq!(tracker.resume(at(20_000), Some(7), view), only);
 }
 
+/// Guards against a stream that goes on at the only version that is left when an upgrade has taken the
+/// row away: the other one, which began it, may have left since.
+#[test]
+fn dropped_row_not_guessed() {
+    let mut editor = editor();
+    settle(&mut editor, 0, &demand(&[("v1", 8)]));
+    for now in [20_000, 20_100] {
+        let table = editor.next(at(now), &[], true).unwrap();
+        editor.written(at(now), table);
+    }
+    assert!(editor.table().rows.is_empty());
+    let informed = informed(editor.table(), 21_000);
+    let (service, present) = (service(), [present("v1.1", 8)]);
+    let dropped = view(&service, &present, true);
+    assert_eq!(
+        informed.resume(at(21_000), Some(7), dropped),
+        Binding::Unknown
+    );
+    let mut fresh = tracker();
+    fresh.apply(at(0), at(0), None);
+    let upgraded = View {
+        upgraded: true,
+        ..dropped
+    };
+    assert_eq!(fresh.resume(at(0), Some(7), upgraded), Binding::Unknown);
+}
+
 /// Guards against an instance that is cut off from the store and all others, and goes on with a
 /// table that others have replaced.
 #[test]
@@ -627,7 +654,7 @@
         let hash = hash(self.next_id);
         self.next_id += 1;
         let view = View {
-            upgrading: self.upgrading,
+            upgraded: self.upgraded,
             ..view(&service, &instance.present, covered)
         };
         let version = match instance.tracker.begin(at(self.now), hash, view) {
@@ -662,7 +689,7 @@
         };
         let service = service();
         let view = View {
-            upgrading: self.upgrading,
+            upgraded: self.upgraded,
             ..view(&service, &instance.present, self.is_covered(number))
         };
         let bound = instance
