After the loss of all instances, streams go on whose slots do not tell their version

Cause: while a slot does not tell where its streams began, only the memory of live instances does.

Change: the leader stores the streams whose version the table does not tell, as hashes by service and version, every 0.6 s under versions/starts while some slots do not tell, and nothing otherwise. Instances read it with the table, once, when they start, now also where a peer told them the table first. Older versions of the program read the value as a table without rows.

--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfoothall::clock::Time;
 use coltsfoothall::forward::assignment::{self, Demand, Editor};
 use coltsfoothall::forward::config::{Config, Kind};
 use coltsfoothall::forward::history::Fence;
+use coltsfoothall::forward::stream::Begun;
 use coltsfoothall::forward::upgrade::Stage;
 use coltsfoothall::forward::version::{self, Present, Row, Table};
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
+use serde::{Deserialize, Serialize};
 
 use crate::adapter::{Error, Keyspace, Listing, Write};
 use crate::calls::Call;
@@ -27,6 +30,24 @@
 const KEPT_TABLES: u64 = 4;
 /// Tries of its caller for which a stream may last, each of them as long as its route allows.
 const TRIES: u32 = 2;
+/// Key of the streams whose version the table does not tell.
+const STARTS_NAME: &str = "starts";
+/// Interval between two writes of them; if all instances are lost at once, at most the streams of one
+/// interval are lost.
+const SAVE_INTERVAL: Duration = Duration::from_millis(600);
+/// Maximum number of streams that are stored, at about 20 bytes each.
+const MAX_SAVED_STARTS: usize = 2_048;
+
+/// A value of the keyspace. Older versions of the program read streams as a table without rows, which
+/// changes nothing.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Value {
+    #[serde(flatten)]
+    table: Table,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    starts: Vec<Begun>,
+}
+
 /// How long a table is trusted that no leader has confirmed, given the term of a leader's lease: the
 /// next leader confirms it well within this time.
 #[must_use]
@@ -69,24 +90,27 @@
     lifetimes
 }
 
-/// Reads the table, unless another instance tells it first.
+/// Reads the table and the streams whose version it does not tell. Another instance may tell the table
+/// first.
 pub async fn read(state: Rc<State>) {
-    while !state.streams.borrow().is_known() {
-        if let Err(error) = read_once(&state).await {
-            event::STORE_FAILED.emit(format_args!("step=read_versions reason={error:?}"));
-            tokio::time::sleep(READ_INTERVAL).await;
+    while let Err(error) = read_once(&state).await {
+        event::STORE_FAILED.emit(format_args!("step=read_versions reason={error:?}"));
+        if state.streams.borrow().is_known() {
+            return;
         }
+        tokio::time::sleep(READ_INTERVAL).await;
     }
 }
 
-/// Reads the newest table of the store, and applies it.
+/// Reads the newest table of the store and the stored streams, and applies them.
 async fn read_once(state: &State) -> Result<(), Error> {
     let called_at = state.now();
     state.calls.count(Call::List(Keyspace::Versions));
     let listing = state.adapter.list(Keyspace::Versions).await?;
-    let table = newest(&listing)?;
+    let (table, starts) = parse(&listing)?;
     let mut streams = state.streams.borrow_mut();
     let is_new = streams.apply(state.now(), called_at, table);
+    streams.restore(state.now(), starts);
     drop(streams);
     if is_new {
         log_table(state, "store");
@@ -94,19 +118,25 @@
     Ok(())
 }
 
-fn newest(listing: &Listing) -> Result<Option<Table>, Error> {
-    let mut newest: Option<Table> = None;
-    for value in listing.items.iter().filter_map(|item| item.value.as_ref()) {
-        let table: Table = serde_json::from_slice(value)
+/// The newest table of a listing, and the stored streams.
+fn parse(listing: &Listing) -> Result<(Option<Table>, Vec<Begun>), Error> {
+    let (mut newest, mut starts): (Option<Table>, _) = (None, Vec::new());
+    for item in &listing.items {
+        let Some(value) = &item.value else {
+            continue;
+        };
+        let value: Value = serde_json::from_slice(value)
             .map_err(|error| Error::Format("read versions", error.to_string()))?;
-        if newest
+        if item.name == STARTS_NAME {
+            starts = value.starts;
+        } else if newest
             .as_ref()
-            .is_none_or(|newest| newest.generation < table.generation)
+            .is_none_or(|newest| newest.generation < value.table.generation)
         {
-            newest = Some(table);
+            newest = Some(value.table);
         }
     }
-    Ok(newest)
+    Ok((newest, starts))
 }
 
 /// Logs the table in force.
@@ -145,9 +175,16 @@
         let mut current = current.unwrap_or(Assigner {
             fence,
             editor: None,
+            saved_at: Time::START,
+            saved: Vec::new(),
         });
         match current.advance(&state).await {
-            Ok(()) => assigner = Some(current),
+            Ok(()) => {
+                if let Err(error) = current.save_starts(&state).await {
+                    event::STORE_FAILED.emit(format_args!("step=streams reason={error:?}"));
+                }
+                assigner = Some(current);
+            }
             Err(error) => {
                 event::STORE_FAILED.emit(format_args!("step=versions reason={error:?}"));
             }
@@ -161,9 +198,52 @@
     fence: Fence,
     /// None until the store was read.
     editor: Option<Editor>,
+    /// When the streams whose version the table does not tell were last stored.
+    saved_at: Time,
+    /// Those that are stored.
+    saved: Vec<Begun>,
 }
 
 impl Assigner {
+    /// Stores the streams whose version the table does not tell, so that they go on after the loss of
+    /// all instances at once.
+    async fn save_starts(&mut self, state: &State) -> Result<(), Error> {
+        let now = state.now();
+        let Some(configuration) = state.configuration() else {
+            return Ok(());
+        };
+        let lifetimes = lifetimes(&configuration.config);
+        let Some(max_age) = lifetimes.iter().map(|(_, lifetime)| *lifetime).max() else {
+            return Ok(());
+        };
+        let is_due = self.editor.is_some() && now.since(self.saved_at) >= SAVE_INTERVAL;
+        if !is_due || count_unsettled(state) == 0 || state.fence() != Some(self.fence) {
+            return Ok(());
+        }
+        self.saved_at = now;
+        let starts = {
+            let streams = state.streams.borrow();
+            streams.untold(now, max_age, MAX_SAVED_STARTS)
+        };
+        if starts == self.saved {
+            return Ok(());
+        }
+        let value = Value {
+            starts: starts.clone(),
+            ..Value::default()
+        };
+        let value = serde_json::to_vec(&value)
+            .map_err(|error| Error::Format("write streams", error.to_string()))?;
+        let write = Write {
+            puts: vec![(format!("versions/{STARTS_NAME}"), Bytes::from(value), None)],
+            ..Write::default()
+        };
+        state.calls.count(Call::Write);
+        state.adapter.write(write).await?;
+        self.saved = starts;
+        Ok(())
+    }
+
     /// Writes the next table, if there has to be one.
     async fn advance(&mut self, state: &State) -> Result<(), Error> {
         let Some(configuration) = state.configuration() else {
--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -59,6 +59,17 @@
     pub version: Label,
 }
 
+/// Streams that one version of a service began, in the form that is stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Begun {
+    /// The service.
+    pub service: id::Service,
+    /// The version.
+    pub version: Label,
+    /// Hashes of the ids of the requests that began them, sorted.
+    pub hashes: Vec<u64>,
+}
+
 /// What an instance tells others in a heartbeat.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -283,6 +294,67 @@
         index.ok().map(|index| &self.starts[index])
     }
 
+    /// The streams that began within `max_age` and whose version the table does not tell: the `max`
+    /// newest of them, sorted by service and version.
+    #[must_use]
+    pub fn untold(&self, now: Time, max_age: Duration, max: usize) -> Vec<Begun> {
+        let oldest = now - max_age;
+        let is_untold = |start: &&Start| {
+            let row = self.table.row(&start.told.service);
+            let told = row.and_then(|row| row.began(start.told.hash));
+            start.at >= oldest && told != Some(&start.told.version)
+        };
+        let mut starts: Vec<&Start> = self.starts.iter().filter(is_untold).collect();
+        starts.sort_unstable_by_key(|start| Reverse(start.at));
+        starts.truncate(max);
+        let mut begun: Vec<Begun> = Vec::new();
+        for start in starts {
+            let told = &start.told;
+            let key = (&told.service, &told.version);
+            let index = begun
+                .binary_search_by(|one| (&one.service, &one.version).cmp(&key))
+                .unwrap_or_else(|index| {
+                    let hashes = Vec::new();
+                    let (service, version) = (told.service.clone(), told.version.clone());
+                    begun.insert(
+                        index,
+                        Begun {
+                            service,
+                            version,
+                            hashes,
+                        },
+                    );
+                    index
+                });
+            begun[index].hashes.push(told.hash);
+        }
+        for one in &mut begun {
+            one.hashes.sort_unstable();
+        }
+        begun
+    }
+
+    /// Adds the streams that an earlier leader stored, as if they had begun now.
+    pub fn restore(&mut self, now: Time, begun: Vec<Begun>) {
+        for one in begun {
+            for hash in one.hashes {
+                if self.start(hash).is_some() {
+                    continue;
+                }
+                let told = Told {
+                    hash,
+                    service: one.service.clone(),
+                    version: one.version.clone(),
+                };
+                self.insert(Start {
+                    told,
+                    at: now,
+                    tell_at: None,
+                });
+            }
+        }
+    }
+
     /// What others are told: the table, if it is new or `whole` is set, and the streams for which it
     /// has not told the version since a time within `span`. Of these, the `rows` newest are told.
     pub fn report(&mut self, now: Time, span: Duration, rows: usize, whole: bool) -> Report {
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -11,7 +11,7 @@
 use coltsfoothall::forward::history::{Era, Position};
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::roster::Roster;
-use coltsfoothall::forward::stream::{self, Tracker, View};
+use coltsfoothall::forward::stream::{self, Begun, Tracker, View};
 use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::forward::version::{Binding, Label, Present, Table};
 use coltsfoothall::id;
@@ -276,6 +276,30 @@
     assert_eq!(fresh.resume(at(0), Some(7), upgraded), Binding::Unknown);
 }
 
+/// Guards against streams that go on nowhere after the loss of all instances, as the table does not tell
+/// their version: the leader has stored it.
+#[test]
+fn stored_streams_told() {
+    let (service, present) = (service(), [present("v1", 8), present("v1.1", 8)]);
+    let view = view(&service, &present, false);
+    let mut before = tracker();
+    for number in 0..IDS {
+        let version = label(["v1", "v1.1"][(number % 2) as usize]);
+        before.record_start(at(number), hash(number), &service, &version);
+    }
+    let newest = before.untold(at(IDS), Duration::from_millis(IDS), 300);
+    let hashes = newest.iter().map(|one| one.hashes.len());
+    assert_eq!(hashes.collect::<Vec<usize>>(), [150, 150]);
+    let mut after = tracker();
+    after.restore(at(0), newest);
+    let told = |number: u64| after.resume(at(0), Some(hash(number)), view);
+    assert_eq!(told(IDS - 1), Binding::Only(label("v1.1")));
+    assert_eq!(told(IDS - 2), Binding::Only(label("v1")));
+    assert_eq!(told(0), Binding::Unknown);
+    let recent = before.untold(at(2 * IDS), Duration::from_millis(IDS), 300);
+    assert!(recent.is_empty(), "they can last no longer");
+}
+
 /// Guards against an instance that is cut off from the store and all others, and goes on with a
 /// table that others have replaced.
 #[test]
@@ -424,6 +448,10 @@
     now: u64,
     instances: Vec<Instance>,
     stored: Option<Table>,
+    /// The streams that the leader has stored.
+    saved: Vec<Begun>,
+    /// Number of versions that keep endpoints at least.
+    min_versions: usize,
     editor: Option<(usize, Editor)>,
     servers: Vec<Server>,
     /// Endpoints that have left and still serve, and until when.
@@ -450,6 +478,8 @@
             now: 0,
             instances: instances.collect(),
             stored: None,
+            saved: Vec::new(),
+            min_versions: 2,
             editor: None,
             servers: servers.into(),
             leaving: Vec::new(),
@@ -527,7 +557,7 @@
             let now = self.now;
             self.leaving.retain(|(_, until)| *until > now);
             let stay = |server: &&Server| server.capacity > 8;
-            if self.servers.iter().filter(stay).count() > 1 {
+            if self.servers.iter().filter(stay).count() >= self.min_versions {
                 let left = self.servers.extract_if(.., |server| server.capacity <= 8);
                 self.leaving
                     .extend(left.map(|server| (server, now + DRAIN_MS)));
@@ -572,6 +602,7 @@
             instance.starts = self.servers.iter().map(|server| server.start).collect();
             if !instance.tracker.is_known() {
                 instance.tracker.apply(now, now, self.stored.clone());
+                instance.tracker.restore(now, self.saved.clone());
             }
         }
     }
@@ -599,6 +630,7 @@
                 let stored = self.stored.clone().unwrap_or_default();
                 let tracker = &mut self.instances[leader].tracker;
                 tracker.apply(now, now, self.stored.clone());
+                tracker.restore(now, self.saved.clone());
                 self.editor = Some((leader, Editor::new(now, stored, settings)));
             }
             return;
@@ -625,6 +657,9 @@
                 .apply(now, now, Some(table.clone()));
             editor.written(now, table);
         }
+        if self.random.random_bool(0.1) {
+            self.saved = self.instances[leader].tracker.untold(now, LIFETIME, 1_000);
+        }
         self.editor = Some((leader, editor));
     }
 
@@ -718,9 +753,22 @@
 /// goes on as of new ones begins.
 #[test]
 fn none_crosses() {
+    play_fleets(2);
+}
+
+/// Guards against a stream that goes on at the only version that is left, which did not begin it.
+#[test]
+fn none_crosses_to_last() {
+    play_fleets(1);
+}
+
+fn play_fleets(min_versions: usize) {
     let (mut begun, mut taken_up) = ([0; 2], [0; 2]);
     for seed in 0..SEEDS {
-        let mut fleet = Fleet::new(seed);
+        let mut fleet = Fleet {
+            min_versions,
+            ..Fleet::new(seed)
+        };
         fleet.play(2_000);
         for index in 0..2 {
             begun[index] += fleet.begun[index];
