During an upgrade, an instance that is cut off begins no streams at the only version it knows

An upgrade that it does not hear of ends, the service gets a row again, and the row settles while the instance goes on.

Change: that one version is known is enough only as long as there has never been a table nor an order. Else the instance refuses new streams of such a service once its table is no longer trusted, as it does with several versions.

Tests: dropped_row_not_guessed asks for it, which began the stream before.

--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -186,7 +186,7 @@
     pub fn begin(&self, now: Time, hash: u64, view: View<'_>) -> Binding {
         let Some(row) = self.table.row(view.service) else {
             let current = self.is_known() && self.is_current(now, view.covered);
-            return if current || view.present.len() <= 1 {
+            return if current || (view.present.len() <= 1 && self.is_first(view)) {
                 Binding::Free
             } else {
                 Binding::Unknown
@@ -230,15 +230,21 @@
         view.covered || since.is_none() || self.confirmed_at >= since
     }
 
-    /// The version of a service that has no row, if no other can have begun a stream. A row that an
-    /// upgrade took away says nothing: the versions that began streams may have left since.
+    /// The version of a service that has no row, if no other can have begun a stream.
     fn only_present<'a>(&self, view: View<'a>) -> Option<&'a Label> {
         match view.present {
-            [only] if self.is_known() && self.newest == 0 && !view.upgraded => Some(&only.version),
+            [only] if self.is_known() && self.is_first(view) => Some(&only.version),
             _ => None,
         }
     }
 
+    /// Whether no other version than those present can have begun a stream, as far as is known. A row
+    /// that an upgrade took away says nothing: versions that began streams may have left, and others may
+    /// have come.
+    fn is_first(&self, view: View<'_>) -> bool {
+        self.newest == 0 && !view.upgraded
+    }
+
     /// Records the version that sent the first event of a stream.
     pub fn record_start(&mut self, now: Time, hash: u64, service: &id::Service, version: &Label) {
         let row = self.table.row(service);
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -267,6 +267,9 @@
         informed.resume(at(21_000), Some(7), dropped),
         Binding::Unknown
     );
+    let late = at(21_000) + TRUST + Duration::from_millis(1);
+    let cut_off = view(&service, &present, false);
+    assert_eq!(informed.begin(late, 7, cut_off), Binding::Unknown);
     let mut fresh = tracker();
     fresh.apply(at(0), at(0), None);
     let upgraded = View {
