After a restore of the store, a stream goes on only at the version that began it

What callers saw, in a test of our own: a stream that was taken up after all instances had died and the store had come back from an older copy went on at another version (ORDER).

A slot moves, streams begin at its new version, the restore takes the table back, and an instance that has just started tells the slot's former version.

Change: a stored table names the era of the store in which it was written. One of an older era still says where streams begin, but not where they began, until an instance that lives on has the same table. The first leader of an era writes the table again; if nobody knows what was lost, rows of several versions settle first. Rows of one version go on to tell, so that a fleet with one version resumes its streams as before. Older versions of the program ignore the era and write none.

--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -7,7 +7,7 @@
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::assignment::{self, Demand, Editor};
 use coltsfoothall::forward::config::{Config, Kind};
-use coltsfoothall::forward::history::Fence;
+use coltsfoothall::forward::history::{Era, Fence};
 use coltsfoothall::forward::stream::Begun;
 use coltsfoothall::forward::upgrade::Stage;
 use coltsfoothall::forward::version::{self, Present, Row, Table};
@@ -44,6 +44,9 @@
 struct Value {
     #[serde(flatten)]
     table: Table,
+    /// Era of the store in which the table was written.
+    #[serde(default)]
+    era: Era,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     starts: Vec<Begun>,
 }
@@ -102,41 +105,54 @@
     }
 }
 
-/// Reads the newest table of the store and the stored streams, and applies them.
-async fn read_once(state: &State) -> Result<(), Error> {
+/// Reads the newest table of the store and the stored streams, and applies them. Returns whether changes
+/// of the table may be lost, as it was written before the store was restored from a copy.
+async fn read_once(state: &State) -> Result<bool, Error> {
     let called_at = state.now();
     state.calls.count(Call::List(Keyspace::Versions));
     let listing = state.adapter.list(Keyspace::Versions).await?;
-    let (table, starts) = parse(&listing)?;
+    let values = parse(&listing)?;
+    let now = state.now();
     let mut streams = state.streams.borrow_mut();
-    let is_new = streams.apply(state.now(), called_at, table);
-    streams.restore(state.now(), starts);
+    streams.restore(now, values.starts);
+    let (is_new, is_outdated) = match values.table {
+        Some((table, era)) if era < listing.position.era => {
+            (streams.apply_outdated(now, table), true)
+        }
+        Some((table, _era)) => (streams.apply(now, called_at, Some(table)), false),
+        None => (streams.apply(now, called_at, None), false),
+    };
     drop(streams);
     if is_new {
-        log_table(state, "store");
+        log_table(state, if is_outdated { "copy" } else { "store" });
     }
-    Ok(())
+    Ok(is_outdated)
+}
+
+/// What the store holds.
+#[derive(Debug, Default)]
+struct Values {
+    /// The newest table, and the era in which it was written.
+    table: Option<(Table, Era)>,
+    starts: Vec<Begun>,
 }
 
-/// The newest table of a listing, and the stored streams.
-fn parse(listing: &Listing) -> Result<(Option<Table>, Vec<Begun>), Error> {
-    let (mut newest, mut starts): (Option<Table>, _) = (None, Vec::new());
+fn parse(listing: &Listing) -> Result<Values, Error> {
+    let mut values = Values::default();
     for item in &listing.items {
         let Some(value) = &item.value else {
             continue;
         };
         let value: Value = serde_json::from_slice(value)
             .map_err(|error| Error::Format("read versions", error.to_string()))?;
+        let newest = values.table.as_ref().map(|(table, _)| table.generation);
         if item.name == STARTS_NAME {
-            starts = value.starts;
-        } else if newest
-            .as_ref()
-            .is_none_or(|newest| newest.generation < value.table.generation)
-        {
-            newest = Some(value.table);
+            values.starts = value.starts;
+        } else if newest.is_none_or(|newest| newest < value.table.generation) {
+            values.table = Some((value.table, value.era));
         }
     }
-    Ok((newest, starts))
+    Ok(values)
 }
 
 /// Logs the table in force.
@@ -257,7 +273,7 @@
         let editor = match &mut self.editor {
             Some(editor) => editor,
             None => {
-                read_once(state).await?;
+                let is_outdated = read_once(state).await?;
                 let settings = assignment::Settings {
                     trust: trust(state.settings().bounds.lease.duration()),
                     drain: state
@@ -268,10 +284,17 @@
                         .mul_f64(DRAIN_FACTOR),
                     ..assignment::Settings::default()
                 };
-                // The store may have been restored from an older copy.
-                let table = state.streams.borrow().table().clone();
-                self.editor
-                    .insert(Editor::new(state.now(), table, settings))
+                // This instance may know a newer table than a store that was restored.
+                let (table, is_known) = {
+                    let streams = state.streams.borrow();
+                    (streams.table().clone(), streams.is_known())
+                };
+                let mut editor = Editor::new(state.now(), table, settings);
+                if is_outdated {
+                    let table = editor.reissue(is_known);
+                    publish(state, &mut editor, table).await?;
+                }
+                self.editor.insert(editor)
             }
         };
         if state.fence() != Some(self.fence) {
@@ -284,19 +307,29 @@
             state.streams.borrow_mut().confirm(now);
             return Ok(());
         };
-        let called_at = state.now();
-        write(state, &table).await?;
-        editor.written(state.now(), table.clone());
-        let mut streams = state.streams.borrow_mut();
-        streams.apply(state.now(), called_at, Some(table));
-        drop(streams);
-        log_table(state, "leader");
-        Ok(())
+        publish(state, editor, table).await
     }
 }
 
+/// Writes a table, and applies it here.
+async fn publish(state: &State, editor: &mut Editor, table: Table) -> Result<(), Error> {
+    let called_at = state.now();
+    write(state, &table).await?;
+    editor.written(state.now(), table.clone());
+    let mut streams = state.streams.borrow_mut();
+    streams.apply(state.now(), called_at, Some(table));
+    drop(streams);
+    log_table(state, "leader");
+    Ok(())
+}
+
 async fn write(state: &State, table: &Table) -> Result<(), Error> {
-    let value = serde_json::to_vec(table)
+    let value = Value {
+        table: table.clone(),
+        era: state.era().unwrap_or_default(),
+        starts: Vec::new(),
+    };
+    let value = serde_json::to_vec(&value)
         .map_err(|error| Error::Format("write versions", error.to_string()))?;
     let key = |generation: u64| format!("versions/{generation}");
     let old = table.generation.checked_sub(KEPT_TABLES);
--- a/coltsfoothall/src/forward/assignment.rs
+++ b/coltsfoothall/src/forward/assignment.rs
@@ -94,6 +94,18 @@
         &self.table
     }
 
+    /// The same table under the next generation, for a store that lost changes of it. If those are not
+    /// known, the rows of several versions tell nothing until the streams of lost slots have ended.
+    #[must_use]
+    pub fn reissue(&self, changes_known: bool) -> Table {
+        let mut table = self.table.clone();
+        table.generation += 1;
+        for row in &mut table.rows {
+            row.settling |= !changes_known && row.versions.len() > 1;
+        }
+        table
+    }
+
     /// Records that a table was written.
     pub fn written(&mut self, now: Time, table: Table) {
         let mut held = Vec::new();
--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -97,7 +97,7 @@
 pub struct Tracker {
     settings: Settings,
     table: Table,
-    /// Whether it is known which table there is, if any.
+    /// Whether it is known which table there is, if any, and that none of its changes is lost.
     known: bool,
     /// The newest generation that is known to exist.
     newest: u64,
@@ -148,6 +148,15 @@
         self.adopt(now, table)
     }
 
+    /// Applies a table that the store lost changes of when it was restored from an older copy: slots may
+    /// have moved since. It tells where streams begin, but not where they began, until a leader or
+    /// another instance confirms it. Returns whether it is newer than the one known.
+    pub fn apply_outdated(&mut self, now: Time, table: Table) -> bool {
+        let adopted = table.is_valid() && self.adopt(now, table);
+        self.known &= !adopted;
+        adopted
+    }
+
     /// Sends the table to others for a time, as one lacks it.
     fn spread(&mut self, now: Time) {
         self.spread_until = self.spread_until.max(now + self.settings.spread_period);
@@ -216,6 +225,7 @@
             Some(row) if is_single(row, view.present) => row.only().filter(|_| current),
             Some(row) => {
                 let began = hash.and_then(|hash| row.began(hash));
+                let current = current && self.is_known();
                 began.filter(|version| current && self.has_stayed(version, view))
             }
         };
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -279,6 +279,30 @@
     assert_eq!(fresh.resume(at(0), Some(7), upgraded), Binding::Unknown);
 }
 
+/// Guards against a table of an older copy of the store that tells where streams began: slots may have
+/// moved since. Where they begin it tells, and an instance that lives on confirms it.
+#[test]
+fn outdated_table_not_told() {
+    let (table, now) = two_versions();
+    let (service, present) = (service(), [present("v1", 8), present("v1.1", 8)]);
+    let view = view(&service, &present, true);
+    let mut tracker = tracker();
+    assert!(tracker.apply_outdated(at(now), table.clone()));
+    let begins = tracker.begin(at(now), 7, view);
+    assert!(matches!(begins, Binding::Only(_)));
+    assert_eq!(tracker.resume(at(now), Some(7), view), Binding::Unknown);
+    let mut lives = informed(&table, now);
+    tracker.merge(at(now), lives.report(at(now), TRUST, 1, false));
+    assert_eq!(tracker.resume(at(now), Some(7), view), begins);
+
+    let settings = assignment::Settings::default();
+    let editor = Editor::new(at(now), table.clone(), settings);
+    let reissued = editor.reissue(false);
+    assert_eq!(reissued.generation, table.generation + 1);
+    assert_eq!(reissued.row(&service).unwrap().began(7), None);
+    assert_eq!(editor.reissue(true).rows, table.rows);
+}
+
 /// Guards against streams that go on nowhere after the loss of all instances, as the table does not tell
 /// their version: the leader has stored it.
 #[test]
@@ -429,6 +453,14 @@
     }
 }
 
+/// Reads the table of the store, which may have been restored from an older copy.
+fn read(tracker: &mut Tracker, now: Time, stored: &Option<Table>, outdated: bool) {
+    match stored {
+        Some(table) if outdated => drop(tracker.apply_outdated(now, table.clone())),
+        stored => drop(tracker.apply(now, now, stored.clone())),
+    }
+}
+
 /// The endpoints of a version.
 struct Server {
     version: Label,
@@ -453,6 +485,11 @@
     stored: Option<Table>,
     /// The streams that the leader has stored.
     saved: Vec<Begun>,
+    /// What the store held before, and whether it is restored from that at times.
+    copies: Vec<(u64, Option<Table>, Vec<Begun>)>,
+    restored: bool,
+    /// Whether the table that the store holds was written before it was restored.
+    outdated: bool,
     /// Number of versions that keep endpoints at least.
     min_versions: usize,
     editor: Option<(usize, Editor)>,
@@ -482,6 +519,9 @@
             instances: instances.collect(),
             stored: None,
             saved: Vec::new(),
+            copies: Vec::new(),
+            restored: false,
+            outdated: false,
             min_versions: 2,
             editor: None,
             servers: servers.into(),
@@ -538,6 +578,9 @@
             let number = self.random.random_range(0..count);
             self.restart(number);
         }
+        if self.restored {
+            self.restore();
+        }
         if self.random.random_bool(0.002) {
             (0..count).for_each(|number| self.restart(number));
         }
@@ -570,6 +613,25 @@
         }
     }
 
+    /// At times, the store comes back from a copy that is up to 3 s old; the leader begins anew, and all
+    /// instances die in every other case.
+    fn restore(&mut self) {
+        let oldest = self.now.saturating_sub(3_000);
+        self.copies.retain(|(at, ..)| *at >= oldest);
+        let copy = (self.now, self.stored.clone(), self.saved.clone());
+        self.copies.push(copy);
+        if self.random.random_bool(0.004) {
+            let copy = self.copies.choose(&mut self.random).unwrap().clone();
+            (_, self.stored, self.saved) = copy;
+            self.copies.clear();
+            self.outdated = true;
+            self.editor = None;
+            if self.random.random_bool(0.5) {
+                (0..INSTANCES).for_each(|number| self.restart(number));
+            }
+        }
+    }
+
     fn restart(&mut self, number: usize) {
         if self
             .editor
@@ -604,7 +666,7 @@
             instance.present = present.collect();
             instance.starts = self.servers.iter().map(|server| server.start).collect();
             if !instance.tracker.is_known() {
-                instance.tracker.apply(now, now, self.stored.clone());
+                read(&mut instance.tracker, now, &self.stored, self.outdated);
                 instance.tracker.restore(now, self.saved.clone());
             }
         }
@@ -630,11 +692,18 @@
                     trust: TRUST,
                     ..assignment::Settings::default()
                 };
-                let stored = self.stored.clone().unwrap_or_default();
                 let tracker = &mut self.instances[leader].tracker;
-                tracker.apply(now, now, self.stored.clone());
+                read(tracker, now, &self.stored, self.outdated);
                 tracker.restore(now, self.saved.clone());
-                self.editor = Some((leader, Editor::new(now, stored, settings)));
+                let mut editor = Editor::new(now, tracker.table().clone(), settings);
+                if self.outdated && self.stored.is_some() {
+                    let table = editor.reissue(tracker.is_known());
+                    self.stored = Some(table.clone());
+                    tracker.apply(now, now, Some(table.clone()));
+                    editor.written(now, table);
+                }
+                self.outdated = false;
+                self.editor = Some((leader, editor));
             }
             return;
         }
@@ -756,20 +825,27 @@
 /// goes on as of new ones begins.
 #[test]
 fn none_crosses() {
-    play_fleets(2);
+    play_fleets(2, false);
 }
 
 /// Guards against a stream that goes on at the only version that is left, which did not begin it.
 #[test]
 fn none_crosses_to_last() {
-    play_fleets(1);
+    play_fleets(1, false);
+}
+
+/// Guards against a table of an older copy of the store, by which a slot is told that has moved since.
+#[test]
+fn none_crosses_by_copy() {
+    play_fleets(2, true);
 }
 
-fn play_fleets(min_versions: usize) {
+fn play_fleets(min_versions: usize, restored: bool) {
     let (mut begun, mut taken_up) = ([0; 2], [0; 2]);
     for seed in 0..SEEDS {
         let mut fleet = Fleet {
             min_versions,
+            restored,
             ..Fleet::new(seed)
         };
         fleet.play(2_000);
