--- a/coltsfoothall-forward/src/reporter.rs
+++ b/coltsfoothall-forward/src/reporter.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::clock::Time;
-use coltsfoothall::forward::reported::{Doubt, Evidence, Mark};
+use coltsfoothall::forward::mark::{Doubt, Evidence, Mark};
 use coltsfoothall::forward::usage::{Count, Snapshot};
 use coltsfoothall_shell::event;
 
--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -8,7 +8,7 @@
 use coltsfoothall::forward::assignment::{self, Demand, Editor};
 use coltsfoothall::forward::config::{Config, Kind};
 use coltsfoothall::forward::history::{Era, Fence};
-use coltsfoothall::forward::stream::Begun;
+use coltsfoothall::forward::stream::Group;
 use coltsfoothall::forward::upgrade::Stage;
 use coltsfoothall::forward::version::{self, Present, Row, Table};
 use coltsfoothall::id;
@@ -48,7 +48,7 @@
     #[serde(default)]
     era: Era,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    starts: Vec<Begun>,
+    starts: Vec<Group>,
 }
 
 /// How long a table is trusted that no leader has confirmed, given the term of a leader's lease: the
@@ -111,11 +111,11 @@
     let called_at = state.now();
     state.calls.count(Call::List(Keyspace::Versions));
     let listing = state.adapter.list(Keyspace::Versions).await?;
-    let values = parse(&listing)?;
+    let content = parse(&listing)?;
     let now = state.now();
     let mut streams = state.streams.borrow_mut();
-    streams.restore(now, values.starts);
-    let (is_new, is_outdated) = match values.table {
+    streams.restore(now, content.starts);
+    let (is_new, is_outdated) = match content.table {
         Some((table, era)) if era < listing.position.era => {
             (streams.apply_outdated(now, table), true)
         }
@@ -131,28 +131,28 @@
 
 /// What the store holds.
 #[derive(Debug, Default)]
-struct Values {
+struct Content {
     /// The newest table, and the era in which it was written.
     table: Option<(Table, Era)>,
-    starts: Vec<Begun>,
+    starts: Vec<Group>,
 }
 
-fn parse(listing: &Listing) -> Result<Values, Error> {
-    let mut values = Values::default();
+fn parse(listing: &Listing) -> Result<Content, Error> {
+    let mut content = Content::default();
     for item in &listing.items {
         let Some(value) = &item.value else {
             continue;
         };
         let value: Value = serde_json::from_slice(value)
             .map_err(|error| Error::Format("read versions", error.to_string()))?;
-        let newest = values.table.as_ref().map(|(table, _)| table.generation);
+        let newest = content.table.as_ref().map(|(table, _)| table.generation);
         if item.name == STARTS_NAME {
-            values.starts = value.starts;
+            content.starts = value.starts;
         } else if newest.is_none_or(|newest| newest < value.table.generation) {
-            values.table = Some((value.table, value.era));
+            content.table = Some((value.table, value.era));
         }
     }
-    Ok(values)
+    Ok(content)
 }
 
 /// Logs the table in force.
@@ -217,7 +217,7 @@
     /// When the streams whose version the table does not tell were last stored.
     saved_at: Time,
     /// Those that are stored.
-    saved: Vec<Begun>,
+    saved: Vec<Group>,
 }
 
 impl Assigner {
--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -61,7 +61,7 @@
 
 /// Streams that one version of a service began, in the form that is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Begun {
+pub struct Group {
     /// The service.
     pub service: id::Service,
     /// The version.
@@ -313,7 +313,7 @@
     /// The streams that began within `max_age` and whose version the table does not tell: the `max`
     /// newest of them, sorted by service and version.
     #[must_use]
-    pub fn untold(&self, now: Time, max_age: Duration, max: usize) -> Vec<Begun> {
+    pub fn untold(&self, now: Time, max_age: Duration, max: usize) -> Vec<Group> {
         let oldest = now - max_age;
         let is_untold = |start: &&Start| {
             let row = self.table.row(&start.told.service);
@@ -323,7 +323,7 @@
         let mut starts: Vec<&Start> = self.starts.iter().filter(is_untold).collect();
         starts.sort_unstable_by_key(|start| Reverse(start.at));
         starts.truncate(max);
-        let mut begun: Vec<Begun> = Vec::new();
+        let mut begun: Vec<Group> = Vec::new();
         for start in starts {
             let told = &start.told;
             let key = (&told.service, &told.version);
@@ -334,7 +334,7 @@
                     let (service, version) = (told.service.clone(), told.version.clone());
                     begun.insert(
                         index,
-                        Begun {
+                        Group {
                             service,
                             version,
                             hashes,
@@ -351,7 +351,7 @@
     }
 
     /// Adds the streams that an earlier leader stored, as if they had begun now.
-    pub fn restore(&mut self, now: Time, begun: Vec<Begun>) {
+    pub fn restore(&mut self, now: Time, begun: Vec<Group>) {
         for one in begun {
             for hash in one.hashes {
                 if self.start(hash).is_some() {
--- a/coltsfoothall/tests/forward_reported.rs
+++ b/coltsfoothall/tests/forward_mark.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coltsfoothall::forward::history::Era;
-use coltsfoothall::forward::reported::{Doubt, Evidence, Mark};
+use coltsfoothall::forward::mark::{Doubt, Evidence, Mark};
 
 const LONG_AGO: Duration = Duration::from_secs(60);
 
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -11,7 +11,7 @@
 use coltsfoothall::forward::history::{Era, Position};
 use coltsfoothall::forward::node::Entry;
 use coltsfoothall::forward::roster::Roster;
-use coltsfoothall::forward::stream::{self, Begun, Tracker, View};
+use coltsfoothall::forward::stream::{self, Group, Tracker, View};
 use coltsfoothall::forward::upgrade::Versions;
 use coltsfoothall::forward::version::{Binding, Label, Present, Table};
 use coltsfoothall::id;
@@ -484,9 +484,9 @@
     instances: Vec<Instance>,
     stored: Option<Table>,
     /// The streams that the leader has stored.
-    saved: Vec<Begun>,
+    saved: Vec<Group>,
     /// What the store held before, and whether it is restored from that at times.
-    copies: Vec<(u64, Option<Table>, Vec<Begun>)>,
+    copies: Vec<(u64, Option<Table>, Vec<Group>)>,
     restored: bool,
     /// Whether the table that the store holds was written before it was restored.
     outdated: bool,
