A stream without length that a reclaim cuts does not look complete

Cause: the end of such an answer is checked by a connection to its endpoint, but not if the endpoint is leaving, as that one may exit after its last answer. One that named the time at which it is taken away is cut off then.

Evidence: reclaim.rs cut_stream_breaks on the code before: 200 with two of four events, the endpoint stopped while it was listed as leaving with leaves_ms.

Change: endpoints that leave at a time that they named are probed like those that stay.

Tests: cut_stream_breaks failed before and passed three times after; whole_stream_served passes before and after.

--- a/coltsfoothall-forward/src/probe.rs
+++ b/coltsfoothall-forward/src/probe.rs
@@ -46,14 +46,22 @@
         .map(|node| node.entry.address)
 }
 
-/// Whether an endpoint has outlived an answer that ended with its connection. One that leaves may
-/// exit after its last answer.
+/// The address of an endpoint that would not exit by itself after an answer: one that leaves may, unless
+/// it is taken away at a time that it named, and cut off then.
+fn lasting(state: &State, endpoint: &id::Endpoint) -> Option<SocketAddr> {
+    let roster = state.roster.borrow();
+    let node = roster.node(endpoint);
+    node.filter(|node| !node.is_leaving() || node.is_reclaimed())
+        .map(|node| node.entry.address)
+}
+
+/// Whether an endpoint has outlived an answer that ended with its connection.
 pub async fn has_outlived(state: &Rc<State>, target: &Target) -> bool {
     let Target::Endpoint(endpoint) = target else {
         return true;
     };
     for _ in 0..TRIES {
-        let Some(address) = listed(state, endpoint) else {
+        let Some(address) = lasting(state, endpoint) else {
             return true;
         };
         match reach::probe(state, endpoint, address).await {
--- a/coltsfoothall/src/forward/node.rs
+++ b/coltsfoothall/src/forward/node.rs
@@ -197,6 +197,12 @@
         }
     }
 
+    /// Whether the endpoint is taken away at a known time, whatever it does then.
+    #[must_use]
+    pub fn is_reclaimed(&self) -> bool {
+        self.until.is_some()
+    }
+
     /// A count for this endpoint, labeled with its start.
     pub(super) fn count<T>(&self, value: T) -> Count<T> {
         Count {
