Stored usage reports are kept for as long as a leader may report their windows

What callers saw, in a test of our own: the platform accepted two reports of one window with different counts (ONE) after all instances were killed, without a restore of the store.

Cause: that a window was reported is known from its stored report. Six were kept, whatever the settings: with windows of 1 s and 11 s in which reports are due, a leader that knows nothing looks back at twelve.

Change: as many reports are kept as a leader looks back at, six at least.

--- a/coltsfoothall-forward/src/reporter.rs
+++ b/coltsfoothall-forward/src/reporter.rs
@@ -29,8 +29,8 @@
 const REPORT_PREFIX: &str = "usage/";
 /// Difference between the times of two leaders, each of which is that of most instances' clocks.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_millis(500);
-/// Maximum number of usage reports that are kept at the store.
-const MAX_KEPT_REPORTS: u64 = 6;
+/// Minimum number of usage reports that are kept at the store.
+const MIN_KEPT_REPORTS: u64 = 6;
 
 /// Reports the usage of each window exactly once.
 #[derive(Debug, Default)]
@@ -117,16 +117,8 @@
             return;
         };
         let time = state.true_time();
-        let (current, length) = {
-            let usage = state.usage.borrow();
-            (
-                usage.window(time),
-                state.settings().bounds.usage_window.duration(),
-            )
-        };
-        let due = state.settings().bounds.usage_due.duration();
-        let windows = (due.as_millis() / length.as_millis().max(1)) as u64 + 1;
-        let first = current.saturating_sub(windows);
+        let current = state.usage.borrow().window(time);
+        let first = current.saturating_sub(due_windows(state));
         let from = state.reported().map_or(first, |done| (done + 1).max(first));
         for window in from..current {
             let end = state.usage.borrow().end(window);
@@ -178,6 +170,14 @@
     }
 }
 
+/// Number of past windows that a leader reports if they have not been.
+fn due_windows(state: &State) -> u64 {
+    let settings = state.settings();
+    let due = settings.bounds.usage_due.duration();
+    let length = settings.bounds.usage_window.duration();
+    (due.as_millis() / length.as_millis().max(1)) as u64 + 1
+}
+
 /// Restores the counts and the loads that the previous leader saved.
 fn restore_counts(state: &State, listing: &Listing) -> Result<(), Error> {
     let load = listing.items.iter().find(|item| item.name == LOAD_NAME);
@@ -202,13 +202,13 @@
     let key = format!("notes/{name}");
     let value =
         serde_json::to_vec(counts).map_err(|error| Error::Format("note", error.to_string()))?;
+    // A leader that knows nothing takes a window without a stored report for one that was not reported.
+    let kept = due_windows(state).max(MIN_KEPT_REPORTS);
+    let old = window.saturating_sub(kept);
     let write = Write {
         absent: vec![key.clone()],
         puts: vec![(key, value.into(), None)],
-        deletes: vec![format!(
-            "notes/{REPORT_PREFIX}{}",
-            window.saturating_sub(MAX_KEPT_REPORTS)
-        )],
+        deletes: vec![format!("notes/{REPORT_PREFIX}{old}")],
     };
     state.calls.count(Call::Write);
     match state.adapter.write(write).await {
