--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -323,44 +323,20 @@
         let mut starts: Vec<&Start> = self.starts.iter().filter(is_untold).collect();
         starts.sort_unstable_by_key(|start| Reverse(start.at));
         starts.truncate(max);
-        let mut begun: Vec<Group> = Vec::new();
-        for start in starts {
-            let told = &start.told;
-            let key = (&told.service, &told.version);
-            let index = begun
-                .binary_search_by(|one| (&one.service, &one.version).cmp(&key))
-                .unwrap_or_else(|index| {
-                    let hashes = Vec::new();
-                    let (service, version) = (told.service.clone(), told.version.clone());
-                    begun.insert(
-                        index,
-                        Group {
-                            service,
-                            version,
-                            hashes,
-                        },
-                    );
-                    index
-                });
-            begun[index].hashes.push(told.hash);
-        }
-        for one in &mut begun {
-            one.hashes.sort_unstable();
-        }
-        begun
+        group(&starts)
     }
 
     /// Adds the streams that an earlier leader stored, as if they had begun now.
-    pub fn restore(&mut self, now: Time, begun: Vec<Group>) {
-        for one in begun {
-            for hash in one.hashes {
+    pub fn restore(&mut self, now: Time, groups: Vec<Group>) {
+        for group in groups {
+            for hash in group.hashes {
                 if self.start(hash).is_some() {
                     continue;
                 }
                 let told = Told {
                     hash,
-                    service: one.service.clone(),
-                    version: one.version.clone(),
+                    service: group.service.clone(),
+                    version: group.version.clone(),
                 };
                 self.insert(Start {
                     told,
@@ -419,6 +395,29 @@
     }
 }
 
+/// Groups streams by service and version, sorted.
+fn group(starts: &[&Start]) -> Vec<Group> {
+    let mut groups: Vec<Group> = Vec::new();
+    for Start { told, .. } in starts {
+        let key = (&told.service, &told.version);
+        match groups.binary_search_by(|group| (&group.service, &group.version).cmp(&key)) {
+            Ok(index) => groups[index].hashes.push(told.hash),
+            Err(index) => groups.insert(
+                index,
+                Group {
+                    service: told.service.clone(),
+                    version: told.version.clone(),
+                    hashes: vec![told.hash],
+                },
+            ),
+        }
+    }
+    for group in &mut groups {
+        group.hashes.sort_unstable();
+    }
+    groups
+}
+
 /// Whether no version but that of a row is known.
 fn is_single(row: &Row, present: &[Present]) -> bool {
     row.only()
