--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use coltsfoothall::clock::Time;
 use coltsfoothall::forward::admission;
 use coltsfoothall::forward::choice::{Pick, Query};
@@ -23,9 +22,10 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body as _, Incoming};
 
 use crate::adapter::{Call, Forward, Reply};
+use crate::body::Body;
 use crate::origin::{Departs, Origin};
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::probe;
@@ -45,7 +45,7 @@
     /// Method, path and headers.
     pub head: Parts,
     /// The body.
-    pub body: Bytes,
+    pub body: Body,
     /// The workspace that it belongs to.
     pub workspace: Option<id::Workspace>,
     /// The priority; 0 is the most urgent.
--- a/coltsfoothall-forward/src/connection.rs
+++ b/coltsfoothall-forward/src/connection.rs
@@ -23,6 +23,8 @@
     pub(crate) phase: Cell<Phase>,
     pub(crate) since: Cell<Instant>,
     pub(crate) ambiguous: Cell<bool>,
+    /// Whether the body of a request was not read to its end, so that no other can follow.
+    pub(crate) unread: Cell<bool>,
     accepted: Instant,
     requests: Cell<u32>,
 }
@@ -35,6 +37,7 @@
             phase: Cell::new(Phase::Idle),
             since: Cell::new(now),
             ambiguous: Cell::new(false),
+            unread: Cell::new(false),
             accepted: now,
             requests: Cell::new(0),
         }
--- a/coltsfoothall-forward/src/handover.rs
+++ b/coltsfoothall-forward/src/handover.rs
@@ -269,7 +269,7 @@
             let state = Rc::clone(&self.0);
             let open = Open::new(&state);
             let mut answer = serve(&state, request, &connection).await;
-            if state.stopping.is_cancelled() {
+            if state.stopping.is_cancelled() || connection.unread.get() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -10,15 +10,16 @@
 use coltsfoothall::id;
 use coltsfoothall::suspicion::Fingerprint;
 use coltsfoothall_shell::event;
-use coltsfoothall_wire::http as body;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, HOST};
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use rand::Rng;
 
 use crate::adapter::Call;
 use crate::attempt::Job;
 use crate::binding;
+use crate::body::{self, Body};
 use crate::connection::Connection;
 use crate::culprit;
 use crate::dispatch::{self, Trail};
@@ -34,6 +35,9 @@
 
 /// `Retry-After` while there is no configuration, or a route without a service.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(600);
+/// `Retry-After` while other bodies take the memory: about the time of an answer. As much again is
+/// added at random, so that a crowd does not return at one moment.
+const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a caller that names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -62,7 +66,7 @@
             let stopping = state.stopping.is_cancelled();
             let ambiguous = connection.is_ambiguous();
             let mut answer = serve(&state, request, &connection).await;
-            if stopping || ambiguous || state.stopping.is_cancelled() {
+            if stopping || ambiguous || connection.unread.get() || state.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
@@ -215,31 +219,13 @@
             .timeout
             .unwrap_or(DEFAULT_TIMEOUT)
             .min(route.timeout.duration());
-    let read = body::read(content, config.limits.body);
-    let body = match tokio::time::timeout_at(state.clock.instant(due), read).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(body::Error::Large(_))) => {
-            return Err(Refusal::Bad(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body too large",
-            ));
-        }
-        Ok(Err(_broken)) => {
-            return Err(Refusal::Bad(StatusCode::BAD_REQUEST, "broken body"));
-        }
-        Err(_elapsed) => {
-            return Err(Refusal::Bad(
-                StatusCode::REQUEST_TIMEOUT,
-                "body came too slowly",
-            ));
-        }
-    };
+    let body = read_body(state, connection, content, config.limits.body, due).await?;
     let holder = workspace.as_ref().map_or("", id::Workspace::as_str);
     let target = head
         .uri
         .path_and_query()
         .map_or("", |target| target.as_str());
-    let fingerprint = Fingerprint::of_call(holder, head.method.as_str(), target, &body);
+    let fingerprint = Fingerprint::of_call(holder, head.method.as_str(), target, body.parts());
     let id = call.id.as_deref().unwrap_or("-");
     if suspicion::is_poisonous(state, id, fingerprint) {
         return Err(suspicion::refusal(0));
@@ -296,6 +282,33 @@
     Ok(job)
 }
 
+/// Reads the body of a request, and has the connection closed after the refusal if that fails.
+async fn read_body(
+    state: &State,
+    connection: &Connection,
+    content: Incoming,
+    limit: usize,
+    due: Time,
+) -> Result<Body, Refusal> {
+    state.bodies.resize(state.settings().memory(), limit);
+    let read = body::read(state, content, limit);
+    let refusal = match tokio::time::timeout_at(state.clock.instant(due), read).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(body::Error::Large)) => {
+            Refusal::Bad(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
+        }
+        Ok(Err(body::Error::Broken)) => Refusal::Bad(StatusCode::BAD_REQUEST, "broken body"),
+        Ok(Err(body::Error::Evicted)) => {
+            let spread = NO_MEMORY_RETRY_DELAY.mul_f64(rand::rng().random());
+            unavailable(refusal::NO_MEMORY, NO_MEMORY_RETRY_DELAY + spread)
+        }
+        Err(_elapsed) => Refusal::Bad(StatusCode::REQUEST_TIMEOUT, "body came too slowly"),
+    };
+    state.board.body_refused(refusal.parts().1);
+    connection.unread.set(true);
+    Err(refusal)
+}
+
 /// Charges a request to the rate limit of its workspace.
 fn charge(state: &State, job: &Job) -> Result<(), Refusal> {
     let Some(workspace) = &job.workspace else {
--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use coltsfoothall::id;
 use http::{Request, Response};
-use http_body::{Body, Frame, SizeHint};
+use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -23,6 +23,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::body::Body;
 use crate::socket;
 
 /// Idle timeout of a connection whose endpoint names none.
@@ -40,21 +41,30 @@
 /// A request body that records when all of it was passed to the connection.
 #[derive(Debug)]
 pub struct Payload {
-    bytes: Option<Bytes>,
+    body: Body,
+    /// Number of its parts that were passed on.
+    passed: usize,
     sent: Rc<Cell<bool>>,
 }
 
 impl Payload {
-    /// A body of these bytes; `sent` is set when they have been passed on.
+    /// The payload of a request with this body; `sent` is set when all of it has been passed on.
     #[must_use]
-    pub fn new(bytes: Bytes, sent: Rc<Cell<bool>>) -> Self {
-        sent.set(bytes.is_empty());
-        let bytes = (!bytes.is_empty()).then_some(bytes);
-        Self { bytes, sent }
+    pub fn new(body: Body, sent: Rc<Cell<bool>>) -> Self {
+        sent.set(body.parts().is_empty());
+        Self {
+            body,
+            passed: 0,
+            sent,
+        }
+    }
+
+    fn rest(&self) -> &[Bytes] {
+        &self.body.parts()[self.passed..]
     }
 }
 
-impl Body for Payload {
+impl http_body::Body for Payload {
     type Data = Bytes;
     type Error = Infallible;
 
@@ -62,17 +72,18 @@
         mut self: Pin<&mut Self>,
         _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let bytes = self.bytes.take();
-        self.sent.set(true);
-        Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+        let part = self.rest().first().cloned();
+        self.passed += usize::from(part.is_some());
+        self.sent.set(self.rest().is_empty());
+        Poll::Ready(part.map(|bytes| Ok(Frame::data(bytes))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.bytes.is_none()
+        self.rest().is_empty()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+        SizeHint::with_exact(self.rest().iter().map(|part| part.len() as u64).sum())
     }
 }
 
--- a/coltsfoothall-forward/src/refusal.rs
+++ b/coltsfoothall-forward/src/refusal.rs
@@ -7,6 +7,9 @@
 /// Reason for aborting a response when this instance shuts down.
 pub const SHUTTING_DOWN: &str = "this instance stops";
 
+/// Reason of a refusal while the bodies of other requests take the memory.
+pub const NO_MEMORY: &str = "no memory for the body";
+
 /// Why a request gets no response from an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Refusal {
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -50,13 +50,14 @@
         let served = self.served.take();
         let coverage = self.coverage();
         event::SERVED.emit(format_args!(
-            "served={served} open={} version={} endpoints={} unreachable={} members={} heard={} store_calls={}",
+            "served={served} open={} version={} endpoints={} unreachable={} members={} heard={} bodies_kb={} store_calls={}",
             self.open.get(),
             self.version(),
             self.roster.borrow().nodes().len(),
             self.roster.borrow().unreachable().count(),
             coverage.members,
             coverage.reporting,
+            self.bodies.take_peak().0 / 1_000,
             self.calls
         ));
     }
@@ -89,6 +90,8 @@
         self.board.behind(behind.unwrap_or_default());
         self.board
             .parts_condemned(self.culprits.borrow().verdicts().len() as u64);
+        let (held, reading) = self.bodies.usage();
+        self.board.bodies(held.0, reading as u64);
         self.update_retry_gauges();
         let configuration = self.configuration();
         let services = configuration
--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -4,7 +4,7 @@
 
 use coltsfoothall::forward::{reader, retry};
 use coltsfoothall::id;
-use coltsfoothall::size::{Megabits, Millis};
+use coltsfoothall::size::{Bytes, Megabits, Millis};
 use coltsfoothall_shell::journal::Log;
 use coltsfoothall_shell::settings::{Check, Fault};
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,11 @@
 /// Shortest history of the store that watches can work with.
 const MIN_HISTORY: Millis = Millis(1_000);
 
+/// Memory of the smallest machine that instances run on.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
+/// Memory without which an instance cannot run.
+const MIN_MEMORY_MB: f64 = 32.0;
+
 /// Where an instance listens.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -122,6 +127,8 @@
     /// Bandwidth of the machine's link in Mbit/s; zero if unknown. The instances with the fastest
     /// links read for others.
     pub link: f64,
+    /// Memory of the machine, in MB, of which the bodies of requests take a part.
+    pub memory: f64,
     /// Limits on which the operators' service guarantees depend.
     pub bounds: Bounds,
     /// Behavior under overload that is in force.
@@ -142,6 +149,12 @@
     pub fn link(&self) -> Megabits {
         Megabits(self.link as u64)
     }
+
+    /// Memory of the machine.
+    #[must_use]
+    pub fn memory(&self) -> Bytes {
+        Bytes((self.memory * 1e6) as u64)
+    }
 }
 
 impl Default for Settings {
@@ -159,6 +172,7 @@
             read_alone: reader::MAX_DIRECT_MEMBERS,
             first_start: false,
             link: 0.0,
+            memory: DEFAULT_MEMORY_MB,
             bounds: Bounds::default(),
             overload: Vec::new(),
             log: Log::default(),
@@ -190,6 +204,12 @@
         if !self.link.is_finite() || self.link < 0.0 {
             return Err(Fault::new("link", "is not a number of Mbit/s"));
         }
+        if !self.memory.is_finite() || self.memory < MIN_MEMORY_MB {
+            return Err(Fault::new(
+                "memory",
+                "is not a number of MB, or under 32, less than an instance needs",
+            ));
+        }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             return Err(Fault::new("bounds.retry_ratio", "is not within 0 to 1"));
         }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -40,6 +40,7 @@
 use crate::adapter::Adapter;
 use crate::adoption::Adoption;
 use crate::binding;
+use crate::body;
 use crate::calls::Calls;
 use crate::changelog::Changelog;
 use crate::health::Health;
@@ -107,6 +108,8 @@
     pub roster: RefCell<Roster>,
     /// Connections to endpoints.
     pub pool: RefCell<Pool>,
+    /// Memory for the bodies of requests.
+    pub bodies: body::Memory,
     /// Rate limits of workspaces.
     pub rate_limiter: RefCell<rate_limit::Limiter>,
     /// Response times by route.
@@ -211,6 +214,7 @@
                 ..choice::Settings::default()
             })),
             pool: RefCell::default(),
+            bodies: body::Memory::default(),
             rate_limiter: RefCell::new(rate_limit::Limiter::new(rate_limit::Settings {
                 seed: boot,
                 initial_share: 0.0,
@@ -296,6 +300,7 @@
             peer_port: previous.peer_port,
             store: previous.store,
             store_history: previous.store_history,
+            memory: previous.memory,
             cloud: previous.cloud,
             overload: previous.overload.clone(),
             log: previous.log.clone(),
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -97,6 +97,9 @@
     usage_given_up: Counter<u64>,
     sends_avoided: Counter<u64>,
     refused_in_backoff: Counter<u64>,
+    bodies: Gauge<u64>,
+    bodies_reading: Gauge<u64>,
+    bodies_refused: Counter<u64>,
     retry_after: Histogram<f64>,
     lost_services: Gauge<u64>,
     handed_over: Counter<u64>,
@@ -212,6 +215,21 @@
                 "refused_in_backoff",
                 "Requests refused as no endpoint wants any from this instance",
             ),
+            bodies: level(
+                &meter,
+                "request_bodies_bytes",
+                "Memory that the bodies of requests take",
+            ),
+            bodies_reading: level(
+                &meter,
+                "request_bodies_reading",
+                "Bodies of requests that are being read",
+            ),
+            bodies_refused: count(
+                &meter,
+                "request_bodies_refused",
+                "Requests refused before their body was read, by reason",
+            ),
             retry_after: seconds(
                 &meter,
                 "refused.retry_after",
@@ -394,6 +412,19 @@
             .add(count, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Sets the memory that the bodies of requests take, and how many are being read.
+    pub fn bodies(&self, bytes: u64, reading: u64) {
+        self.bodies.record(bytes, &[]);
+        self.bodies_reading.record(reading, &[]);
+    }
+
+    /// Counts a request that is refused before its body was read; `reason` is the one that its
+    /// caller is told.
+    pub fn body_refused(&self, reason: &'static str) {
+        self.bodies_refused
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a request that is refused as no endpoint wants any from this instance.
     pub fn refused_in_backoff(&self) {
         self.refused_in_backoff.add(1, &[]);
--- a/coltsfoothall/src/fingerprint.rs
+++ b/coltsfoothall/src/fingerprint.rs
@@ -1,6 +1,7 @@
 //! Fingerprints of requests, and the evidence against requests that crash endpoints, as instances
 //! report it to each other.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -28,15 +29,17 @@
 
 impl Fingerprint {
     /// The fingerprint of a request that is forwarded unread, from its workspace, method, path
-    /// and body. Its kin equals its content, since the body is not parsed.
+    /// and the parts of its body. Its kin equals its content, since the body is not parsed.
     #[must_use]
-    pub fn of_call(workspace: &str, method: &str, path: &str, body: &[u8]) -> Self {
+    pub fn of_call(workspace: &str, method: &str, path: &str, body: &[Bytes]) -> Self {
         let mut hash = Xxh3::new();
         for part in [workspace.as_bytes(), method.as_bytes(), path.as_bytes()] {
             hash.update(part);
             hash.update(&[0]);
         }
-        hash.update(body);
+        for part in body {
+            hash.update(part);
+        }
         let digest = hash.digest();
         Self {
             content: Mark::Content(digest),
--- a/coltsfoothall/src/forward/mod.rs
+++ b/coltsfoothall/src/forward/mod.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod assignment;
 pub mod backoff;
+pub mod body;
 pub mod brittle;
 pub mod capacity;
 pub mod choice;
--- a/coltsfoothall/tests/forward_crash.rs
+++ b/coltsfoothall/tests/forward_crash.rs
@@ -96,7 +96,7 @@
 }
 
 fn call(content: &str) -> Fingerprint {
-    Fingerprint::of_call("film", "POST", "/x", content.as_bytes())
+    Fingerprint::of_call("film", "POST", "/x", &[content.to_owned().into()])
 }
 
 /// Plays the loss of many endpoints, then three crashes by one request at three instances.
