--- a/coltsfoothall-forward/src/body.rs
+++ b/coltsfoothall-forward/src/body.rs
@@ -12,6 +12,7 @@
 use quick_error::quick_error;
 use tokio::sync::Notify;
 
+use crate::connection::{Connection, Phase};
 use crate::state::State;
 
 /// Largest part of a body that is allocated at once. Parts of equal size can be used again by any
@@ -222,7 +223,12 @@
 ///
 /// # Errors
 /// It is over the limit, ended early, or there is no memory for it.
-pub async fn read(state: &State, content: Incoming, limit: usize) -> Result<Body, Error> {
+pub async fn read(
+    state: &State,
+    connection: &Connection,
+    content: Incoming,
+    limit: usize,
+) -> Result<Body, Error> {
     let length = content.size_hint();
     // A declared length over the limit is rejected before any of the body is read.
     if length.lower() > limit as u64 {
@@ -242,13 +248,17 @@
     };
     let mut content = pin!(Limited::new(content, limit));
     loop {
+        connection.enter(Phase::Body);
         let frame = tokio::select! {
             biased;
             () = eviction.notified() => return Err(Error::Evicted),
             frame = content.frame() => frame,
         };
         match frame.transpose() {
-            Ok(None) => return Ok(buffer.finish()),
+            Ok(None) => {
+                connection.enter(Phase::Busy);
+                return Ok(buffer.finish());
+            }
             // Trailers are dropped.
             Ok(Some(frame)) => {
                 if let Ok(bytes) = frame.into_data() {
--- a/coltsfoothall-forward/src/connection.rs
+++ b/coltsfoothall-forward/src/connection.rs
@@ -13,6 +13,8 @@
     Idle,
     /// The head of a request is being received.
     Head,
+    /// The body of a request is being received.
+    Body,
     /// A request is being answered.
     Busy,
 }
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -20,7 +20,7 @@
 use crate::attempt::Job;
 use crate::binding;
 use crate::body::{self, Body};
-use crate::connection::Connection;
+use crate::connection::{Connection, Phase};
 use crate::culprit;
 use crate::dispatch::{self, Trail};
 use crate::listen::{Handler, Limits};
@@ -291,7 +291,7 @@
     due: Time,
 ) -> Result<Body, Refusal> {
     state.bodies.resize(state.settings().memory(), limit);
-    let read = body::read(state, content, limit);
+    let read = body::read(state, connection, content, limit);
     let refusal = match tokio::time::timeout_at(state.clock.instant(due), read).await {
         Ok(Ok(body)) => return Ok(body),
         Ok(Err(body::Error::Large)) => {
@@ -306,6 +306,7 @@
     };
     state.board.body_refused(refusal.parts().1);
     connection.unread.set(true);
+    connection.enter(Phase::Busy);
     Err(refusal)
 }
 
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod run;
 pub mod settings;
 pub mod shortage;
+pub mod slots;
 pub mod socket;
 pub mod state;
 pub mod statement;
--- a/coltsfoothall-forward/src/listen.rs
+++ b/coltsfoothall-forward/src/listen.rs
@@ -24,6 +24,7 @@
 
 use crate::connection::{Busy, Connection, Phase};
 use crate::outgoing::Outgoing;
+use crate::slots::Slots;
 use crate::socket;
 
 /// Delay after a failed accept, which keeps a lack of file descriptors from causing a busy loop.
@@ -75,7 +76,12 @@
 }
 
 /// Accepts connections until they are to be closed.
-pub async fn run(listener: TcpListener, handler: Rc<dyn Handler>, connections: Connections) {
+pub async fn run(
+    listener: TcpListener,
+    handler: Rc<dyn Handler>,
+    connections: Connections,
+    slots: Rc<Slots>,
+) {
     let closing = &connections.closing;
     loop {
         let accepted = tokio::select! {
@@ -83,22 +89,35 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _peer)) => {
-                let serving = serve(stream, Rc::clone(&handler), closing.clone());
-                connections.open.spawn_local(serving);
+            // A connection for which there is no room is closed before anything is read.
+            Ok((stream, _peer)) if slots.make_room().await => {
+                let connection = Rc::new(Connection::new());
+                let slot = slots.add(&connection);
+                let serving = serve(stream, connection, Rc::clone(&handler), closing.clone());
+                connections.open.spawn_local(async move {
+                    tokio::select! {
+                        () = serving => {}
+                        () = slot.closing() => {}
+                    }
+                });
             }
+            Ok(_no_room) => {}
             Err(_transient) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
-async fn serve(stream: TcpStream, handler: Rc<dyn Handler>, closing: CancellationToken) {
+async fn serve(
+    stream: TcpStream,
+    connection: Rc<Connection>,
+    handler: Rc<dyn Handler>,
+    closing: CancellationToken,
+) {
     if socket::set_options(&stream).is_err() {
         // The peer has already closed the connection.
         return;
     }
     let limits = handler.limits();
-    let connection = Rc::new(Connection::new());
     let timed = TimedStream {
         stream,
         connection: Rc::clone(&connection),
@@ -187,7 +206,7 @@
         match self.connection.phase.get() {
             Phase::Idle => Some(since + self.limits.idle_timeout),
             Phase::Head => Some(since + self.limits.head_timeout),
-            Phase::Busy => None,
+            Phase::Body | Phase::Busy => None,
         }
     }
 
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -50,7 +50,7 @@
         let served = self.served.take();
         let coverage = self.coverage();
         event::SERVED.emit(format_args!(
-            "served={served} open={} version={} endpoints={} unreachable={} members={} heard={} bodies_kb={} store_calls={}",
+            "served={served} open={} version={} endpoints={} unreachable={} members={} heard={} bodies_kb={} connections={} store_calls={}",
             self.open.get(),
             self.version(),
             self.roster.borrow().nodes().len(),
@@ -58,8 +58,32 @@
             coverage.members,
             coverage.reporting,
             self.bodies.take_peak().0 / 1_000,
+            self.connection_peaks(),
             self.calls
         ));
+        self.report_turned_away();
+    }
+
+    /// The largest number of connections of each listener since the last call.
+    fn connection_peaks(&self) -> String {
+        let slots = self.slots.borrow();
+        let peaks = slots.iter().map(|slots| slots.take_peak().to_string());
+        peaks.collect::<Vec<_>>().join("/")
+    }
+
+    /// Logs and counts the connections that were closed for others, or refused.
+    fn report_turned_away(&self) {
+        for slots in self.slots.borrow().iter() {
+            let count = slots.take_turned_away();
+            if count > 0 {
+                self.board.connections_turned_away(slots.name, count);
+                event::CROWDED.emit(format_args!(
+                    "listener={:?} turned_away={count} open={}",
+                    slots.name,
+                    slots.open()
+                ));
+            }
+        }
     }
 
     /// Updates the gauges from the current state.
@@ -92,6 +116,9 @@
             .parts_condemned(self.culprits.borrow().verdicts().len() as u64);
         let (held, reading) = self.bodies.usage();
         self.board.bodies(held.0, reading as u64);
+        for slots in self.slots.borrow().iter() {
+            self.board.connections(slots.name, slots.open() as u64);
+        }
         self.update_retry_gauges();
         let configuration = self.configuration();
         let services = configuration
--- a/coltsfoothall-forward/src/run.rs
+++ b/coltsfoothall-forward/src/run.rs
@@ -8,12 +8,14 @@
 
 use coltsfoothall::forward::role::Role;
 use coltsfoothall::id;
+use coltsfoothall::size::Bytes;
 use coltsfoothall_shell::metric::Board;
 use coltsfoothall_shell::{event, settings, stop as signals};
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use quick_error::quick_error;
+use rustix::process::{Resource, getrlimit};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
@@ -26,8 +28,11 @@
 use crate::listen::{self, Connections, Handler, Limits};
 use crate::outgoing::{Outgoing, answer, empty, json};
 use crate::settings::Settings;
+use crate::slots::Slots;
 use crate::state::State;
-use crate::{configuration, duty, gossip, membership, reach, registrations, stop, versions};
+use crate::{
+    configuration, duty, gossip, membership, reach, registrations, socket, stop, versions,
+};
 
 /// Interval between summary log lines.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
@@ -38,6 +43,10 @@
 /// Largest request head that a control listener accepts.
 const MAX_HEAD_BYTES: usize = 8 << 10;
 
+/// Memory that a connection may take without a body: what the kernel has received for it, and the
+/// buffer of its head.
+const CONNECTION_BYTES: u64 = 64 << 10;
+
 quick_error! {
     /// An instance that cannot start.
     #[derive(Debug)]
@@ -158,6 +167,45 @@
     }
 }
 
+/// The descriptors that this process may open.
+fn descriptors(settings: &Settings) -> usize {
+    match settings.descriptors {
+        0 => {
+            let limit = getrlimit(Resource::Nofile).current;
+            limit.map_or(usize::MAX, |limit| {
+                usize::try_from(limit).unwrap_or(usize::MAX)
+            })
+        }
+        named => named,
+    }
+}
+
+/// Which share of the descriptors and of the memory the connections of a listener may take. The rest
+/// is for connections to endpoints, to other instances and to the store.
+#[derive(Debug, Clone, Copy)]
+enum Share {
+    Callers,
+    Peers,
+    /// Instances that read for others hold a connection of each of them.
+    Control,
+    /// Short questions: readiness and the directory.
+    Questions,
+}
+
+impl Share {
+    /// The largest number of connections.
+    fn connections(self, memory: Bytes, descriptors: usize) -> usize {
+        let (descriptors, memory) = match self {
+            Self::Callers => (descriptors / 5 * 2, memory.0 / 4),
+            Self::Peers => (descriptors / 10, memory.0 / 16),
+            Self::Control => (descriptors / 20 * 3, memory.0 / 8),
+            Self::Questions => (descriptors / 20, memory.0 / 32),
+        };
+        let affordable = memory / CONNECTION_BYTES;
+        descriptors.min(usize::try_from(affordable).unwrap_or(usize::MAX))
+    }
+}
+
 /// Binds all listeners of the settings. Those that do not serve callers run until the process ends.
 async fn serve(state: &Rc<State>, callers: &Connections) -> Result<(), Error> {
     let listen = state.settings().listen.clone();
@@ -169,19 +217,38 @@
         .map(|front| SocketAddr::new(front.ip(), state.settings().peer_port));
     let others = Connections::default();
     let parts = [
-        ("callers", listen.front, &front, callers),
-        ("requests of peers", peer, &receiver, callers),
-        ("readiness", listen.readiness, &control, &others),
-        ("addresses", listen.directory, &control, &others),
-        ("control", listen.control, &control, &others),
+        ("callers", listen.front, &front, callers, Share::Callers),
+        ("requests of peers", peer, &receiver, callers, Share::Peers),
+        (
+            "readiness",
+            listen.readiness,
+            &control,
+            &others,
+            Share::Questions,
+        ),
+        (
+            "addresses",
+            listen.directory,
+            &control,
+            &others,
+            Share::Questions,
+        ),
+        ("control", listen.control, &control, &others, Share::Control),
     ];
-    for (what, address, handler, connections) in parts {
+    let descriptors = descriptors(&state.settings());
+    for (what, address, handler, connections, share) in parts {
         let Some(address) = address else {
             continue;
         };
         let bind = |error: io::Error| Error::Bind(what, address, error.to_string());
         let listener = TcpListener::bind(address).await.map_err(bind)?;
-        let serving = listen::run(listener, Rc::clone(handler), connections.clone());
+        socket::limit_unread(&listener).map_err(bind)?;
+        let slots = Rc::new(Slots::new(
+            what,
+            share.connections(state.settings().memory(), descriptors),
+        ));
+        state.slots.borrow_mut().push(Rc::clone(&slots));
+        let serving = listen::run(listener, Rc::clone(handler), connections.clone(), slots);
         tokio::task::spawn_local(serving);
     }
     Ok(())
--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -17,6 +17,9 @@
 /// Memory without which an instance cannot run.
 const MIN_MEMORY_MB: f64 = 32.0;
 
+/// Descriptors without which an instance cannot run.
+const MIN_DESCRIPTORS: usize = 64;
+
 /// Where an instance listens.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -129,6 +132,9 @@
     pub link: f64,
     /// Memory of the machine, in MB, of which the bodies of requests take a part.
     pub memory: f64,
+    /// Descriptors that the process may open, of which the connections of each listener take a part;
+    /// zero for the limit that the operating system names.
+    pub descriptors: usize,
     /// Limits on which the operators' service guarantees depend.
     pub bounds: Bounds,
     /// Behavior under overload that is in force.
@@ -173,6 +179,7 @@
             first_start: false,
             link: 0.0,
             memory: DEFAULT_MEMORY_MB,
+            descriptors: 0,
             bounds: Bounds::default(),
             overload: Vec::new(),
             log: Log::default(),
@@ -210,6 +217,12 @@
                 "is not a number of MB, or under 32, less than an instance needs",
             ));
         }
+        if self.descriptors != 0 && self.descriptors < MIN_DESCRIPTORS {
+            return Err(Fault::new(
+                "descriptors",
+                "is under 64, less than an instance needs",
+            ));
+        }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             return Err(Fault::new("bounds.retry_ratio", "is not within 0 to 1"));
         }
--- a/coltsfoothall-forward/src/socket.rs
+++ b/coltsfoothall-forward/src/socket.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 /// Timeout of connecting to an endpoint or peer: the longest hop takes a few milliseconds, and a
@@ -20,6 +20,9 @@
 /// Interval between keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Receive buffer of a connection. Linux doubles it for its own records, which count too.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+
 /// Sets the options on an accepted or an opened connection.
 ///
 /// # Errors
@@ -34,6 +37,14 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// Limits what the kernel receives for a connection of this listener before it is read.
+///
+/// # Errors
+/// The operating system rejects the option.
+pub fn limit_unread(listener: &TcpListener) -> io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+}
+
 /// Connects to an address.
 ///
 /// # Errors
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -49,6 +49,7 @@
 use crate::retries::{Reason, Retries};
 use crate::role::Standing;
 use crate::settings::{Feature, Settings};
+use crate::slots::Slots;
 use crate::time::{self, Clock};
 use crate::versions;
 
@@ -110,6 +111,8 @@
     pub pool: RefCell<Pool>,
     /// Memory for the bodies of requests.
     pub bodies: body::Memory,
+    /// The connections of each listener.
+    pub slots: RefCell<Vec<Rc<Slots>>>,
     /// Rate limits of workspaces.
     pub rate_limiter: RefCell<rate_limit::Limiter>,
     /// Response times by route.
@@ -215,6 +218,7 @@
             })),
             pool: RefCell::default(),
             bodies: body::Memory::default(),
+            slots: RefCell::default(),
             rate_limiter: RefCell::new(rate_limit::Limiter::new(rate_limit::Settings {
                 seed: boot,
                 initial_share: 0.0,
@@ -301,6 +305,7 @@
             store: previous.store,
             store_history: previous.store_history,
             memory: previous.memory,
+            descriptors: previous.descriptors,
             cloud: previous.cloud,
             overload: previous.overload.clone(),
             log: previous.log.clone(),
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -96,6 +96,8 @@
     TAKEN_UP = 213 Info "stream_taken_up";
     /// A request is not sent, as a part of its prompt is held to crash endpoints.
     PART_REFUSED = 214 Info "part_refused";
+    /// A listener closed connections for others, or refused some, as it held all that it may.
+    CROWDED = 215 Warn "connections_turned_away";
     /// Notice arrived that an instance will be reclaimed.
     NOTICE = 301 Warn "reclaim_notice";
     /// An endpoint died.
--- a/coltsfoothall-shell/src/metric.rs
+++ b/coltsfoothall-shell/src/metric.rs
@@ -100,6 +100,8 @@
     bodies: Gauge<u64>,
     bodies_reading: Gauge<u64>,
     bodies_refused: Counter<u64>,
+    connections: Gauge<u64>,
+    connections_turned_away: Counter<u64>,
     retry_after: Histogram<f64>,
     lost_services: Gauge<u64>,
     handed_over: Counter<u64>,
@@ -230,6 +232,12 @@
                 "request_bodies_refused",
                 "Requests refused before their body was read, by reason",
             ),
+            connections: level(&meter, "connections", "Open connections, by listener"),
+            connections_turned_away: count(
+                &meter,
+                "connections_turned_away",
+                "Connections closed for others, or refused, by listener",
+            ),
             retry_after: seconds(
                 &meter,
                 "refused.retry_after",
@@ -425,6 +433,18 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Sets the number of open connections of a listener.
+    pub fn connections(&self, listener: &'static str, count: u64) {
+        self.connections
+            .record(count, &[KeyValue::new("listener", listener)]);
+    }
+
+    /// Counts connections that a listener closed for others, or refused.
+    pub fn connections_turned_away(&self, listener: &'static str, count: u64) {
+        self.connections_turned_away
+            .add(count, &[KeyValue::new("listener", listener)]);
+    }
+
     /// Counts a request that is refused as no endpoint wants any from this instance.
     pub fn refused_in_backoff(&self) {
         self.refused_in_backoff.add(1, &[]);
