--- a/coltsfoothall-forward/src/listen.rs
+++ b/coltsfoothall-forward/src/listen.rs
@@ -29,6 +29,10 @@
 
 /// Delay after a failed accept, which keeps a lack of file descriptors from causing a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which the rest of a request is discarded after its refusal.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that are discarded at once.
+const DRAIN_BUFFER_BYTES: usize = 4 << 10;
 /// Minimum size of a connection's read buffer; it grows to the largest head that is allowed.
 const MIN_BUFFER_BYTES: usize = 32 << 10;
 
@@ -124,6 +128,7 @@
         limits,
         sleep: None,
         scan: Scan::default(),
+        lingers: false,
     };
     let service = service_fn(move |request| {
         let busy = Busy::new(&connection);
@@ -197,12 +202,17 @@
     limits: Limits,
     sleep: Option<Pin<Box<Sleep>>>,
     scan: Scan,
+    /// Whether the last response was sent and the rest of its request is being discarded.
+    lingers: bool,
 }
 
 impl TimedStream {
     /// The deadline of the current phase.
     fn deadline(&self) -> Option<Instant> {
         let since = self.connection.since.get();
+        if self.lingers {
+            return Some(since + LINGER_TIMEOUT);
+        }
         match self.connection.phase.get() {
             Phase::Idle => Some(since + self.limits.idle_timeout),
             Phase::Head => Some(since + self.limits.head_timeout),
@@ -223,6 +233,25 @@
         sleep.as_mut().poll(context)
     }
 
+    /// Discards what the client still sends, until it closes the connection or time is over. Closing
+    /// with unread bytes would reset the connection, and the client might lose the response.
+    fn poll_drained(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; DRAIN_BUFFER_BYTES];
+        // A timer is not due as long as more bytes are there whenever it is polled.
+        while self
+            .deadline()
+            .is_some_and(|deadline| Instant::now() < deadline)
+        {
+            let mut buf = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {}
+                Poll::Ready(_ended) => return Poll::Ready(()),
+                Poll::Pending => return self.poll_expired(cx),
+            }
+        }
+        Poll::Ready(())
+    }
+
     /// Restarts the idle time when bytes of a response are written. A response is buffered before
     /// all of it is written, and a caller that is still reading it is not idle.
     fn record_write(&self) {
@@ -279,7 +308,14 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if !self.lingers {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        }
+        if self.connection.unread.get() {
+            self.lingers = true;
+            ready!(self.poll_drained(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
