--- a/coltsfoothall-entry/src/front.rs
+++ b/coltsfoothall-entry/src/front.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 
@@ -15,7 +15,7 @@
 use coltsfoothall_wire::fault::{Code, Fault};
 use coltsfoothall_wire::peer::Follow;
 use coltsfoothall_wire::serve::{self, Answer, Body, Handler};
-use coltsfoothall_wire::{http, limit};
+use coltsfoothall_wire::{body, limit};
 
 use crate::node::Node;
 use crate::path::{self, Path};
@@ -100,7 +100,7 @@
     let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
     let fresh = head.key.is_none();
     let key = key(node, head.key.clone())?;
-    let body = read_body(body).await?;
+    let body = read_body(node, body).await?;
     let view = node.view();
     let stream = intake::prompt(&body)?.stream;
     let intake = intake::completion(&head, key, &body, &view)?;
@@ -119,7 +119,7 @@
     let head = intake::head(&parts.headers, &node.view(), deadline(node))?;
     let fresh = head.key.is_none();
     let key = key(node, head.key.clone())?;
-    let body = read_body(body).await?;
+    let body = read_body(node, body).await?;
     let intake = intake::call(&head, key, service, path, parts, body, &node.view())?;
     let format = answer::Format::call(&intake);
     let source = source(node, intake, 0, fresh);
@@ -175,15 +175,15 @@
     }
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Fault> {
-    // A declared length over the limit is refused before the body is read.
-    if body.size_hint().lower() > limit::REQUEST as u64 {
-        return Err(too_large());
-    }
-    match tokio::time::timeout(limit::BODY, http::read(body, limit::REQUEST)).await {
-        Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(http::Error::Large(_))) => Err(too_large()),
-        Ok(Err(error)) => Err(Fault::field("body", error)),
+async fn read_body(node: &Node, content: Incoming) -> Result<Bytes, Fault> {
+    let read = body::read(&node.bodies, || node.now(), content, limit::REQUEST);
+    match tokio::time::timeout(limit::BODY, read).await {
+        Ok(Ok(body)) => Ok(body.into_bytes()),
+        Ok(Err(body::Error::Large)) => Err(too_large()),
+        Ok(Err(error @ body::Error::Evicted)) => {
+            Err(retry_later(Code::Overloaded, &error.to_string()))
+        }
+        Ok(Err(error @ body::Error::Broken)) => Err(Fault::field("body", error)),
         Err(_elapsed) => Err(Fault::field("body", "did not arrive in time")),
     }
 }
--- a/coltsfoothall-entry/src/node.rs
+++ b/coltsfoothall-entry/src/node.rs
@@ -13,6 +13,7 @@
 use coltsfoothall::record::Name;
 use coltsfoothall_shell::event::BROKEN;
 use coltsfoothall_shell::metric::{self, Board, Labels};
+use coltsfoothall_wire::body;
 use coltsfoothall_wire::client::Client;
 use coltsfoothall_wire::fault::{Code, Fault, Outcome};
 
@@ -39,6 +40,8 @@
     pub runner: Box<dyn Runner>,
     /// The requests that this instance owns.
     pub requests: Requests,
+    /// Memory for the bodies that are being read.
+    pub bodies: body::Memory,
     /// Connections to other entry instances.
     pub links: Links,
     /// The handle to the control thread.
--- a/coltsfoothall-entry/src/run.rs
+++ b/coltsfoothall-entry/src/run.rs
@@ -15,10 +15,12 @@
 use tokio_util::sync::CancellationToken;
 
 use coltsfoothall::ledger::{self, Life};
+use coltsfoothall::size::Bytes;
 use coltsfoothall_shell::metric::Board;
 use coltsfoothall_shell::{event, stop};
 use coltsfoothall_wire::client::Client;
 use coltsfoothall_wire::serve::{self, Answer, Handler, Stop};
+use coltsfoothall_wire::{body, limit};
 
 use crate::control;
 use crate::endpoint::Remote;
@@ -111,11 +113,15 @@
         settings.store.to_string(),
         times.store.duration(),
     );
+    let bodies = body::Memory::default();
+    let memory = Bytes((settings.memory * 1e6) as u64);
+    bodies.resize(memory, limit::REQUEST);
     let node = Arc::new(Node {
         store: Box::new(store),
         traffic: Runtime::current(),
         runner: Box::new(Remote::new(client.clone(), times.endpoint.duration())),
         requests: Requests::new(settings.instance.clone(), ledger_settings()),
+        bodies,
         links: Links::default(),
         control: handle,
         board: Board::new().map_err(|error| Error::Metric(error.to_string()))?,
--- a/coltsfoothall-entry/src/settings.rs
+++ b/coltsfoothall-entry/src/settings.rs
@@ -39,6 +39,8 @@
     pub peer_token: String,
     /// Number of threads that serve requests.
     pub threads: usize,
+    /// Memory of the machine in MB, a quarter of which bodies may take while they are read.
+    pub memory: f64,
     /// The log's settings.
     pub log: Log,
     /// Intervals and timeouts.
@@ -110,6 +112,7 @@
             operator_token: String::new(),
             peer_token: String::new(),
             threads: 2,
+            memory: DEFAULT_MEMORY_MB,
             log: Log::default(),
             times: Times::default(),
             stewards: steward::Settings::default(),
@@ -121,6 +124,11 @@
 /// small instance.
 const MAX_THREADS: usize = 64;
 
+/// Memory of the smallest machine that instances run on.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
+/// Memory without which an instance cannot run.
+const MIN_MEMORY_MB: f64 = 32.0;
+
 impl Check for Settings {
     fn check(&self) -> Result<(), Fault> {
         check_token("operator_token", &self.operator_token)?;
@@ -131,6 +139,12 @@
                 format!("must be from 1 to {MAX_THREADS}"),
             ));
         }
+        if !self.memory.is_finite() || self.memory < MIN_MEMORY_MB {
+            return Err(Fault::new(
+                "memory",
+                "is not a number of MB, or under 32, less than an instance needs",
+            ));
+        }
         self.stewards.check()?;
         self.times.check()
     }
--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -19,13 +19,13 @@
 use coltsfoothall::size::Tokens;
 use coltsfoothall::suspicion::Fingerprint;
 use coltsfoothall_shell::event;
+use coltsfoothall_wire::body::Body;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use hyper::body::{Body as _, Incoming};
 
 use crate::adapter::{Call, Forward, Reply};
-use crate::body::Body;
 use crate::origin::{Departs, Origin};
 use crate::pool::{Fault, Link, Payload, Target};
 use crate::probe;
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -10,6 +10,7 @@
 use coltsfoothall::id;
 use coltsfoothall::suspicion::Fingerprint;
 use coltsfoothall_shell::event;
+use coltsfoothall_wire::body::{self, Body};
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, HOST};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -19,7 +20,6 @@
 use crate::adapter::Call;
 use crate::attempt::Job;
 use crate::binding;
-use crate::body::{self, Body};
 use crate::connection::{Connection, Phase};
 use crate::culprit;
 use crate::dispatch::{self, Trail};
@@ -291,9 +291,16 @@
     due: Time,
 ) -> Result<Body, Refusal> {
     state.bodies.resize(state.settings().memory(), limit);
-    let read = body::read(state, connection, content, limit);
+    let advance = || {
+        connection.enter(Phase::Body);
+        state.now()
+    };
+    let read = body::read(&state.bodies, advance, content, limit);
     let refusal = match tokio::time::timeout_at(state.clock.instant(due), read).await {
-        Ok(Ok(body)) => return Ok(body),
+        Ok(Ok(body)) => {
+            connection.enter(Phase::Busy);
+            return Ok(body);
+        }
         Ok(Err(body::Error::Large)) => {
             Refusal::Bad(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
         }
--- a/coltsfoothall-forward/src/lib.rs
+++ b/coltsfoothall-forward/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod adoption;
 pub mod attempt;
 pub mod binding;
-pub mod body;
 pub mod calls;
 pub mod changelog;
 pub mod compression;
--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use coltsfoothall::id;
+use coltsfoothall_wire::body::Body;
 use http::{Request, Response};
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
@@ -23,7 +24,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::body::Body;
 use crate::socket;
 
 /// Idle timeout of a connection whose endpoint names none.
--- a/coltsfoothall-forward/src/body.rs
+++ b/coltsfoothall-wire/src/body.rs
@@ -1,20 +1,16 @@
 //! Reads the bodies of requests into memory that all of them share.
 
-use std::cell::RefCell;
 use std::pin::pin;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::{Bytes, BytesMut};
+use coltsfoothall::clock::Time;
 use coltsfoothall::forward::body::{Budget, Id};
 use coltsfoothall::size;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
 use quick_error::quick_error;
 use tokio::sync::Notify;
 
-use crate::connection::{Connection, Phase};
-use crate::state::State;
-
 /// Largest part of a body that is allocated at once. Parts of equal size can be used again by any
 /// other body, and are not moved when a body grows.
 const MAX_PART_BYTES: usize = 64 << 10;
@@ -46,7 +42,7 @@
 
 /// The memory that the bodies of all requests share.
 #[derive(Debug, Clone)]
-pub struct Memory(Rc<RefCell<Shared>>);
+pub struct Memory(Arc<Mutex<Shared>>);
 
 #[derive(Debug)]
 struct Shared {
@@ -54,11 +50,11 @@
     /// The most that bodies took since that was last asked for.
     peak: size::Bytes,
     /// Wakes the readers of bodies that lose their memory; sorted by id.
-    evictions: Vec<(Id, Rc<Notify>)>,
+    evictions: Vec<(Id, Arc<Notify>)>,
 }
 
 impl Shared {
-    fn remove(&mut self, id: Id) -> Option<Rc<Notify>> {
+    fn remove(&mut self, id: Id) -> Option<Arc<Notify>> {
         let index = self.index(id)?;
         Some(self.evictions.remove(index).1)
     }
@@ -71,7 +67,7 @@
 
 impl Default for Memory {
     fn default() -> Self {
-        Self(Rc::new(RefCell::new(Shared {
+        Self(Arc::new(Mutex::new(Shared {
             budget: Budget::new(size::Bytes(0)),
             peak: size::Bytes(0),
             evictions: Vec::new(),
@@ -84,29 +80,34 @@
     pub fn resize(&self, machine: size::Bytes, max_body: usize) {
         let least = size::Bytes(MIN_BODIES * max_body as u64);
         let limit = size::Bytes(machine.0 / MEMORY_DIVISOR).max(least);
-        self.0.borrow_mut().budget.set_limit(limit);
+        self.lock().budget.set_limit(limit);
     }
 
     /// Bytes that bodies take, and the number of bodies that are being read.
     #[must_use]
     pub fn usage(&self) -> (size::Bytes, usize) {
-        let shared = self.0.borrow();
+        let shared = self.lock();
         (shared.budget.held(), shared.budget.reading())
     }
 
     /// The most that bodies took since the last call.
     #[must_use]
     pub fn take_peak(&self) -> size::Bytes {
-        let mut shared = self.0.borrow_mut();
+        let mut shared = self.lock();
         let held = shared.budget.held();
         std::mem::replace(&mut shared.peak, held)
     }
 
-    fn begin(&self, state: &State) -> (Hold, Rc<Notify>) {
-        let mut shared = self.0.borrow_mut();
-        let id = shared.budget.begin(state.now());
-        let eviction = Rc::<Notify>::default();
-        shared.evictions.push((id, Rc::clone(&eviction)));
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn begin(&self, now: Time) -> (Hold, Arc<Notify>) {
+        let mut shared = self.lock();
+        let id = shared.budget.begin(now);
+        let eviction = Arc::<Notify>::default();
+        shared.evictions.push((id, Arc::clone(&eviction)));
+        drop(shared);
         let memory = self.clone();
         (Hold { memory, id }, eviction)
     }
@@ -120,12 +121,12 @@
 }
 
 impl Hold {
-    fn grow(&self, state: &State, bytes: usize) -> Result<(), Error> {
-        let mut shared = self.memory.0.borrow_mut();
+    fn grow(&self, now: Time, bytes: usize) -> Result<(), Error> {
+        let mut shared = self.memory.lock();
         let more = size::Bytes(bytes as u64);
         let evicted = shared
             .budget
-            .grow(state.now(), self.id, more)
+            .grow(now, self.id, more)
             .map_err(|_exhausted| Error::Evicted)?;
         shared.peak = shared.peak.max(shared.budget.held());
         for id in evicted {
@@ -137,7 +138,7 @@
     }
 
     fn complete(&self) {
-        let mut shared = self.memory.0.borrow_mut();
+        let mut shared = self.memory.lock();
         shared.budget.complete(self.id);
         shared.remove(self.id);
     }
@@ -145,7 +146,7 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        let mut shared = self.memory.0.borrow_mut();
+        let mut shared = self.memory.lock();
         shared.budget.end(self.id);
         shared.remove(self.id);
     }
@@ -154,9 +155,9 @@
 /// The complete body of a request. Its memory is given back when the last clone is dropped.
 #[derive(Debug, Clone, Default)]
 pub struct Body {
-    parts: Rc<[Bytes]>,
+    parts: Arc<[Bytes]>,
     /// Keeps the memory.
-    _hold: Option<Rc<Hold>>,
+    _hold: Option<Arc<Hold>>,
 }
 
 impl Body {
@@ -165,6 +166,16 @@
     pub fn parts(&self) -> &[Bytes] {
         &self.parts
     }
+
+    /// Its bytes as one, which no longer count as memory of bodies.
+    #[must_use]
+    pub fn into_bytes(self) -> Bytes {
+        match &*self.parts {
+            [] => Bytes::new(),
+            [whole] => whole.clone(),
+            parts => parts.concat().into(),
+        }
+    }
 }
 
 /// The part of a body that has arrived.
@@ -179,11 +190,11 @@
 }
 
 impl Buffer {
-    fn push(&mut self, state: &State, mut bytes: &[u8]) -> Result<(), Error> {
+    fn push(&mut self, now: impl Fn() -> Time, mut bytes: &[u8]) -> Result<(), Error> {
         while !bytes.is_empty() {
             let room = self.open.capacity() - self.open.len();
             if room == 0 {
-                self.open_part(state)?;
+                self.open_part(now())?;
                 continue;
             }
             let (now, rest) = bytes.split_at(room.min(bytes.len()));
@@ -194,12 +205,12 @@
         Ok(())
     }
 
-    fn open_part(&mut self, state: &State) -> Result<(), Error> {
+    fn open_part(&mut self, now: Time) -> Result<(), Error> {
         let size = match self.expected {
             Some(expected) => expected.saturating_sub(self.len).min(MAX_PART_BYTES),
             None => self.len.clamp(MIN_PART_BYTES, MAX_PART_BYTES),
         };
-        self.hold.grow(state, size)?;
+        self.hold.grow(now, size)?;
         let full = std::mem::replace(&mut self.open, BytesMut::with_capacity(size));
         if !full.is_empty() {
             self.parts.push(full.freeze());
@@ -214,21 +225,26 @@
         }
         Body {
             parts: self.parts.into(),
-            _hold: Some(Rc::new(self.hold)),
+            _hold: Some(Arc::new(self.hold)),
         }
     }
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Reads a complete body of at most `limit` bytes; `advance` returns the time, and is called each
+/// time the body takes memory.
 ///
 /// # Errors
 /// It is over the limit, ended early, or there is no memory for it.
-pub async fn read(
-    state: &State,
-    connection: &Connection,
-    content: Incoming,
+pub async fn read<B>(
+    memory: &Memory,
+    advance: impl Fn() -> Time,
+    content: B,
     limit: usize,
-) -> Result<Body, Error> {
+) -> Result<Body, Error>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let length = content.size_hint();
     // A declared length over the limit is rejected before any of the body is read.
     if length.lower() > limit as u64 {
@@ -237,7 +253,7 @@
     if content.is_end_stream() {
         return Ok(Body::default());
     }
-    let (hold, eviction) = state.bodies.begin(state);
+    let (hold, eviction) = memory.begin(advance());
     let expected = length.exact().and_then(|exact| usize::try_from(exact).ok());
     let mut buffer = Buffer {
         hold,
@@ -248,21 +264,17 @@
     };
     let mut content = pin!(Limited::new(content, limit));
     loop {
-        connection.enter(Phase::Body);
         let frame = tokio::select! {
             biased;
             () = eviction.notified() => return Err(Error::Evicted),
             frame = content.frame() => frame,
         };
         match frame.transpose() {
-            Ok(None) => {
-                connection.enter(Phase::Busy);
-                return Ok(buffer.finish());
-            }
+            Ok(None) => return Ok(buffer.finish()),
             // Trailers are dropped.
             Ok(Some(frame)) => {
                 if let Ok(bytes) = frame.into_data() {
-                    buffer.push(state, &bytes)?;
+                    buffer.push(&advance, &bytes)?;
                 }
             }
             Err(error) if error.is::<LengthLimitError>() => return Err(Error::Large),
--- a/coltsfoothall-wire/src/lib.rs
+++ b/coltsfoothall-wire/src/lib.rs
@@ -8,6 +8,7 @@
 //! assert_eq!(fault.outcome, Outcome::NotRun);
 //! ```
 
+pub mod body;
 pub mod caller;
 pub mod client;
 pub mod cloud;
