--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request at one endpoint.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -44,8 +44,8 @@
     pub call: Call,
     /// Method, path and headers.
     pub head: Parts,
-    /// The body.
-    pub body: Body,
+    /// The body; empty once it will not be sent again.
+    pub body: RefCell<Body>,
     /// The workspace that it belongs to.
     pub workspace: Option<id::Workspace>,
     /// The priority; 0 is the most urgent.
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Gives the memory of the body back if no other endpoint may run the request any more. What is
+    /// still being sent keeps its part until then.
+    pub fn release_body(&self) {
+        if !self.route.kind.repeats() {
+            self.body.take();
+        }
+    }
+
     /// The request id for the log, or `-`.
     #[must_use]
     pub fn id(&self) -> &str {
@@ -543,7 +551,7 @@
     headers: HeaderMap,
     body_sent: &Rc<Cell<bool>>,
 ) -> Request<Payload> {
-    let payload = Payload::new(job.body.clone(), Rc::clone(body_sent));
+    let payload = Payload::new(job.body.borrow().clone(), Rc::clone(body_sent));
     let mut request = Request::new(payload);
     *request.method_mut() = job.head.method.clone();
     *request.uri_mut() = origin_form(&job.head.uri);
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -265,7 +265,7 @@
         service,
         call,
         head,
-        body,
+        body: body.into(),
         workspace,
         rank,
         fingerprint,
@@ -393,6 +393,7 @@
             Ok(sent) => sent?,
             Err(_elapsed) => return Err(time_out(state, &job)),
         };
+        job.release_body();
         let end = tokio::time::timeout_at(due, relay::answer(state, &job, sent, &mut trail)).await;
         match end {
             Ok(Ok(answer)) => return Ok(answer),
