Lists of the store that fail or do not end are logged

Callers were served nothing after a restart, and no line said whether a list of the registrations failed, did not end, or was applied without some endpoints: E603 names the first failure alone.

E605 store_unread names a list that has failed or has not ended for 5 s, with the number of failures and the reason. E603 says how many items a list had, in how many pages, and how many registrations were applied and rejected.

--- a/coltsfoothall-forward/src/adapter.rs
+++ b/coltsfoothall-forward/src/adapter.rs
@@ -186,6 +186,8 @@
     pub items: Vec<Item>,
     /// The last change that the listing covers.
     pub position: Position,
+    /// Number of responses that it was read from.
+    pub pages: usize,
 }
 
 /// An atomic write to the keyspaces that the instances own. Names begin with `live/`,
--- a/coltsfoothall-forward/src/follower.rs
+++ b/coltsfoothall-forward/src/follower.rs
@@ -1,5 +1,6 @@
 //! Follows a keyspace of the store, one call at a time.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use coltsfoothall::batch;
@@ -23,6 +24,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// After a longer outage of the store, registrations may have lapsed.
 pub const OUTAGE_THRESHOLD: Duration = Duration::from_millis(900);
+/// Interval at which a list that fails or does not end is logged.
+const UNREAD_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Delay between two reads of registrations, which saves calls while heartbeats change them: a
 /// sixth of the time in which leaving endpoints must stop getting requests.
 const ENDPOINTS_POLL_DELAY: Duration = Duration::from_millis(350);
@@ -50,6 +53,10 @@
     keyspace: Keyspace,
     /// When the first of the calls was made that have failed since the last success.
     failing_since: Option<Time>,
+    /// Number of calls that have failed since then.
+    failures: u32,
+    /// When a list that fails was last logged.
+    logged_at: Time,
     /// Position of the last known change; none before a complete list was read.
     position: Option<Position>,
     retry_delay: Duration,
@@ -62,6 +69,8 @@
         Self {
             keyspace,
             failing_since: None,
+            failures: 0,
+            logged_at: Time::START,
             position,
             retry_delay: MIN_RETRY_DELAY,
         }
@@ -90,7 +99,7 @@
             match self.position {
                 None => {
                     state.calls.count(Call::List(keyspace));
-                    state.adapter.list(keyspace).await
+                    log_pending(keyspace, state.adapter.list(keyspace)).await
                 }
                 Some(after) => {
                     state.calls.count(Call::Watch(keyspace));
@@ -122,7 +131,10 @@
                     event::STORE.emit(format_args!(
                         "realm={keyspace:?} state=lost reason={error:?}"
                     ));
+                    self.logged_at = called_at;
                 }
+                self.failures += 1;
+                self.log_failing(state, &error);
                 match keyspace {
                     Keyspace::Configuration => state.adoption.store_lost.set(true),
                     Keyspace::Endpoints => {
@@ -138,10 +150,37 @@
         None
     }
 
+    /// Logs at intervals that the keyspace cannot be listed.
+    fn log_failing(&mut self, state: &State, error: &Error) {
+        let now = state.now();
+        let (Some(since), None) = (self.failing_since, self.position) else {
+            return;
+        };
+        if now.since(self.logged_at) < UNREAD_LOG_INTERVAL {
+            return;
+        }
+        self.logged_at = now;
+        event::STORE_UNREAD.emit(format_args!(
+            "realm={:?} state=failing failures={} ms={} reason={error:?}",
+            self.keyspace,
+            self.failures,
+            now.since(since).as_millis()
+        ));
+    }
+
     fn accept(&mut self, state: &State, called_at: Time, listing: Listing) -> Update {
         let keyspace = self.keyspace;
         let complete = self.position.is_none();
         self.retry_delay = MIN_RETRY_DELAY;
+        self.failures = 0;
+        if complete {
+            event::STORE.emit(format_args!(
+                "realm={keyspace:?} state=listed items={} pages={} ms={}",
+                listing.items.len(),
+                listing.pages,
+                state.now().since(called_at).as_millis()
+            ));
+        }
         if let Some(since) = self.failing_since.take() {
             let outage = called_at.since(since);
             event::STORE.emit(format_args!(
@@ -169,6 +208,22 @@
     }
 }
 
+/// Awaits a list, and logs at intervals that it has not ended.
+async fn log_pending<T>(keyspace: Keyspace, list: impl Future<Output = T>) -> T {
+    let mut list = pin!(list);
+    let mut pending = Duration::ZERO;
+    loop {
+        if let Ok(outcome) = tokio::time::timeout(UNREAD_LOG_INTERVAL, list.as_mut()).await {
+            return outcome;
+        }
+        pending += UNREAD_LOG_INTERVAL;
+        event::STORE_UNREAD.emit(format_args!(
+            "realm={keyspace:?} state=pending ms={}",
+            pending.as_millis()
+        ));
+    }
+}
+
 /// Whether a listing is of the newest era, and of the era of the position that was watched.
 fn is_current(state: &State, position: Option<Position>, listing: &Listing) -> bool {
     let era = listing.position.era;
--- a/coltsfoothall-forward/src/registrations.rs
+++ b/coltsfoothall-forward/src/registrations.rs
@@ -305,6 +305,7 @@
 /// Applies registrations from the store; a complete list also shows which ones are gone.
 pub fn apply_listing(state: &Rc<State>, listing: Listing, complete: bool) {
     let mut entries = Vec::new();
+    let items = listing.items.len();
     for item in listing.items {
         if item.value.is_none() {
             remove(state, &item.name, item.position);
@@ -315,6 +316,12 @@
     state.changelog.borrow_mut().advance_to(listing.position);
     if complete {
         let missing = state.roster.borrow().missing(&entries);
+        event::STORE.emit(format_args!(
+            "realm=Endpoints state=applied registered={} rejected={} missing={}",
+            entries.len(),
+            items - entries.len(),
+            missing.len()
+        ));
         for id in missing {
             remove(state, id.as_str(), listing.position);
         }
--- a/coltsfoothall-shell/src/event.rs
+++ b/coltsfoothall-shell/src/event.rs
@@ -182,6 +182,8 @@
     STORE = 603 Info "store_followed";
     /// The store was restored from an older copy.
     STORE_ERA = 604 Warn "store_era";
+    /// A part of the store could not be listed for some seconds.
+    STORE_UNREAD = 605 Warn "store_unread";
     /// This instance became leader or ceased to be.
     LEADER = 611 Info "leader";
     /// The usage of a time window was reported, or the report failed.
