--- a/coltsfoothall-wire/src/lib.rs
+++ b/coltsfoothall-wire/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod serve;
 pub mod sse;
 pub mod store;
+pub mod uri;
