Notes of other writers do not stop the usage reports

A note in the leader's keyspace that could not be parsed failed its whole read, each time: usage was reported no more, and costs what missing reports cost. A name that is a large number counted as the last window that was reported, so that all windows up to it were given up.

Numbers of windows to come are no reports of a leader.

--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -12,6 +12,12 @@
 /// Lowest rank that the metrics count as batch work.
 const MIN_BATCH_RANK: u8 = 5;
 
+/// Logs a value of the store that cannot be parsed. Its key may hold any text of another writer.
+pub fn log_unreadable(step: &str, key: &str, error: &dyn std::error::Error) {
+    let reason = error.to_string();
+    event::STORE_FAILED.emit(format_args!("step={step} key={key:?} reason={reason:?}"));
+}
+
 impl State {
     /// Metric labels of a request. A request counts as interactive unless it has the last of three
     /// ranks.
--- a/coltsfoothall-forward/src/reporter.rs
+++ b/coltsfoothall-forward/src/reporter.rs
@@ -10,6 +10,7 @@
 
 use crate::adapter::{Error, Keyspace, Leadership, Listing, Write};
 use crate::calls::Call;
+use crate::report::log_unreadable;
 use crate::state::State;
 
 /// Delay after the end of a window by which all counts of it have arrived from other instances.
@@ -53,20 +54,18 @@
         state.calls.count(Call::List(Keyspace::Notes));
         let listing = state.adapter.list(Keyspace::Notes).await?;
         if !self.restored {
-            restore_counts(state, &listing)?;
+            restore_counts(state, &listing);
             self.restored = true;
             state.loads_restored.set(state.fence());
         }
-        let evidence = evidence(state, &listing)?;
+        let evidence = evidence(state, &listing);
         let Some(mark) = evidence.mark() else {
             return Ok(());
         };
         if evidence.stored != Some(mark) {
             write_mark(state, mark).await?;
         }
-        let names = listing.items.iter().map(|item| item.name.as_str());
-        let numbers = names.filter_map(|name| name.strip_prefix(REPORT_PREFIX));
-        let windows: Vec<u64> = numbers.filter_map(|number| number.parse().ok()).collect();
+        let windows = stored_windows(state, &listing);
         state.record_attempt(mark.window.max(windows.iter().max().copied()));
         state.reports_read.set(fence);
         self.doubt = Some(Doubt::new(mark, windows));
@@ -126,7 +125,8 @@
                 return;
             }
             if doubt.covers(window) {
-                give_up(state, window);
+                let reason = "may have been reported in an earlier era of the store";
+                give_up(state, window, reason);
                 continue;
             }
             match self.send(state, window).await {
@@ -147,7 +147,10 @@
     async fn send(&mut self, state: &State, window: u64) -> Result<(), Error> {
         let counted = state.usage.borrow().sum(window);
         let fence = state.fence().ok_or(Error::Conflict("report"))?;
-        let counts = store_report(state, window, &counted).await?;
+        let Some(counts) = store_report(state, window, &counted).await? else {
+            give_up(state, window, "the stored report cannot be read");
+            return Ok(());
+        };
         let fence = state
             .fence()
             .filter(|now| *now == fence)
@@ -178,8 +181,21 @@
     (due.as_millis() / length.as_millis().max(1)) as u64 + 1
 }
 
-/// Restores the counts and the loads that the previous leader saved.
-fn restore_counts(state: &State, listing: &Listing) -> Result<(), Error> {
+/// The windows whose reports the store holds. A later window than the current one has no report of a
+/// leader.
+fn stored_windows(state: &State, listing: &Listing) -> Vec<u64> {
+    let newest = {
+        let time = state.true_time() + MAX_CLOCK_DIFFERENCE;
+        state.usage.borrow().window(time)
+    };
+    let names = listing.items.iter().map(|item| item.name.as_str());
+    let numbers = names.filter_map(|name| name.strip_prefix(REPORT_PREFIX));
+    let windows = numbers.filter_map(|number| number.parse().ok());
+    windows.filter(|window| *window <= newest).collect()
+}
+
+/// Restores the counts and the loads that the previous leader saved, as far as they can be read.
+fn restore_counts(state: &State, listing: &Listing) {
     let load = listing.items.iter().find(|item| item.name == LOAD_NAME);
     if let Some(value) = load.and_then(|item| item.value.as_ref()) {
         state.restore_loads(value);
@@ -187,17 +203,24 @@
     let names = [SNAPSHOT_NAME, OLD_SNAPSHOT_NAME];
     let items = listing.items.iter();
     let items = items.filter(|item| names.contains(&item.name.as_str()));
-    for value in items.filter_map(|item| item.value.as_ref()) {
-        let snapshot: Snapshot = rmp_serde::from_slice(value)
-            .map_err(|error| Error::Format("read usage counts", error.to_string()))?;
-        state.usage.borrow_mut().restore(&snapshot);
+    for item in items {
+        let Some(value) = &item.value else {
+            continue;
+        };
+        match rmp_serde::from_slice::<Snapshot>(value) {
+            Ok(snapshot) => state.usage.borrow_mut().restore(&snapshot),
+            Err(error) => log_unreadable("read_counts", &item.name, &error),
+        }
     }
-    Ok(())
 }
 
 /// Stores the report on a window. Returns the stored report, which is that of an earlier leader if
-/// there was one.
-async fn store_report(state: &State, window: u64, counts: &[Count]) -> Result<Vec<Count>, Error> {
+/// there was one; none if it cannot be read.
+async fn store_report(
+    state: &State,
+    window: u64,
+    counts: &[Count],
+) -> Result<Option<Vec<Count>>, Error> {
     let name = format!("{REPORT_PREFIX}{window}");
     let key = format!("notes/{name}");
     let value =
@@ -212,14 +235,17 @@
     };
     state.calls.count(Call::Write);
     match state.adapter.write(write).await {
-        Ok(_revision) => Ok(counts.to_vec()),
+        Ok(_revision) => Ok(Some(counts.to_vec())),
         Err(Error::Conflict(_)) => {
             state.calls.count(Call::List(Keyspace::Notes));
             let listing = state.adapter.list(Keyspace::Notes).await?;
             let item = listing.items.iter().find(|item| item.name == name);
             let value = item.and_then(|item| item.value.as_ref());
             let value = value.ok_or(Error::Missing("note"))?;
-            serde_json::from_slice(value).map_err(|error| Error::Format("note", error.to_string()))
+            let report = serde_json::from_slice(value);
+            Ok(report
+                .inspect_err(|error| log_unreadable("read_report", &name, error))
+                .ok())
         }
         Err(error) => Err(error),
     }
@@ -230,16 +256,18 @@
 }
 
 /// What is known of the windows that were reported, given all notes of the store.
-fn evidence(state: &State, listing: &Listing) -> Result<Evidence, Error> {
+fn evidence(state: &State, listing: &Listing) -> Evidence {
     let found = listing.items.iter().find(|item| item.name == MARK_NAME);
     let stored = found.and_then(|item| item.value.as_ref());
-    let stored: Option<Mark> = stored
-        .map(|value| serde_json::from_slice(value))
-        .transpose()
-        .map_err(|error| Error::Format("read mark", error.to_string()))?;
+    // Without a mark, more windows are given up.
+    let stored: Option<Mark> = stored.and_then(|value| {
+        let mark = serde_json::from_slice(value);
+        mark.inspect_err(|error| log_unreadable("read_mark", MARK_NAME, error))
+            .ok()
+    });
     let age = state.era_age();
     let known_at = state.true_time().saturating_sub(age) + MAX_CLOCK_DIFFERENCE;
-    Ok(Evidence {
+    Evidence {
         era: listing.position.era,
         stored,
         own: state.mark.get(),
@@ -249,7 +277,7 @@
             .borrow()
             .last_ended(known_at, WINDOW_SETTLE_DELAY),
         age,
-    })
+    }
 }
 
 async fn write_mark(state: &State, mark: Mark) -> Result<(), Error> {
@@ -281,9 +309,9 @@
 }
 
 /// Leaves a window unreported: the platform may have accepted other counts for it.
-fn give_up(state: &State, window: u64) {
+fn give_up(state: &State, window: u64, reason: &str) {
     event::USAGE.emit(format_args!(
-        "window={window} state=given_up reason=\"may have been reported in an earlier era of the store\""
+        "window={window} state=given_up reason={reason:?}"
     ));
     state.board.usage_given_up();
     state.record_reported(window);
