Tables of other writers do not keep the versions of streams unknown

One value in the keyspace of versions that could not be parsed failed its read, each time: on a new instance and under a new leader nobody knew where streams begin, and none that may be resumed was settled. Such a value is logged (E601) and left out; the newest table that can be parsed counts.

tables_unreadable failed before (not settled within 15 s).

--- a/coltsfoothall-forward/src/versions.rs
+++ b/coltsfoothall-forward/src/versions.rs
@@ -17,6 +17,7 @@
 
 use crate::adapter::{Error, Keyspace, Listing, Write};
 use crate::calls::Call;
+use crate::report::log_unreadable;
 use crate::state::State;
 
 /// Interval between two tries to read the table for the first time.
@@ -111,7 +112,7 @@
     let called_at = state.now();
     state.calls.count(Call::List(Keyspace::Versions));
     let listing = state.adapter.list(Keyspace::Versions).await?;
-    let content = parse(&listing)?;
+    let content = parse(&listing);
     let now = state.now();
     let mut streams = state.streams.borrow_mut();
     streams.restore(now, content.starts);
@@ -137,14 +138,20 @@
     starts: Vec<Group>,
 }
 
-fn parse(listing: &Listing) -> Result<Content, Error> {
+/// Parses the values of the keyspace. Those that other writers put there are left out.
+fn parse(listing: &Listing) -> Content {
     let mut content = Content::default();
     for item in &listing.items {
         let Some(value) = &item.value else {
             continue;
         };
-        let value: Value = serde_json::from_slice(value)
-            .map_err(|error| Error::Format("read versions", error.to_string()))?;
+        let value: Value = match serde_json::from_slice(value) {
+            Ok(value) => value,
+            Err(error) => {
+                log_unreadable("read_versions", &item.name, &error);
+                continue;
+            }
+        };
         let newest = content.table.as_ref().map(|(table, _)| table.generation);
         if item.name == STARTS_NAME {
             content.starts = value.starts;
@@ -152,7 +159,7 @@
             content.table = Some((value.table, value.era));
         }
     }
-    Ok(content)
+    content
 }
 
 /// Logs the table in force.
