A status that cannot be parsed does not stop an upgrade

A leader that could not parse the status of an upgrade tried again without end, and the upgrade stood still. The status is the system's own to write: it is logged (E509) and replaced, under the condition that it has not changed.

E508 quotes the name of an order, which may hold any text.

--- a/coltsfoothall-forward/src/adapter.rs
+++ b/coltsfoothall-forward/src/adapter.rs
@@ -222,6 +222,15 @@
     pub target: id::Version,
 }
 
+/// What the store holds under the key of such a report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// The report; none if the value cannot be parsed.
+    pub report: Option<Report>,
+    /// Position at which it was written.
+    pub position: Position,
+}
+
 /// The key-value store of the platform.
 pub trait Store {
     /// Reads all values of a keyspace.
@@ -259,11 +268,11 @@
     /// # Errors
     /// Names the invalid field.
     fn parse_upgrade(&self, item: &Item) -> Result<Option<upgrade::Order>, Error>;
-    /// Reads the report on a service's upgrade, and the position at which it was written.
+    /// Reads the report on a service's upgrade; none if there is no value.
     fn read_report<'a>(
         &'a self,
         service: &'a id::Service,
-    ) -> LocalBoxFuture<'a, Result<Option<(Report, Position)>, Error>>;
+    ) -> LocalBoxFuture<'a, Result<Option<Status>, Error>>;
     /// Writes the report on a service's upgrade, provided that the current one is still that of
     /// `previous`. Returns the position of the change.
     fn write_report<'a>(
--- a/coltsfoothall-forward/src/upgrades.rs
+++ b/coltsfoothall-forward/src/upgrades.rs
@@ -6,7 +6,7 @@
 use coltsfoothall::id;
 use coltsfoothall_shell::event;
 
-use crate::adapter::{Error, Listing, Progress, Report};
+use crate::adapter::{Error, Listing, Progress, Report, Status};
 use crate::state::State;
 
 /// Applies the orders of a listing. In a complete listing, some may have been decided already.
@@ -24,7 +24,7 @@
             }
             Ok(None) => {}
             Err(error) => event::UPGRADE_BAD.emit(format_args!(
-                "name={} reason={:?}",
+                "name={:?} reason={:?}",
                 item.name,
                 error.to_string()
             )),
@@ -58,13 +58,13 @@
 /// candidate is probed again until the leader reads the outcome.
 async fn apply_outcome(state: &State, order: &Order) {
     match state.adapter.read_report(&order.service).await {
-        Ok(Some((report, position))) if position > order.position => {
-            if let Some(stage) = final_stage(&report, order) {
+        Ok(Some(status)) => {
+            if let Some(stage) = final_stage(&status, order) {
                 let mut upgrades = state.upgrades.borrow_mut();
                 upgrades.apply_final_stage(state.now(), &order.service, stage);
             }
         }
-        Ok(_) => {}
+        Ok(None) => {}
         Err(error) => log_failure(order, &error),
     }
 }
@@ -108,7 +108,7 @@
     service: id::Service,
     /// Position of the order that it is about.
     order: Position,
-    written: Option<(Report, Position)>,
+    written: Option<Status>,
 }
 
 /// Advances upgrades and reports to operators, while this instance leads.
@@ -137,9 +137,8 @@
     async fn advance_one(&mut self, state: &State, order: &Order) -> Result<(), Error> {
         let now = state.now();
         let record = self.record(state, order).await?;
-        if let Some((report, position)) = &record.written
-            && *position > order.position
-            && let Some(stage) = final_stage(report, order)
+        if let Some(status) = &record.written
+            && let Some(stage) = final_stage(status, order)
         {
             state
                 .upgrades
@@ -167,19 +166,21 @@
             progress: progress(stage),
             target: order.target.clone(),
         };
-        let is_written = record
-            .written
-            .as_ref()
-            .is_some_and(|(written, position)| *written == report && *position > order.position);
+        let is_written = record.written.as_ref().is_some_and(|status| {
+            is_current(status, order) && status.report.as_ref() == Some(&report)
+        });
         if is_written || state.fence().is_none() {
             return Ok(());
         }
-        let previous = record.written.as_ref().map(|(_, position)| *position);
+        let previous = record.written.as_ref().map(|status| status.position);
         let position = state
             .adapter
             .write_report(&order.service, &report, previous)
             .await?;
-        record.written = Some((report, position));
+        record.written = Some(Status {
+            report: Some(report),
+            position,
+        });
         Ok(())
     }
 
@@ -191,6 +192,15 @@
             Some(index) => index,
             None => {
                 let written = state.adapter.read_report(&order.service).await?;
+                if written
+                    .as_ref()
+                    .is_some_and(|status| status.report.is_none())
+                {
+                    event::UPGRADE_UNTOLD.emit(format_args!(
+                        "service={} reason=\"the stored status cannot be parsed and is replaced\"",
+                        order.service
+                    ));
+                }
                 self.records
                     .retain(|record| record.service != order.service);
                 self.records.push(Record {
@@ -205,9 +215,15 @@
     }
 }
 
+/// Whether a status was written later than an order.
+fn is_current(status: &Status, order: &Order) -> bool {
+    status.position > order.position
+}
+
 /// The final stage of an order, if one was reported to operators.
-fn final_stage(report: &Report, order: &Order) -> Option<Stage> {
-    if report.target != order.target {
+fn final_stage(status: &Status, order: &Order) -> Option<Stage> {
+    let report = status.report.as_ref()?;
+    if !is_current(status, order) || report.target != order.target {
         return None;
     }
     match report.progress {
