A member's registration counts under its own key alone

The removal of any key that ended with a member's name withdrew that member, and a copy of a registration under another key counted as one. Keys are now compared whole, with the failure domain, and a registration has to be that of its key; anything else is logged (E601) and left out. Names of foreign keys are quoted in the log, so that they cannot add fields to its lines.

--- a/coltsfoothall-forward/src/membership.rs
+++ b/coltsfoothall-forward/src/membership.rs
@@ -17,6 +17,7 @@
 use crate::changelog::Since;
 use crate::follower::{self, Follower, OUTAGE_THRESHOLD, Update};
 use crate::registrations;
+use crate::report::log_unreadable;
 use crate::state::State;
 use crate::time;
 
@@ -155,19 +156,33 @@
     }
 }
 
-fn apply_member(state: &State, name: &str, item: &Item) {
+/// The failure domain and the name of the member whose registration has this key, which is without
+/// the prefix of all members; none if an instance writes no such key.
+#[must_use]
+pub fn parse_key(key: &str) -> Option<(id::Domain, id::Instance)> {
+    let (domain, name) = key.split_once('/')?;
+    Some((domain.parse().ok()?, name.parse().ok()?))
+}
+
+/// Applies a registration, or its removal, unless another writer put it there.
+fn apply_member(state: &State, key: &str, item: &Item) {
+    let Some((domain, name)) = parse_key(key) else {
+        event::STORE_FAILED.emit(format_args!("member={key:?} reason=\"not a member's key\""));
+        return;
+    };
     let Some(value) = &item.value else {
-        let name = name.rsplit('/').next().unwrap_or(name);
-        if let Ok(name) = name.parse() {
-            state.peers.borrow_mut().withdrawn(&name);
-        }
+        state.peers.borrow_mut().withdrawn(&domain, &name);
         return;
     };
     match serde_json::from_slice::<Profile>(value) {
-        Ok(profile) => state.peers.borrow_mut().registered(profile),
-        Err(error) => {
-            event::STORE_FAILED.emit(format_args!("member={name} reason={:?}", error.to_string()));
+        Ok(profile) if profile.domain == domain && profile.name == name => {
+            state.peers.borrow_mut().registered(profile);
         }
+        Ok(profile) => event::STORE_FAILED.emit(format_args!(
+            "member={key:?} reason=\"is of {} in {}\"",
+            profile.name, profile.domain
+        )),
+        Err(error) => log_unreadable("read_member", key, &error),
     }
 }
 
--- a/coltsfoothall-forward/src/registrations.rs
+++ b/coltsfoothall-forward/src/registrations.rs
@@ -346,7 +346,7 @@
         }
         Err(error) => {
             event::STORE_FAILED.emit(format_args!(
-                "endpoint={} reason={:?}",
+                "endpoint={:?} reason={:?}",
                 item.name,
                 error.to_string()
             ));
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -250,9 +250,11 @@
         }
     }
 
-    /// Records that an instance's registration is gone.
-    pub fn withdrawn(&mut self, name: &id::Instance) {
-        if let Ok(index) = self.index(name) {
+    /// Records that an instance's registration in a failure domain is gone.
+    pub fn withdrawn(&mut self, domain: &id::Domain, name: &id::Instance) {
+        if let Ok(index) = self.index(name)
+            && self.peers[index].profile.domain == *domain
+        {
             self.peers[index].registered = false;
         }
     }
--- a/coltsfoothall/tests/forward_fleet.rs
+++ b/coltsfoothall/tests/forward_fleet.rs
@@ -168,7 +168,7 @@
             if registered {
                 peers.registered(profile);
             } else {
-                peers.withdrawn(&profile.name);
+                peers.withdrawn(&profile.domain, &profile.name);
             }
         }
     }
--- a/coltsfoothall/tests/forward_peer.rs
+++ b/coltsfoothall/tests/forward_peer.rs
@@ -109,7 +109,15 @@
         2,
         "a registered one may still grant"
     );
-    peers.withdrawn(&"entry-2".parse().unwrap());
+    let name = "entry-2".parse().unwrap();
+    peers.withdrawn(&"elsewhere".parse().unwrap(), &name);
+    peers.expire(at(5_000));
+    assert_eq!(
+        peers.coverage(at(5_000)).members,
+        2,
+        "the key of another domain is not its registration"
+    );
+    peers.withdrawn(&"north".parse().unwrap(), &name);
     peers.expire(at(5_000));
     assert_eq!(peers.coverage(at(5_000)).members, 1);
 }
