Keys and names in other URLs are escaped, and decoded where they arrive

The entry program's store client put keys into paths as they are, and its stand-in did not decode them; its own keys need no escapes.

--- a/coltsfoothall-entry/src/front.rs
+++ b/coltsfoothall-entry/src/front.rs
@@ -15,7 +15,7 @@
 use coltsfoothall_wire::fault::{Code, Fault};
 use coltsfoothall_wire::peer::Follow;
 use coltsfoothall_wire::serve::{self, Answer, Body, Handler};
-use coltsfoothall_wire::{body, limit};
+use coltsfoothall_wire::{body, limit, uri};
 
 use crate::node::Node;
 use crate::path::{self, Path};
@@ -63,9 +63,11 @@
         (Path::Addresses, &Method::GET) => addresses(node),
         (Path::Keys, &Method::POST) => mint(node, &parts),
         (Path::Completions, &Method::POST) => complete(node, &parts, body).await,
-        (Path::Request(key), &Method::GET) => resume(node, &parts, key).await,
-        (Path::Request(key), &Method::DELETE) => cancel(node, &parts, key).await,
-        (Path::Service { name, rest }, _) => call(node, &parts, body, name, rest).await,
+        (Path::Request(key), &Method::GET) => resume(node, &parts, &uri::decode(key)).await,
+        (Path::Request(key), &Method::DELETE) => cancel(node, &parts, &uri::decode(key)).await,
+        (Path::Service { name, rest }, _) => {
+            call(node, &parts, body, &uri::decode(name), rest).await
+        }
         (Path::Operator(call), _) => operator::route(node, &parts, body, call).await,
         (Path::Health, &Method::GET) => Ok(serve::empty(204)),
         (_, method) => Err(Fault::field(
--- a/coltsfoothall-entry/src/store.rs
+++ b/coltsfoothall-entry/src/store.rs
@@ -11,6 +11,7 @@
 use coltsfoothall_wire::client::{Client, Error as Call};
 use coltsfoothall_wire::http;
 use coltsfoothall_wire::store::{Conflict, Entry, Grant, Lease, List, Put, Version};
+use coltsfoothall_wire::uri::Target;
 
 quick_error! {
     /// A failed call to the service.
@@ -121,9 +122,15 @@
 impl Store for Remote {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>, Error>> {
         Box::pin(async move {
-            let path = format!("/v1/kv/{key}");
+            let target = Target::new("/v1/kv").join(key);
             let got = self
-                .call("store_get", Method::GET, &path, Bytes::new(), self.timeout)
+                .call(
+                    "store_get",
+                    Method::GET,
+                    target.as_str(),
+                    Bytes::new(),
+                    self.timeout,
+                )
                 .await;
             match got {
                 Ok(body) => decode(&body).map(Some),
@@ -135,11 +142,17 @@
 
     fn put<'a>(&'a self, key: &'a str, put: Put) -> BoxFuture<'a, Result<Entry, Error>> {
         Box::pin(async move {
-            let path = format!("/v1/kv/{key}");
+            let target = Target::new("/v1/kv").join(key);
             let body = http::json(&put);
             decode(
                 &self
-                    .call("store_put", Method::PUT, &path, body, self.timeout)
+                    .call(
+                        "store_put",
+                        Method::PUT,
+                        target.as_str(),
+                        body,
+                        self.timeout,
+                    )
                     .await?,
             )
         })
@@ -147,17 +160,20 @@
 
     fn remove<'a>(&'a self, key: &'a str, version: Version) -> BoxFuture<'a, Result<(), Error>> {
         Box::pin(async move {
-            let path = format!("/v1/kv/{key}?version={version}");
-            self.delete("store_remove", &path).await
+            let target = Target::new("/v1/kv")
+                .join(key)
+                .with("version", &version.to_string());
+            self.delete("store_remove", target.as_str()).await
         })
     }
 
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<List, Error>> {
         Box::pin(async move {
-            let path = format!("/v1/list/{prefix}");
+            let target = Target::new("/v1/list").join(prefix);
+            let path = target.as_str();
             decode(
                 &self
-                    .call("store_list", Method::GET, &path, Bytes::new(), self.timeout)
+                    .call("store_list", Method::GET, path, Bytes::new(), self.timeout)
                     .await?,
             )
         })
@@ -170,12 +186,15 @@
         wait: Duration,
     ) -> BoxFuture<'a, Result<List, Error>> {
         Box::pin(async move {
-            let wait_ms = wait.as_millis();
-            let path = format!("/v1/watch/{prefix}?after={after}&wait_ms={wait_ms}");
+            let target = Target::new("/v1/watch")
+                .join(prefix)
+                .with("after", &after.to_string())
+                .with("wait_ms", &wait.as_millis().to_string());
+            let path = target.as_str();
             let timeout = wait + self.timeout;
             decode(
                 &self
-                    .call("store_watch", Method::GET, &path, Bytes::new(), timeout)
+                    .call("store_watch", Method::GET, path, Bytes::new(), timeout)
                     .await?,
             )
         })
--- a/coltsfoothall-entry/tests/input.rs
+++ b/coltsfoothall-entry/tests/input.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfoothall_call::ask::{Ask, Origin, Work};
 use coltsfoothall_call::caller::Caller;
 use coltsfoothall_wire::caller::Prompt;
 use coltsfoothall_wire::fault::{Body, Code, Fault, Outcome};
@@ -415,6 +416,29 @@
     good.end(&system).await;
 }
 
+/// Guards against minted keys that are refused because the caller's library escapes their colons.
+#[tokio::test]
+async fn key_escaped() {
+    let system = start().await;
+    let asked = Prompt {
+        model: MODEL.into(),
+        prompt: "cue".into(),
+        max_tokens: 30,
+        stream: true,
+    };
+    let ask = Ask {
+        origin: Origin::Minted,
+        ..Ask::new(Work::Completion(asked))
+    };
+    let outcome = system.caller(3).ask(&ask).await;
+    let key = outcome.expect("a whole answer").key.to_string();
+    let escaped = key.replace(':', "%3A");
+    assert_ne!(escaped, key);
+    let path = format!("/v1/requests/{escaped}");
+    let (status, fault) = call(&system, Method::GET, &path, &[], "").await;
+    assert_eq!(status, 200, "{path}: {fault:?}");
+}
+
 #[tokio::test]
 async fn offset_wrong() {
     let system = start().await;
--- a/coltsfoothall-standin/src/kvserver.rs
+++ b/coltsfoothall-standin/src/kvserver.rs
@@ -16,7 +16,7 @@
 use coltsfoothall::size::Rate;
 use coltsfoothall_wire::serve::{self, Answer, Body, Handler};
 use coltsfoothall_wire::store::{Conflict, Entry, Grant, Put};
-use coltsfoothall_wire::{http, limit};
+use coltsfoothall_wire::{http, limit, uri};
 
 use crate::fault::{self, Gate};
 use crate::kv::{Error, Store};
@@ -98,22 +98,26 @@
 
 impl Call {
     fn scan(request: &Request<Incoming>) -> Option<Self> {
-        let uri = request.uri();
-        let rest = uri.path().strip_prefix("/v1/")?;
+        let target = request.uri();
+        let rest = target.path().strip_prefix("/v1/")?;
         let (kind, name) = rest.split_once('/').unwrap_or((rest, ""));
+        let name = uri::decode(name);
         let method = request.method();
         let call = match (kind, method) {
-            ("kv", &Method::GET) => Self::Get(name.into()),
-            ("kv", &Method::PUT) => Self::Put(name.into()),
-            ("kv", &Method::DELETE) => Self::Delete(name.into(), query::number(uri, "version")),
-            ("list", &Method::GET) => Self::List(name.into()),
+            ("kv", &Method::GET) => Self::Get(name.into_owned()),
+            ("kv", &Method::PUT) => Self::Put(name.into_owned()),
+            ("kv", &Method::DELETE) => {
+                Self::Delete(name.into_owned(), query::number(target, "version"))
+            }
+            ("list", &Method::GET) => Self::List(name.into_owned()),
             ("leases", &Method::POST) => Self::Grant,
             ("leases", &Method::PUT) => Self::Renew(name.parse().ok()?),
             ("leases", &Method::DELETE) => Self::Revoke(name.parse().ok()?),
             ("watch", &Method::GET) => Self::Watch(Watch {
-                prefix: name.into(),
-                after: query::number(uri, "after").unwrap_or(0),
-                wait: Duration::from_millis(query::number(uri, "wait_ms").unwrap_or(0)).min(WAIT),
+                prefix: name.into_owned(),
+                after: query::number(target, "after").unwrap_or(0),
+                wait: Duration::from_millis(query::number(target, "wait_ms").unwrap_or(0))
+                    .min(WAIT),
             }),
             _ => return None,
         };
--- a/coltsfoothall-standin/tests/kv.rs
+++ b/coltsfoothall-standin/tests/kv.rs
@@ -11,6 +11,7 @@
 use coltsfoothall_wire::client::{self, Client};
 use coltsfoothall_wire::http;
 use coltsfoothall_wire::store::{Entry, Lease, List, Put};
+use coltsfoothall_wire::uri::Target;
 use hyper::Method;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -135,6 +136,31 @@
     }
 }
 
+/// Guards against keys that change the URI of a call.
+#[tokio::test]
+async fn any_key() {
+    let (peer, _stop) = serve(Settings::default()).await;
+    for key in ["a&b", "a+b", "a#b", "a%41", "a b", "a?b=c", "é/%"] {
+        let target = Target::new("/v1/kv").join(key);
+        let swapped: Entry = Client::new()
+            .exchange(
+                "swap",
+                Method::PUT,
+                &peer,
+                target.as_str(),
+                &put("1", Some(0)),
+                WITHIN,
+            )
+            .await
+            .unwrap();
+        assert_eq!(swapped.key, key);
+        let listed: List = get(&peer, Target::new("/v1/list").join(key).as_str())
+            .await
+            .unwrap();
+        assert_eq!(listed.entries, [swapped]);
+    }
+}
+
 #[tokio::test]
 async fn lost_answer() {
     let (peer, _stop) = serve(Settings::default()).await;
--- a/coltsfoothall-wire/src/store.rs
+++ b/coltsfoothall-wire/src/store.rs
@@ -11,7 +11,7 @@
 //! | `DELETE /v1/leases/{id}` | 204; its keys are removed |
 //! | `GET /v1/watch/{prefix}?after=N&wait_ms=T` | [`List`] of the entries changed after revision N; empty if none changes within T |
 //!
-//! Calls over the rate limit are answered with 429, calls during an outage with 503.
+//! Keys and prefixes in paths are percent-encoded. Calls over the rate limit are answered with 429, calls during an outage with 503.
 
 use serde::{Deserialize, Serialize};
 
