An answer that ends before its request was sent is not whole

What callers got: a part of an answer as a whole one (MIXED). An endpoint answered a long upload at once with a 200 without length, sent a part, ended its direction of the connection and reset it while the upload was still being written.

Cause: an answer without length is complete when its connection ends in good order, and that came before the reset.

Such an answer now counts as broken off unless all of the request's body had been passed to the connection. It may have run: the caller gets 502, or an idempotent request goes on elsewhere.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -404,11 +404,18 @@
 #[derive(Debug)]
 pub struct Checkout {
     link: Link,
+    body_sent: Rc<Cell<bool>>,
     keep_alive: Option<Duration>,
     usable: bool,
 }
 
 impl Checkout {
+    /// Whether all of the request's body has been passed to the connection.
+    #[must_use]
+    pub fn is_request_sent(&self) -> bool {
+        self.body_sent.get()
+    }
+
     /// Returns the connection to the pool once the response is complete.
     pub fn release(self, state: &State) {
         if self.usable {
@@ -455,6 +462,7 @@
             // If the endpoint answered before the whole request body was sent, it would read the
             // rest of the body as the next request.
             usable: self.body_sent.get() && !self.reply.close,
+            body_sent: self.body_sent,
         };
         (self.response, self.reply, self.share, checkout)
     }
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -45,6 +45,7 @@
 
 /// Why an answer without length is not whole.
 const ENDED_BY_CRASH: &str = "its endpoint crashed at its end";
+const ENDED_BEFORE_REQUEST: &str = "it ended before its request was sent";
 
 /// A failed attempt that may be repeated at another endpoint.
 #[derive(Debug)]
@@ -91,8 +92,11 @@
     let (response, _reply, mut share, checkout) = sent.split();
     let (head, content) = response.into_parts();
     let mut read = body::read(content, MAX_BUFFERED_BYTES).await;
-    if !framed && read.is_ok() && !probe::has_outlived(state, &endpoint).await {
-        read = Err(body::Error::Broken(ENDED_BY_CRASH.into()));
+    if !framed
+        && read.is_ok()
+        && let Some(reason) = cut_off(state, &endpoint, &checkout).await
+    {
+        read = Err(body::Error::Broken(reason.into()));
     }
     share.count_run(job);
     share.record_first_event();
@@ -139,6 +143,20 @@
     }
 }
 
+/// Why an answer that ended with its connection is not whole, if it is not. An endpoint that resets the
+/// connection of a request that is still being sent may end the answer in good order before that.
+async fn cut_off(
+    state: &Rc<State>,
+    endpoint: &Target,
+    checkout: &Checkout,
+) -> Option<&'static str> {
+    if !checkout.is_request_sent() {
+        return Some(ENDED_BEFORE_REQUEST);
+    }
+    let has_outlived = probe::has_outlived(state, endpoint).await;
+    (!has_outlived).then_some(ENDED_BY_CRASH)
+}
+
 /// What the response tells the instance that handed the request over.
 fn extensions(share: &Share) -> Extensions {
     let mut extensions = Extensions::new();
@@ -296,17 +314,23 @@
                 None if self.splitter.is_within() => {
                     return Next::Broken("it ended within an event".into());
                 }
-                None if self.ended_by_crash().await => return Next::Broken(ENDED_BY_CRASH.into()),
-                None => return Next::End,
+                None => {
+                    return match self.cut_off().await {
+                        Some(reason) => Next::Broken(reason.into()),
+                        None => Next::End,
+                    };
+                }
             }
         }
     }
 
-    /// Whether a stream that ended with its connection was cut off by the crash of its endpoint.
-    async fn ended_by_crash(&self) -> bool {
-        match &self.share {
-            Some(share) if !self.framed => !probe::has_outlived(&self.state, &share.target).await,
-            Some(_) | None => false,
+    /// Why a stream that ended with its connection is not whole, if it is not.
+    async fn cut_off(&self) -> Option<&'static str> {
+        match (&self.share, &self.checkout) {
+            (Some(share), Some(checkout)) if !self.framed => {
+                cut_off(&self.state, &share.target, checkout).await
+            }
+            (Some(_) | None, Some(_) | None) => None,
         }
     }
 
