Statuses that HTTP does not know are no answers

What callers got: an endpoint's answer of status 600 or 999 as it was (MIXED). hyper takes any number of three digits for a status and passes 100 to 999 on; only informational ones and unsigned successes were refused here. 000 and 099 never reached a caller: hyper refuses them.

A response whose status is not within 200 to 599 counts as a failure of its endpoint, as 101 did; the caller gets 502, or an idempotent request goes on elsewhere. foreign_statuses failed before (600).

--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -77,9 +77,8 @@
 ) -> Result<Response<Outgoing>, Failure> {
     let status = sent.response.status();
     let endpoint = sent.share.target.clone();
-    // hyper ends an answer at 101 (a change of protocols), which no request asks for.
     let is_foreign = status.is_success() && (!sent.reply.signed || sent.reply.encoded);
-    if is_foreign || status.is_informational() {
+    if is_foreign || !sent.is_final() {
         sent.share.count_run(job);
         sent.share.end(End::Failed);
         trail.exclude(endpoint);
