The rest of a stream with an encoding is not its endpoint's own

A success with a content encoding is refused as an answer, but it was passed on as the rest of a stream that another endpoint had begun: the check stood twice, and was shorter there. Both places use Sent::is_own_success now. encoded_rest failed before.

--- a/coltsfoothall-forward/src/attempt.rs
+++ b/coltsfoothall-forward/src/attempt.rs
@@ -450,6 +450,12 @@
         (200..600).contains(&self.response.status().as_u16())
     }
 
+    /// Whether the response is a success of the endpoint itself, with the body that it wrote.
+    #[must_use]
+    pub fn is_own_success(&self) -> bool {
+        self.response.status().is_success() && self.reply.signed && !self.reply.encoded
+    }
+
     /// Whether the response says where its body ends. Otherwise the end of the connection does, and
     /// that may be a crash.
     #[must_use]
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -77,8 +77,7 @@
 ) -> Result<Response<Outgoing>, Failure> {
     let status = sent.response.status();
     let endpoint = sent.share.target.clone();
-    let is_foreign = status.is_success() && (!sent.reply.signed || sent.reply.encoded);
-    if is_foreign || !sent.is_final() {
+    if !sent.is_final() || (status.is_success() && !sent.is_own_success()) {
         sent.share.count_run(job);
         sent.share.end(End::Failed);
         trail.exclude(endpoint);
@@ -433,7 +432,7 @@
         let after = self.splitter.last().map(ToOwned::to_owned);
         let state = Rc::clone(&self.state);
         let sent = dispatch::next(&state, &self.job, &mut self.trail, after.as_deref()).await?;
-        if !sent.response.status().is_success() || !sent.reply.signed {
+        if !sent.is_own_success() {
             return Err(refusal::bad_gateway("the next endpoint failed"));
         }
         let version = sent.share.version();
