Answers of endpoints share a budget of memory

What callers saw: an instance ended over its memory, and some 100 requests that sound endpoints ran ended with it (LOST). Two of six endpoints sent bytes that were no event, without end.

Cause: an answer and an event were bounded each, at 8 MiB, and nothing bounded all of them; 34 streams were enough for 260 MB. Heads had up to 408 KiB each.

Events count from 64 KiB on. A head has at most 64 KiB. E205 names the peak (answers_kb).

--- a/coltsfoothall-entry/src/run.rs
+++ b/coltsfoothall-entry/src/run.rs
@@ -115,7 +115,7 @@
     );
     let bodies = body::Memory::default();
     let memory = Bytes((settings.memory * 1e6) as u64);
-    bodies.resize(memory, limit::REQUEST);
+    bodies.resize_for_requests(memory, limit::REQUEST);
     let node = Arc::new(Node {
         store: Box::new(store),
         traffic: Runtime::current(),
--- a/coltsfoothall-forward/src/intake.rs
+++ b/coltsfoothall-forward/src/intake.rs
@@ -290,7 +290,8 @@
     limit: usize,
     due: Time,
 ) -> Result<Body, Refusal> {
-    state.bodies.resize(state.settings().memory(), limit);
+    let memory = state.settings().memory();
+    state.bodies.resize_for_requests(memory, limit);
     let advance = || {
         connection.enter(Phase::Body);
         state.now()
--- a/coltsfoothall-forward/src/outgoing.rs
+++ b/coltsfoothall-forward/src/outgoing.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use coltsfoothall_wire::body;
 use futures_util::Stream;
 use futures_util::stream::LocalBoxStream;
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -21,9 +22,29 @@
 
 enum Content {
     Full(Full<Bytes>),
+    Parts(Parts),
     Chunks(Chunks),
 }
 
+/// A complete body, whose memory is given back when it was sent.
+struct Parts {
+    body: body::Body,
+    /// Number of its parts that were sent.
+    sent: usize,
+}
+
+impl Parts {
+    fn rest(&self) -> &[Bytes] {
+        &self.body.parts()[self.sent..]
+    }
+
+    fn next(&mut self) -> Option<Bytes> {
+        let part = self.rest().first().cloned();
+        self.sent += usize::from(part.is_some());
+        part
+    }
+}
+
 /// A response body, either complete or streamed.
 pub struct Outgoing {
     content: Content,
@@ -49,6 +70,16 @@
         }
     }
 
+    /// A complete body that was received in parts.
+    #[must_use]
+    pub fn parts(body: body::Body) -> Self {
+        Self {
+            content: Content::Parts(Parts { body, sent: 0 }),
+            _busy: None,
+            _open: None,
+        }
+    }
+
     /// A streamed body; an error in it aborts the connection.
     #[must_use]
     pub fn chunks(chunks: Chunks) -> Self {
@@ -90,6 +121,7 @@
             Content::Full(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never: Infallible| match never {}),
+            Content::Parts(parts) => Poll::Ready(parts.next().map(|part| Ok(Frame::data(part)))),
             Content::Chunks(chunks) => {
                 let next = Pin::new(chunks).poll_next(cx);
                 next.map(|piece| piece.map(|bytes| bytes.map(Frame::data)))
@@ -100,6 +132,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Full(body) => body.is_end_stream(),
+            Content::Parts(parts) => parts.rest().is_empty(),
             Content::Chunks(_) => false,
         }
     }
@@ -107,6 +140,10 @@
     fn size_hint(&self) -> SizeHint {
         match &self.content {
             Content::Full(body) => body.size_hint(),
+            Content::Parts(parts) => {
+                let rest = parts.rest().iter().map(|part| part.len() as u64);
+                SizeHint::with_exact(rest.sum())
+            }
             Content::Chunks(_) => SizeHint::default(),
         }
     }
--- a/coltsfoothall-forward/src/pool.rs
+++ b/coltsfoothall-forward/src/pool.rs
@@ -32,10 +32,12 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum number of idle connections to one endpoint, which bounds file descriptors and memory.
 const MAX_IDLE_PER_ENDPOINT: usize = 24;
+/// Read buffer of a connection to an endpoint, which also limits a single head.
+const MAX_READ_BUFFER: usize = 64 << 10;
 /// Bytes read for a response until its head is complete, informational (1xx) heads included. hyper
-/// limits a single head to its read buffer of 408 KiB, but skips informational ones without a limit,
-/// and reads them in one go as long as more arrive: that stopped the whole instance for 10 s. The
-/// limit is above the largest head and a read buffer of its body.
+/// skips informational heads without a limit, and reads them in one go as long as more arrive: that
+/// stopped the whole instance for 10 s. The limit is above the largest head and a read buffer of its
+/// body.
 const MAX_HEAD_BYTES: usize = 2 << 20;
 
 /// A request body that records when all of it was passed to the connection.
@@ -217,6 +219,7 @@
             limit: Rc::clone(&limit),
         };
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
             .handshake(TokioIo::new(socket))
             .await
             .map_err(|error| unsent(error.to_string()))?;
--- a/coltsfoothall-forward/src/refusal.rs
+++ b/coltsfoothall-forward/src/refusal.rs
@@ -10,6 +10,9 @@
 /// Reason of a refusal while the bodies of other requests take the memory.
 pub const NO_MEMORY: &str = "no memory for the body";
 
+/// Reason of a failure while other answers take the memory.
+pub const NO_ANSWER_MEMORY: &str = "no memory for the answer";
+
 /// Why a request gets no response from an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Refusal {
--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -14,12 +14,13 @@
 use coltsfoothall::forward::roster::End;
 use coltsfoothall::forward::version::{self, Binding, Label};
 use coltsfoothall_shell::event;
-use coltsfoothall_wire::http as body;
+use coltsfoothall_wire::body::{self, Account, Memory};
+use coltsfoothall_wire::http::is_final;
 use coltsfoothall_wire::sse::Splitter;
 use futures_util::stream;
 use http::{Extensions, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 
 use crate::attempt::{Checkout, Job, Sent, Share};
 use crate::binding;
@@ -36,6 +37,11 @@
 /// Largest response that is buffered.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 
+/// Size up to which an event that is not complete yet does not count as memory of answers.
+const MAX_UNCOUNTED_BYTES: usize = 64 << 10;
+/// Memory that an event takes while it grows, as a multiple of its size: its buffer doubles.
+const EVENT_MEMORY_FACTOR: usize = 2;
+
 /// Largest event of a stream. An event is buffered until it is complete, as a plain response is.
 const MAX_EVENT_BYTES: usize = MAX_BUFFERED_BYTES;
 
@@ -77,7 +83,7 @@
 ) -> Result<Response<Outgoing>, Failure> {
     let status = sent.response.status();
     let endpoint = sent.share.target.clone();
-    if !body::is_final(status) || (status.is_success() && !sent.is_own_success()) {
+    if !is_final(status) || (status.is_success() && !sent.is_own_success()) {
         sent.share.count_run(job);
         sent.share.end(End::Failed);
         trail.exclude(endpoint);
@@ -89,17 +95,22 @@
     let framed = sent.is_framed();
     let (response, _reply, mut share, checkout) = sent.split();
     let (head, content) = response.into_parts();
-    let mut read = body::read(content, MAX_BUFFERED_BYTES).await;
+    let memory = answers(state);
+    let mut read = body::read(&memory, || state.now(), content, MAX_BUFFERED_BYTES).await;
     if !framed
         && read.is_ok()
         && let Some(reason) = cut_off(state, &endpoint, &checkout).await
     {
-        read = Err(body::Error::Broken(reason.into()));
+        event::BROKE_OFF.emit(format_args!(
+            "request={} endpoint={endpoint} reason={reason:?}",
+            job.id()
+        ));
+        read = Err(body::Error::Broken);
     }
     share.count_run(job);
     share.record_first_event();
     match read {
-        Ok(bytes) => {
+        Ok(content) => {
             checkout.release(state);
             let failed = status.is_server_error();
             let departs = extensions(&share);
@@ -109,7 +120,7 @@
             }
             share.end(if failed { End::Failed } else { End::Whole });
             let headers = state.adapter.response_headers(&head.headers);
-            let mut answer = outgoing::answer(status, headers, Outgoing::full(bytes));
+            let mut answer = outgoing::answer(status, headers, Outgoing::parts(content));
             answer.extensions_mut().extend(departs);
             if !failed {
                 log_late(state, job, &endpoint);
@@ -126,10 +137,8 @@
         }
         Err(error) => {
             share.end(match &error {
-                body::Error::Large(_) => End::Failed,
-                body::Error::Broken(_) | body::Error::Stalled(_) | body::Error::Json(_) => {
-                    End::Broken
-                }
+                body::Error::Large | body::Error::Evicted => End::Failed,
+                body::Error::Broken => End::Broken,
             });
             event::BROKE_OFF.emit(format_args!(
                 "request={} endpoint={endpoint} reason={error:?}",
@@ -141,6 +150,13 @@
     }
 }
 
+/// The memory that all answers share while they are received, and until their callers have them.
+fn answers(state: &State) -> Memory {
+    let memory = state.answers.clone();
+    memory.resize_for_answers(state.settings().memory(), MAX_BUFFERED_BYTES);
+    memory
+}
+
 /// Why an answer that ended with its connection is not whole, if it is not. An endpoint that resets the
 /// connection of a request that is still being sent may end the answer in good order before that.
 async fn cut_off(
@@ -191,6 +207,8 @@
     share: Option<Share>,
     checkout: Option<Checkout>,
     splitter: Splitter,
+    /// Memory of a large event that is not complete yet.
+    account: Option<Account>,
     /// Number of events already credited to an endpoint.
     counted: u64,
     ended: bool,
@@ -238,6 +256,7 @@
         share: Some(share),
         checkout: Some(checkout),
         splitter: Splitter::default(),
+        account: None,
         counted: 0,
         ended: false,
         began: None,
@@ -293,7 +312,10 @@
     /// Reads until complete events are available, or the stream ends or is interrupted.
     async fn read(&mut self) -> Next {
         loop {
-            match self.content.frame().await {
+            let Some(frame) = self.next_frame().await else {
+                return Next::Broken(refusal::NO_ANSWER_MEMORY.into());
+            };
+            match frame {
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else {
                         continue;
@@ -302,10 +324,13 @@
                         if let Some(share) = &mut self.share {
                             share.record_writing();
                         }
-                        return Next::Events(events);
+                        return Next::Events(match self.account.take() {
+                            Some(account) => account.finish(events),
+                            None => events,
+                        });
                     }
-                    if self.splitter.buffered() > MAX_EVENT_BYTES {
-                        return Next::Broken(format!("an event is over {MAX_EVENT_BYTES} bytes"));
+                    if let Err(reason) = self.count_event() {
+                        return Next::Broken(reason);
                     }
                 }
                 Some(Err(error)) => return Next::Broken(error.to_string()),
@@ -322,6 +347,37 @@
         }
     }
 
+    /// The next frame of the content; none if the event that it belongs to lost its memory.
+    async fn next_frame(&mut self) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = self.content.frame();
+        match &self.account {
+            None => Some(frame.await),
+            Some(account) => tokio::select! {
+                biased;
+                () = account.evicted() => None,
+                frame = frame => Some(frame),
+            },
+        }
+    }
+
+    /// Takes memory for the event that is not complete yet, unless it is small.
+    fn count_event(&mut self) -> Result<(), String> {
+        let buffered = self.splitter.buffered();
+        if buffered > MAX_EVENT_BYTES {
+            return Err(format!("an event is over {MAX_EVENT_BYTES} bytes"));
+        }
+        if buffered <= MAX_UNCOUNTED_BYTES {
+            return Ok(());
+        }
+        let now = self.state.now();
+        let account = match &mut self.account {
+            Some(account) => account,
+            None => self.account.insert(answers(&self.state).open(now)),
+        };
+        let grown = account.grow(now, buffered * EVENT_MEMORY_FACTOR);
+        grown.map_err(|_evicted| refusal::NO_ANSWER_MEMORY.into())
+    }
+
     /// Why a stream that ended with its connection is not whole, if it is not.
     async fn cut_off(&self) -> Option<&'static str> {
         match (&self.share, &self.checkout) {
@@ -429,6 +485,7 @@
     /// Resumes the stream after its last event at another endpoint.
     async fn resume(&mut self) -> Result<(), Refusal> {
         self.splitter.discard();
+        self.account = None;
         let after = self.splitter.last().map(ToOwned::to_owned);
         let state = Rc::clone(&self.state);
         let sent = dispatch::next(&state, &self.job, &mut self.trail, after.as_deref()).await?;
--- a/coltsfoothall-forward/src/report.rs
+++ b/coltsfoothall-forward/src/report.rs
@@ -56,7 +56,7 @@
         let served = self.served.take();
         let coverage = self.coverage();
         event::SERVED.emit(format_args!(
-            "served={served} open={} version={} endpoints={} unreachable={} members={} heard={} bodies_kb={} connections={} store_calls={}",
+            "served={served} open={} version={} endpoints={} unreachable={} members={} heard={} bodies_kb={} answers_kb={} connections={} store_calls={}",
             self.open.get(),
             self.version(),
             self.roster.borrow().nodes().len(),
@@ -64,6 +64,7 @@
             coverage.members,
             coverage.reporting,
             self.bodies.take_peak().0 / 1_000,
+            self.answers.take_peak().0 / 1_000,
             self.connection_peaks(),
             self.calls
         ));
--- a/coltsfoothall-forward/src/settings.rs
+++ b/coltsfoothall-forward/src/settings.rs
@@ -130,7 +130,7 @@
     /// Bandwidth of the machine's link in Mbit/s; zero if unknown. The instances with the fastest
     /// links read for others.
     pub link: f64,
-    /// Memory of the machine, in MB, of which the bodies of requests take a part.
+    /// Memory of the machine, in MB, of which the bodies of requests and answers take a part.
     pub memory: f64,
     /// Descriptors that the process may open, of which the connections of each listener take a part;
     /// zero for the limit that the operating system names.
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -111,6 +111,8 @@
     pub pool: RefCell<Pool>,
     /// Memory for the bodies of requests.
     pub bodies: body::Memory,
+    /// Memory for what endpoints answer.
+    pub answers: body::Memory,
     /// The connections of each listener.
     pub slots: RefCell<Vec<Rc<Slots>>>,
     /// Rate limits of workspaces.
@@ -218,6 +220,7 @@
             })),
             pool: RefCell::default(),
             bodies: body::Memory::default(),
+            answers: body::Memory::default(),
             slots: RefCell::default(),
             rate_limiter: RefCell::new(rate_limit::Limiter::new(rate_limit::Settings {
                 seed: boot,
--- a/coltsfoothall-wire/src/body.rs
+++ b/coltsfoothall-wire/src/body.rs
@@ -1,4 +1,4 @@
-//! Reads the bodies of requests into memory that all of them share.
+//! Reads bodies into memory that all of them share.
 
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,8 +16,10 @@
 const MAX_PART_BYTES: usize = 64 << 10;
 /// Smallest part of a body whose length is not known.
 const MIN_PART_BYTES: usize = 2 << 10;
-/// Share of the machine's memory that bodies may take, as a divisor.
-const MEMORY_DIVISOR: u64 = 4;
+/// Share of a machine's memory that the bodies of requests may take, as a divisor.
+const REQUESTS_DIVISOR: u64 = 4;
+/// Share that answers may take, as numerator and divisor. They stay until their callers have read them.
+const ANSWERS_SHARE: (u64, u64) = (3, 8);
 /// Number of the largest bodies that have room at once on any machine.
 const MIN_BODIES: u64 = 2;
 
@@ -40,7 +42,7 @@
     }
 }
 
-/// The memory that the bodies of all requests share.
+/// The memory that bodies share, such as those of all requests.
 #[derive(Debug, Clone)]
 pub struct Memory(Arc<Mutex<Shared>>);
 
@@ -76,10 +78,20 @@
 }
 
 impl Memory {
-    /// Sets its size from that of the machine and of the largest body.
-    pub fn resize(&self, machine: size::Bytes, max_body: usize) {
-        let least = size::Bytes(MIN_BODIES * max_body as u64);
-        let limit = size::Bytes(machine.0 / MEMORY_DIVISOR).max(least);
+    /// Sets its size for the bodies of requests, from that of the machine and of the largest body.
+    pub fn resize_for_requests(&self, machine: size::Bytes, max_body: usize) {
+        self.resize(machine.0 / REQUESTS_DIVISOR, max_body);
+    }
+
+    /// Sets its size for answers, from that of the machine and of the largest answer.
+    pub fn resize_for_answers(&self, machine: size::Bytes, max_body: usize) {
+        let (numerator, divisor) = ANSWERS_SHARE;
+        self.resize(machine.0 / divisor * numerator, max_body);
+    }
+
+    fn resize(&self, limit: u64, max_body: usize) {
+        let least = MIN_BODIES * max_body as u64;
+        let limit = size::Bytes(limit.max(least));
         self.lock().budget.set_limit(limit);
     }
 
@@ -102,6 +114,17 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds something that is received in parts and takes no memory yet.
+    #[must_use]
+    pub fn open(&self, now: Time) -> Account {
+        let (hold, eviction) = self.begin(now);
+        Account {
+            hold,
+            eviction,
+            size: 0,
+        }
+    }
+
     fn begin(&self, now: Time) -> (Hold, Arc<Notify>) {
         let mut shared = self.lock();
         let id = shared.budget.begin(now);
@@ -152,7 +175,55 @@
     }
 }
 
-/// The complete body of a request. Its memory is given back when the last clone is dropped.
+/// The memory of something that is received in parts, given back when it is dropped.
+#[derive(Debug)]
+pub struct Account {
+    hold: Hold,
+    eviction: Arc<Notify>,
+    size: usize,
+}
+
+impl Account {
+    /// Takes more memory, up to a size in bytes.
+    ///
+    /// # Errors
+    /// There is no memory for it.
+    pub fn grow(&mut self, now: Time, size: usize) -> Result<(), Error> {
+        let more = size.saturating_sub(self.size);
+        self.size += more;
+        self.hold.grow(now, more)
+    }
+
+    /// Waits until it loses its memory to others.
+    pub async fn evicted(&self) {
+        self.eviction.notified().await;
+    }
+
+    /// The bytes that were received, which keep the memory until they are dropped and lose it to
+    /// nobody.
+    #[must_use]
+    pub fn finish(self, bytes: Bytes) -> Bytes {
+        self.hold.complete();
+        Bytes::from_owner(Owner {
+            bytes,
+            _hold: self.hold,
+        })
+    }
+}
+
+/// Bytes that keep their memory.
+struct Owner {
+    bytes: Bytes,
+    _hold: Hold,
+}
+
+impl AsRef<[u8]> for Owner {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// A complete body. Its memory is given back when the last clone is dropped.
 #[derive(Debug, Clone, Default)]
 pub struct Body {
     parts: Arc<[Bytes]>,
--- a/coltsfoothall-wire/src/sse.rs
+++ b/coltsfoothall-wire/src/sse.rs
@@ -182,7 +182,7 @@
 
     /// Drops an incomplete event whose remaining bytes will not arrive.
     pub fn discard(&mut self) {
-        self.buffer.clear();
+        self.buffer = Vec::new();
         self.line = 0;
     }
 
