An instance that stood still or was cut off trusts its table of versions no longer

What callers would see (ORDER): a stream that began at a new version through other instances goes on at the old one, taken up at an instance that stood still or heard nobody while the new one came.

Cause: a table counts for as long as its trust lasts (11 s), since slots are not moved without an instance that is not heard; but slots of a version without endpoints move after 2.7 s all the same. The instance knew the old endpoints, which still served, and an old table that it held to be confirmed. Ages also went by when something arrived, not by when it was sent, and by a clock that does not count the time for which a machine is suspended.

An instance detects its own pauses by the boot clock (E403), and that it hears none of the others. Its table is then confirmed by nothing from before, heartbeats that waited do not count as hearing their senders, and a service without a row no longer counts as one whose only version began the stream. What the waiting heartbeats tell is still applied.

missed_table_not_used, replaced_version_not_guessed, suspended_table_not_used, waiting_heartbeats, uncounted_time and clock_set_back test functions that did not exist before.

--- a/coltsfoothall-forward/src/binding.rs
+++ b/coltsfoothall-forward/src/binding.rs
@@ -89,10 +89,10 @@
 
 /// Whether this instance hears all members, so that none can have a newer table.
 fn is_covered(state: &State) -> bool {
-    let coverage = state.coverage();
+    state.check_pause();
     state.role() == Role::Active
         && state.standing.has_read_members()
-        && coverage.reporting >= coverage.members
+        && state.peers.borrow().hears_all(state.now())
 }
 
 /// Decides which version may run a request.
--- a/coltsfoothall-forward/src/gossip.rs
+++ b/coltsfoothall-forward/src/gossip.rs
@@ -274,6 +274,7 @@
             // Others that still take this instance for active would wait for its heartbeats.
             broadcast_to(&state, &socket, &before).await;
         }
+        state.check_pause();
         state.share_limits();
         take_turn(&state, &socket, number).await;
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
@@ -368,6 +369,11 @@
     if boot == state.boot {
         return;
     }
+    state.check_pause();
+    let is_outdated = {
+        let mut peers = state.peers.borrow_mut();
+        peers.is_outdated(state.now(), &heartbeat.profile)
+    };
     let name = heartbeat.profile.name.clone();
     let report = Report {
         // Older versions report all totals each time.
@@ -419,7 +425,13 @@
     }
     drop(peers);
     if let Some(streams) = streams {
-        let is_new = state.streams.borrow_mut().merge(now, streams);
+        let mut tracker = state.streams.borrow_mut();
+        let is_new = tracker.merge(now, streams);
+        if is_outdated {
+            // What was confirmed when it was sent may have changed since.
+            tracker.missed(now);
+        }
+        drop(tracker);
         if is_new {
             versions::log_table(state, "peer");
         }
--- a/coltsfoothall-forward/src/state.rs
+++ b/coltsfoothall-forward/src/state.rs
@@ -53,6 +53,9 @@
 use crate::time::{self, Clock};
 use crate::versions;
 
+/// Shortest time without a sign of life of this process that counts as a pause: half of that after
+/// which others take it for silent.
+const MIN_PAUSE: Duration = Duration::from_millis(600);
 /// How long departed endpoints are reported to other instances.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(6);
 /// Time for which removed endpoints may register again after the store recovers.
@@ -99,6 +102,8 @@
     pub clock: Clock,
     /// Random number that identifies this run of the process.
     pub boot: u64,
+    /// When it was last seen to run, by the boot clock and by the clock of the runtime.
+    pulse: Cell<(Time, Time)>,
     /// Cancelled at the first signal to stop.
     pub stopping: CancellationToken,
     /// Deadlines of the shutdown that is under way.
@@ -272,6 +277,7 @@
             saved_loads: RefCell::default(),
             loads_restored: Cell::default(),
             clock: Clock::start(),
+            pulse: Cell::new((time::boot(), Time::START)),
             settings: RefCell::new(Rc::new(settings)),
             name,
             domain,
@@ -284,6 +290,30 @@
         }
     }
 
+    /// Detects that this process stood still, that its machine was suspended, or that it hears nobody: what
+    /// it knows of others is then from before. Called at least as often as heartbeats are sent.
+    pub fn check_pause(&self) {
+        let (boot, now) = (time::boot(), self.now());
+        let (last_boot, last) = self.pulse.replace((boot, now));
+        let gap = boot.since(last_boot);
+        if gap < MIN_PAUSE {
+            if self.peers.borrow().hears_none(now) {
+                self.streams.borrow_mut().missed(now);
+            }
+            return;
+        }
+        let uncounted = gap.saturating_sub(now.since(last));
+        event::STALLED.emit(format_args!(
+            "ms={} suspended_ms={}",
+            gap.as_millis(),
+            uncounted.as_millis()
+        ));
+        self.peers.borrow_mut().paused(now, uncounted);
+        let mut streams = self.streams.borrow_mut();
+        streams.suspended(uncounted);
+        streams.missed(now);
+    }
+
     /// The current time.
     #[must_use]
     pub fn now(&self) -> Time {
--- a/coltsfoothall/src/forward/peer.rs
+++ b/coltsfoothall/src/forward/peer.rs
@@ -30,6 +30,12 @@
     (MAX_ROWS / batch::count(sharers, MAX_HEARTBEATS_PER_BATCH)).max(1)
 }
 
+/// Longest way of a heartbeat that is not held up.
+const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(300);
+/// How long after a pause of this instance a heartbeat counts only if it was sent after the pause: that
+/// of several lost heartbeats.
+const PAUSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Intervals and timeouts of heartbeats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
@@ -92,6 +98,15 @@
     pub searching: bool,
 }
 
+/// What tells heartbeats that were sent after a pause of this instance from those that waited for it.
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    /// Least difference between the sender's time of day and the uptime of this instance.
+    min_skew: Duration,
+    /// When any heartbeat counts again, as the sender's clock may have been set back.
+    until: Time,
+}
+
 /// Another instance.
 #[derive(Debug, Clone)]
 pub(super) struct Peer {
@@ -101,6 +116,8 @@
     pub(super) last_seen: Option<Time>,
     /// Its time of day less the uptime of this instance.
     skew: Duration,
+    /// The last pause of this instance, until a heartbeat that was sent after it arrives.
+    pause: Option<Pause>,
     pub(super) registered: bool,
     pub(super) status: Status,
     /// When it last reported its status.
@@ -126,6 +143,7 @@
             since,
             last_seen: None,
             skew: Duration::ZERO,
+            pause: None,
             registered: false,
             status: Status::default(),
             status_at: None,
@@ -211,6 +229,53 @@
         }
     }
 
+    /// Records that this instance stood still until now. Its clock did not count `uncounted` of that time,
+    /// as its machine was suspended. What others sent meanwhile is not known until they are heard again.
+    pub fn paused(&mut self, now: Time, uncounted: Duration) {
+        for peer in self
+            .peers
+            .iter_mut()
+            .filter(|peer| peer.last_seen.is_some())
+        {
+            peer.pause = Some(Pause {
+                min_skew: (peer.skew + uncounted).saturating_sub(MAX_HEARTBEAT_DELAY),
+                until: now + PAUSE_TIMEOUT,
+            });
+        }
+    }
+
+    /// Whether a heartbeat was sent before the last pause of this instance ended.
+    #[must_use]
+    pub fn is_outdated(&mut self, now: Time, profile: &Profile) -> bool {
+        let Ok(index) = self.index(&profile.name) else {
+            return false;
+        };
+        let peer = &mut self.peers[index];
+        let skew = profile.clock.saturating_sub(now.since(Time::START));
+        let is_outdated = |pause: &Pause| now < pause.until && skew < pause.min_skew;
+        peer.pause = peer.pause.filter(is_outdated);
+        peer.pause.is_some() && peer.profile.boot == profile.boot
+    }
+
+    /// Whether all members are heard, and were since the last pause of this instance.
+    #[must_use]
+    pub fn hears_all(&self, now: Time) -> bool {
+        let coverage = self.coverage(now);
+        let is_current = |peer: &Peer| peer.pause.is_none_or(|pause| now >= pause.until);
+        coverage.reporting >= coverage.members && self.peers.iter().all(is_current)
+    }
+
+    /// Whether this instance hears none of those that it has heard: it may be cut off.
+    #[must_use]
+    pub fn hears_none(&self, now: Time) -> bool {
+        let mut heard = self
+            .peers
+            .iter()
+            .filter(|peer| peer.last_seen.is_some())
+            .peekable();
+        heard.peek().is_some() && heard.all(|peer| !self.is_heard(now, peer))
+    }
+
     /// Adds an instance that another one reported. It is sent heartbeats, and counts as alive once
     /// it sends one itself.
     pub fn introduce(&mut self, now: Time, profile: Profile) {
@@ -270,7 +335,7 @@
     #[must_use]
     pub fn all_have(&self, now: Time, generation: u64) -> bool {
         let has = |peer: &Peer| self.is_heard(now, peer) && peer.generation >= generation;
-        self.role == Role::Active && self.peers.iter().all(has)
+        self.role == Role::Active && self.hears_all(now) && self.peers.iter().all(has)
     }
 
     /// Removes instances that are neither registered nor alive. Returns their boot numbers.
--- a/coltsfoothall/src/forward/stream.rs
+++ b/coltsfoothall/src/forward/stream.rs
@@ -105,6 +105,8 @@
     confirmed_at: Option<Time>,
     /// Until when the table is sent in each heartbeat.
     spread_until: Time,
+    /// When this instance last may have missed what others told of beginnings.
+    missed_at: Option<Time>,
     /// Sorted by hash.
     starts: Vec<Start>,
 }
@@ -120,6 +122,7 @@
             newest: 0,
             confirmed_at: None,
             spread_until: Time::START,
+            missed_at: None,
             starts: Vec::new(),
         }
     }
@@ -179,6 +182,19 @@
         true
     }
 
+    /// Records that this instance may have missed what others told, as it stood still or was cut off:
+    /// beginnings, endpoints, and a table that left a version without endpoints. Its own table counts
+    /// again once it hears all members or that a leader has no newer one.
+    pub fn missed(&mut self, now: Time) {
+        self.missed_at = Some(now);
+        self.confirmed_at = None;
+    }
+
+    /// Records that this machine was suspended, which its clock did not count.
+    pub fn suspended(&mut self, uncounted: Duration) {
+        self.confirmed_at = self.confirmed_at.map(|at| at - uncounted);
+    }
+
     /// Records that this instance leads: nobody else writes a newer table.
     pub fn confirm(&mut self, now: Time) {
         self.confirmed_at = Some(now);
@@ -221,7 +237,7 @@
         }
         let current = self.is_current(now, view.covered);
         let known = match self.table.row(view.service) {
-            None => self.only_present(view),
+            None => self.only_present(now, view),
             Some(row) if is_single(row, view.present) => row.only().filter(|_| current),
             Some(row) => {
                 let began = hash.and_then(|hash| row.began(hash));
@@ -240,9 +256,12 @@
         view.covered || since.is_none() || self.confirmed_at >= since
     }
 
-    /// The version of a service that has no row, if no other can have begun a stream.
-    fn only_present<'a>(&self, view: View<'a>) -> Option<&'a Label> {
+    /// The version of a service that has no row, if no other can have begun a stream. Others may have
+    /// begun some at a version that came and replaced it while this instance missed both.
+    fn only_present<'a>(&self, now: Time, view: View<'a>) -> Option<&'a Label> {
+        let retained = |at| now.since(at) <= self.settings.retention;
         match view.present {
+            _ if self.missed_at.is_some_and(retained) => None,
             [only] if self.is_known() && self.is_first(view) => Some(&only.version),
             _ => None,
         }
--- a/coltsfoothall/tests/forward_peer.rs
+++ b/coltsfoothall/tests/forward_peer.rs
@@ -262,3 +262,61 @@
         }
     }
 }
+
+/// A heartbeat whose sender's clock reads `clock` seconds more than at the start.
+fn sent(last: u8, clock: u64) -> Profile {
+    Profile {
+        clock: Duration::from_secs(1_000 + clock),
+        ..profile(last, 1, "north")
+    }
+}
+
+/// Guards against an instance that stood still and takes heartbeats which waited in its socket for the
+/// present, as they arrive now: it would trust what others have changed meanwhile.
+#[test]
+fn waiting_heartbeats() {
+    let mut peers = peers();
+    for last in [2, 3] {
+        peers.receive(at(0), sent(last, 0));
+    }
+    assert!(peers.hears_all(at(100)));
+    // It stood still from 0.1 to 10 s.
+    peers.paused(at(10_000), Duration::ZERO);
+    for last in [2, 3] {
+        assert!(peers.is_outdated(at(10_000), &sent(last, 1)), "sent at 1 s");
+    }
+    assert!(!peers.hears_all(at(10_000)));
+    for last in [2, 3] {
+        assert!(!peers.is_outdated(at(10_010), &sent(last, 10)));
+        peers.receive(at(10_010), sent(last, 10));
+    }
+    assert!(peers.hears_all(at(10_020)));
+}
+
+/// Guards against an instance whose machine was suspended and that takes what it heard before for
+/// recent, as its clock stood still too.
+#[test]
+fn uncounted_time() {
+    let mut peers = peers();
+    for last in [2, 3] {
+        peers.receive(at(0), sent(last, 0));
+    }
+    // Its clock reads 0.1 s, and 9 s have passed.
+    peers.paused(at(100), Duration::from_secs(9));
+    assert!(!peers.hears_all(at(100)));
+    assert!(peers.is_outdated(at(110), &sent(2, 2)), "sent meanwhile");
+    assert!(!peers.is_outdated(at(110), &sent(2, 9)));
+    assert!(!peers.hears_all(at(110)), "the other one is not heard yet");
+    assert!(!peers.is_outdated(at(110), &sent(3, 9)));
+    assert!(peers.hears_all(at(110)));
+}
+
+/// Guards against heartbeats that are dropped for good, as their sender's clock was set back.
+#[test]
+fn clock_set_back() {
+    let mut peers = peers();
+    peers.receive(at(0), sent(2, 100));
+    peers.paused(at(1_000), Duration::ZERO);
+    assert!(peers.is_outdated(at(1_100), &sent(2, 50)));
+    assert!(!peers.is_outdated(at(2_600), &sent(2, 51)));
+}
--- a/coltsfoothall/tests/forward_version.rs
+++ b/coltsfoothall/tests/forward_version.rs
@@ -347,6 +347,74 @@
     ));
 }
 
+/// Guards against a table that is trusted for longer than others wait before they move its slots, as
+/// the clock of this instance did not count the time for which its machine was suspended.
+#[test]
+fn suspended_table_not_used() {
+    let (table, now) = two_versions();
+    let mut tracker = informed(&table, now);
+    let (service, present) = (service(), [present("v1", 8), present("v1.1", 8)]);
+    let now = at(now + 100);
+    let cut_off = view(&service, &present, false);
+    assert!(matches!(
+        tracker.resume(now, Some(7), cut_off),
+        Binding::Only(_)
+    ));
+    tracker.suspended(TRUST);
+    assert_eq!(tracker.resume(now, Some(7), cut_off), Binding::Unknown);
+}
+
+/// Guards against a stream that goes on at the version which an instance knew before it stood still or
+/// was cut off, while others began it at one that has replaced that version.
+#[test]
+fn replaced_version_not_guessed() {
+    let mut tracker = tracker();
+    tracker.apply(at(0), at(0), None);
+    let (service, present) = (service(), [present("v1", 8)]);
+    let view = view(&service, &present, true);
+    let first = Binding::Only(label("v1"));
+    assert_eq!(tracker.resume(at(100), Some(7), view), first);
+    tracker.record_start(at(100), 9, &service, &label("v1"));
+    tracker.missed(at(6_000));
+    assert_eq!(tracker.resume(at(6_010), Some(7), view), Binding::Unknown);
+    assert_eq!(
+        tracker.resume(at(6_010), Some(9), view),
+        first,
+        "it is known"
+    );
+    let later = at(6_010) + stream::Settings::default().retention;
+    assert_eq!(tracker.resume(later, Some(7), view), first);
+}
+
+/// Guards against a table that an instance trusts which stood still or was cut off: others do not wait
+/// for it before they give the slots of a version without endpoints away.
+#[test]
+fn missed_table_not_used() {
+    let (table, now) = two_versions();
+    let mut tracker = informed(&table, now);
+    let (service, present) = (service(), [present("v1", 8), present("v1.1", 8)]);
+    let now = at(now + 100);
+    let (alone, covered) = (
+        view(&service, &present, false),
+        view(&service, &present, true),
+    );
+    assert!(matches!(
+        tracker.resume(now, Some(7), alone),
+        Binding::Only(_)
+    ));
+    tracker.missed(now);
+    assert_eq!(tracker.resume(now, Some(7), alone), Binding::Unknown);
+    assert!(matches!(
+        tracker.resume(now, Some(7), covered),
+        Binding::Only(_)
+    ));
+    tracker.confirm(now);
+    assert!(matches!(
+        tracker.resume(now, Some(7), alone),
+        Binding::Only(_)
+    ));
+}
+
 /// Guards against a slot that tells a version while some instances begin its streams at another.
 #[test]
 fn moves_announced() {
