E202 says why a plain answer is not whole

The shared budget had taken the reason out of the line: a connection that broke off, an answer that is too large, no memory for it, or an end before its request was sent.

--- a/coltsfoothall-forward/src/relay.rs
+++ b/coltsfoothall-forward/src/relay.rs
@@ -96,17 +96,18 @@
     let (response, _reply, mut share, checkout) = sent.split();
     let (head, content) = response.into_parts();
     let memory = answers(state);
-    let mut read = body::read(&memory, || state.now(), content, MAX_BUFFERED_BYTES).await;
-    if !framed
-        && read.is_ok()
-        && let Some(reason) = cut_off(state, &endpoint, &checkout).await
-    {
-        event::BROKE_OFF.emit(format_args!(
-            "request={} endpoint={endpoint} reason={reason:?}",
-            job.id()
-        ));
-        read = Err(body::Error::Broken);
-    }
+    let read = body::read(&memory, || state.now(), content, MAX_BUFFERED_BYTES).await;
+    let cut = match &read {
+        Ok(_) if !framed => cut_off(state, &endpoint, &checkout).await,
+        Ok(_) | Err(_) => None,
+    };
+    let read = match (read, cut) {
+        (Ok(content), None) => Ok(content),
+        (Ok(_), Some(reason)) => Err((End::Broken, reason)),
+        (Err(body::Error::Broken), _) => Err((End::Broken, "the connection broke off")),
+        (Err(body::Error::Large), _) => Err((End::Failed, "it is too large")),
+        (Err(body::Error::Evicted), _) => Err((End::Failed, refusal::NO_ANSWER_MEMORY)),
+    };
     share.count_run(job);
     share.record_first_event();
     match read {
@@ -135,13 +136,10 @@
                 answer: Some(answer),
             })
         }
-        Err(error) => {
-            share.end(match &error {
-                body::Error::Large | body::Error::Evicted => End::Failed,
-                body::Error::Broken => End::Broken,
-            });
+        Err((end, reason)) => {
+            share.end(end);
             event::BROKE_OFF.emit(format_args!(
-                "request={} endpoint={endpoint} reason={error:?}",
+                "request={} endpoint={endpoint} reason={reason:?}",
                 job.id()
             ));
             trail.exclude(endpoint);
