Show that an answer is lost when its requester pauses

Cause: TCP_USER_TIMEOUT on accepted connections also aborts those whose peer does not read for some 3 s. No code is changed.

--- /dev/null
+++ b/review/9/case.rs
@@ -0,0 +1,110 @@
+//! Case 9: requesters pause while they read an answer.
+
+#[path = "../standin-2/site.rs"]
+mod site;
+
+use std::io::Read;
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use site::{Deployment, Wire, cannot_run, entry, listen, request_head, serve, whole};
+
+/// Runners of the service.
+const RUNNERS: u64 = 3;
+/// Requesters, each with a channel that it keeps.
+const REQUESTERS: u64 = 8;
+/// Size of a large answer.
+const LARGE: usize = 1_000_000;
+/// How long a requester doesn't read in the middle of it. It waits 15 s for the answer.
+const PAUSE: Duration = Duration::from_millis(4_000);
+/// The rule allows this many.
+const ALLOWED: usize = 3;
+
+fn main() -> ExitCode {
+    let trouble = site::with_trouble();
+    let mut deployment = Deployment::new(9);
+    let record = deployment.record.clone();
+    let runs: Arc<Mutex<Vec<String>>> = Arc::default();
+    for number in 1..=RUNNERS {
+        let (listener, address) = listen();
+        let (runs, record) = (Arc::clone(&runs), record.clone());
+        serve(listener, move |request, wire| {
+            let id = request.header("coltsfoothall-request-id").to_owned();
+            let echo = ("coltsfoothall-request-id", id.as_str());
+            if request.header("coltsfoothall-expected-instance") != format!("i-{number}") {
+                return wire.send(&whole(421, &[echo], b"")).is_ok();
+            }
+            record.line(&format!("runner i-{number} runs {id}"));
+            let large = request.target.ends_with("/large");
+            let body = vec![b'x'; if large { LARGE } else { 800 }];
+            let headers = [echo, ("coltsfoothall-upstream-signature", "receipt")];
+            let sent = wire.send(&whole(200, &headers, &body)).is_ok();
+            if sent {
+                runs.lock().unwrap().push(id.clone());
+                record.line(&format!("runner i-{number} has answered {id} whole"));
+            }
+            sent
+        });
+        let key = format!("servers/i-{number}");
+        deployment.store.put(&key, &entry("desk", address, "ready", 1, 1));
+    }
+    if !deployment.start(3) {
+        return cannot_run(&record, "the instances didn't become ready");
+    }
+    let fronts = deployment.fronts();
+    let mut requesters = Vec::new();
+    for number in 0..REQUESTERS {
+        let front = fronts[number as usize % fronts.len()];
+        let record = record.clone();
+        requesters.push(thread::spawn(move || {
+            let mut wire = Wire::open(front, Duration::from_secs(15)).ok()?;
+            let id = format!("short-{number}");
+            let head = request_head("POST", "/once/short", &id, "Content-Length: 2\r\n\r\nhi");
+            wire.send(head.as_bytes()).ok()?;
+            let status = wire.response().ok()?.status;
+            record.line(&format!("requester gets {status} for {id}, and keeps the channel"));
+            let id = format!("large-{number}");
+            let head = request_head("POST", "/once/large", &id, "Content-Length: 2\r\n\r\nhi");
+            record.line(&format!("requester sends {id}"));
+            wire.send(head.as_bytes()).ok()?;
+            let status = wire.response_head().ok()?.status;
+            if trouble {
+                record.line(&format!("requester has the head of {id}, {status}, and pauses"));
+                thread::sleep(PAUSE);
+            }
+            let (mut got, mut bytes) = (wire.buffered(), vec![0; 64 << 10]);
+            let end = loop {
+                match wire.stream.read(&mut bytes) {
+                    Ok(0) => break "the end of the channel".to_owned(),
+                    Ok(read) => got += read,
+                    Err(error) => break error.to_string(),
+                }
+                if got >= LARGE {
+                    break "the whole answer".into();
+                }
+            };
+            record.line(&format!("requester gets {got} of {LARGE} bytes of {id}, then {end}"));
+            Some((id, got))
+        }));
+    }
+    let answers: Vec<Option<(String, usize)>> = requesters
+        .into_iter()
+        .map(|one| one.join().ok().flatten())
+        .collect();
+    if answers.iter().any(Option::is_none) || !deployment.all_run() {
+        return cannot_run(&record, "a requester got no answer, or an instance ended");
+    }
+    let runs = runs.lock().unwrap();
+    let answers = answers.into_iter().flatten();
+    let lost: Vec<String> = answers
+        .filter(|(id, got)| *got < LARGE && runs.contains(id))
+        .map(|(id, got)| {
+            format!("LOST: {id} was answered whole by its runner; its channel ended after {got} bytes")
+        })
+        .collect();
+    println!("{REQUESTERS} large answers, {} of them lost", lost.len());
+    let broken = if lost.len() > ALLOWED { lost } else { Vec::new() };
+    site::verdict(&record, &broken)
+}
