--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -438,6 +438,11 @@
         Ok(reply)
     }
 
+    /// Reads the body that belongs to a head.
+    pub fn rest(&mut self, head: &Reply) -> io::Result<Vec<u8>> {
+        self.body(&head.headers, true)
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
